--- /dev/null
+++ b/adapter/src/host.rs
@@ -0,0 +1,450 @@
+//! Hosts the balancers: names in, names out, and each event to the instance that it is for.
+
+use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
+use micasail::*;
+use std::collections::{BTreeMap, HashMap};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+
+/// One server of a numbered catalogue; the name is shared by all who refer to it.
+#[derive(Debug, Clone)]
+struct Known {
+    name: Rc<str>,
+    line: Listed,
+}
+
+/// What an open request still waits for, so that its name can be dropped afterwards.
+#[derive(Debug)]
+struct Ticket {
+    id: RequestId,
+    out: u32,
+    ended: bool,
+}
+
+/// One life of one instance.
+struct Instance {
+    balancer: Balancer,
+    servers: HashMap<Rc<str>, ServerId>,
+    server_names: HashMap<ServerId, Rc<str>>,
+    tickets: HashMap<Rc<str>, Ticket>,
+    ticket_names: HashMap<RequestId, Rc<str>>,
+    next_request: u64,
+}
+
+/// All instances of this process and the catalogues, the only thing that they share.
+#[derive(Default)]
+pub struct Host {
+    catalogues: BTreeMap<u32, Vec<Known>>,
+    instances: BTreeMap<u32, Instance>,
+    actions: Vec<Action>,
+}
+
+impl Host {
+    /// Plays one batch; an error is a fault of the batch, in plain words.
+    pub fn play(&mut self, batch: Batch<'_>) -> Result<Reply, String> {
+        if !batch.clock_ms.is_finite() || batch.clock_ms < 0.0 {
+            return Err(format!("tMs is {}; a time of zero or more was expected", batch.clock_ms));
+        }
+        let now = Time::from_ms(batch.clock_ms);
+        let mut reply = Reply { round: batch.round, parts: Vec::new() };
+        for part in batch.parts {
+            let who = part.who;
+            let mut outbox = Vec::new();
+            for incoming in part.inbox {
+                self.one(now, who, incoming, &mut outbox)
+                    .map_err(|fault| format!("instance {who}: {fault}"))?;
+            }
+            if !outbox.is_empty() {
+                reply.parts.push(ReplyPart { who, outbox });
+            }
+        }
+        Ok(reply)
+    }
+
+    fn one(
+        &mut self,
+        now: Time,
+        who: u32,
+        incoming: Incoming<'_>,
+        outbox: &mut Vec<Outgoing>,
+    ) -> Result<(), String> {
+        match incoming {
+            Incoming::Catalog { r#ref, members_list } => {
+                let list = members_list.into_iter().map(known).collect::<Result<_, _>>()?;
+                self.catalogues.insert(r#ref, list);
+                return Ok(());
+            }
+            Incoming::Attach { salt, params } => {
+                let balancer = Balancer::new(settings(*params)?, salt).map_err(|e| e.to_string())?;
+                self.instances.insert(who, Instance::new(balancer));
+                return self.drive(now, who, None, outbox);
+            }
+            Incoming::Retire {} => {
+                // Nothing of the ended life may act any more, not even earlier in this batch.
+                self.instances.remove(&who);
+                outbox.clear();
+                return Ok(());
+            }
+            _ => {}
+        }
+        let instance = self.instances.get_mut(&who).ok_or("an event came before ATTACH")?;
+        let event = match incoming {
+            Incoming::Registry { form, r#ref, .. } => Some(Event::List(match form {
+                wire::Form::Error => ListUpdate::Failed,
+                form => {
+                    let number = r#ref.ok_or("REGISTRY names no catalogue")?;
+                    let list = self.catalogues.get(&number).ok_or_else(|| {
+                        format!("REGISTRY names catalogue {number}, which no CATALOG has set up")
+                    })?;
+                    let lines = instance.intern_list(list);
+                    match form {
+                        wire::Form::Partial => ListUpdate::Changes(lines),
+                        wire::Form::Complete => ListUpdate::Complete(lines),
+                        _ => ListUpdate::Saved(lines),
+                    }
+                }
+            })),
+            other => instance.translate(other)?,
+        };
+        match event {
+            Some(event) => self.drive(now, who, Some(event), outbox),
+            None => Ok(()),
+        }
+    }
+
+    /// Hands one event (or the start) to the balancer and puts its actions on the wire.
+    fn drive(
+        &mut self,
+        now: Time,
+        who: u32,
+        event: Option<Event>,
+        outbox: &mut Vec<Outgoing>,
+    ) -> Result<(), String> {
+        let Some(instance) = self.instances.get_mut(&who) else { return Ok(()) };
+        let actions = &mut self.actions;
+        actions.clear();
+        let run = catch_unwind(AssertUnwindSafe(|| match event {
+            Some(event) => instance.balancer.handle(now, event, actions),
+            None => instance.balancer.start(now, actions),
+        }));
+        if let Err(panic) = run {
+            let text = panic.downcast_ref::<String>().cloned();
+            let text = text.or_else(|| panic.downcast_ref::<&str>().map(|s| s.to_string()));
+            outbox.push(Outgoing::Bug { what: text.unwrap_or_else(|| "panic without a text".into()) });
+            return Ok(());
+        }
+        for action in self.actions.drain(..) {
+            outbox.push(instance.encode(action));
+        }
+        instance.forget_ended();
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(balancer: Balancer) -> Self {
+        Instance {
+            balancer,
+            servers: HashMap::new(),
+            server_names: HashMap::new(),
+            tickets: HashMap::new(),
+            ticket_names: HashMap::new(),
+            next_request: 0,
+        }
+    }
+
+    /// A server's number is a hash of its name, so that balancers mean the same by it when they talk. Should two
+    /// names meet in one number, the later one takes the next that is free.
+    fn intern_list(&mut self, list: &[Known]) -> Vec<Listed> {
+        list.iter()
+            .map(|known| {
+                let server = *self.servers.entry(known.name.clone()).or_insert_with(|| {
+                    let mut id = fnv1a(&known.name) as u32;
+                    while self.server_names.contains_key(&ServerId(id)) {
+                        id = id.wrapping_add(1);
+                    }
+                    self.server_names.insert(ServerId(id), known.name.clone());
+                    ServerId(id)
+                });
+                Listed { server, ..known.line.clone() }
+            })
+            .collect()
+    }
+
+    /// An event in the library's terms; `None` for news of requests that are long over.
+    fn translate(&mut self, incoming: Incoming<'_>) -> Result<Option<Event>, String> {
+        Ok(match incoming {
+            Incoming::Request { ticket, party, cls, affinity, estimate_ms, opts, expires_in_ms } => {
+                let id = RequestId(self.next_request);
+                self.next_request += 1;
+                let name: Rc<str> = Rc::from(&*ticket);
+                let entry = Ticket { id, out: 0, ended: false };
+                if self.tickets.insert(name.clone(), entry).is_some() {
+                    return Err(format!("REQUEST {ticket} came twice"));
+                }
+                self.ticket_names.insert(id, name);
+                let opts = opts.unwrap_or(0);
+                let hint = estimate_ms.filter(|ms| opts & 1 != 0 && ms.is_finite() && *ms > 0.0);
+                Some(Event::Request(Request {
+                    id,
+                    class: ClassId(cls),
+                    tenant: party.map(TenantId),
+                    key: affinity.map(|key| KeyId(fnv1a(&key))),
+                    cost_hint: hint.map(Span::from_ms),
+                    repeat: opts & 2 != 0,
+                    time_left: Span::from_ms(expires_in_ms),
+                }))
+            }
+            Incoming::FirstByte { ticket, attempt } => self
+                .tickets
+                .get(&*ticket)
+                .map(|t| Event::FirstByte { request: t.id, attempt: AttemptNo(attempt) }),
+            Incoming::Done { ticket, finished, time_taken_ms, ending, attempt, gauge } => {
+                self.tickets.get_mut(&*ticket).map(|t| {
+                    t.out = t.out.saturating_sub(1);
+                    t.ended |= finished;
+                    Event::Outcome {
+                        request: t.id,
+                        attempt: AttemptNo(attempt),
+                        outcome: outcome(ending),
+                        elapsed: Span::from_ms(time_taken_ms),
+                        report: gauge,
+                        closed: finished,
+                    }
+                })
+            }
+            Incoming::Aborted { ticket } => self.tickets.get_mut(&*ticket).map(|t| {
+                t.ended = true;
+                Event::ClientGone { request: t.id }
+            }),
+            Incoming::Elapsed { key_back } => Some(Event::Timer(TimerId(key_back))),
+            Incoming::Probed { backend, ending, time_taken_ms, gauge } => {
+                let server = *self
+                    .servers
+                    .get(&*backend)
+                    .ok_or_else(|| format!("PROBED names backend {backend}, which no list has named"))?;
+                let elapsed = Span::from_ms(time_taken_ms);
+                Some(Event::Probed { server, outcome: outcome(ending), elapsed, report: gauge })
+            }
+            Incoming::Mail { src_peer, raw } => {
+                Some(Event::PeerMessage { from: PeerId(src_peer), payload: unhex(&raw)? })
+            }
+            Incoming::Attach { .. }
+            | Incoming::Retire {}
+            | Incoming::Catalog { .. }
+            | Incoming::Registry { .. } => None,
+        })
+    }
+
+    fn ticket(&mut self, id: RequestId) -> Option<(String, &mut Ticket)> {
+        let name = self.ticket_names.get(&id)?;
+        Some((name.to_string(), self.tickets.get_mut(name)?))
+    }
+
+    fn encode(&mut self, action: Action) -> Outgoing {
+        let backend = |server: ServerId, names: &HashMap<ServerId, Rc<str>>| names[&server].to_string();
+        let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
+        match action {
+            Action::Send { request, server, timeout_at } => {
+                let backend = backend(server, &self.server_names);
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.out += 1;
+                Outgoing::Route { ticket, backend, until_ms: timeout_at.ms() }
+            }
+            Action::Cancel { request, attempt } => {
+                let Some((ticket, _)) = self.ticket(request) else { return gone() };
+                Outgoing::Abandon { ticket, attempt: attempt.0 }
+            }
+            Action::Refuse { request, retry_after } => {
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.ended = true;
+                Outgoing::OverloadReply { ticket, not_before_for_ms: retry_after.map(Span::ms) }
+            }
+            Action::Fail { request } => {
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.ended = true;
+                Outgoing::Abort { ticket }
+            }
+            Action::SetTimer { at, timer } => Outgoing::Timer { at_ms: at.ms(), key_back: timer.0 },
+            Action::Probe { server } => {
+                Outgoing::HealthCheck { backend: backend(server, &self.server_names) }
+            }
+            Action::CloseIdle { server } => {
+                Outgoing::CloseIdle { backend: backend(server, &self.server_names) }
+            }
+            Action::Tell { to, payload } => {
+                Outgoing::Announce { to: to.map_or(-1, |peer| i64::from(peer.0)), raw: hex(&payload) }
+            }
+            Action::Follow { active } => Outgoing::Follow { active },
+            Action::FetchList => Outgoing::Pull {},
+            Action::Log { text } => Outgoing::NoteDown { what: text },
+        }
+    }
+
+    /// Drops the names of requests that are answered and have nothing out.
+    fn forget_ended(&mut self) {
+        if self.tickets.len() < 2 * FORGET_FROM {
+            return;
+        }
+        let names = &mut self.ticket_names;
+        self.tickets.retain(|_, t| {
+            let keep = !t.ended || t.out > 0;
+            if !keep {
+                names.remove(&t.id);
+            }
+            keep
+        });
+    }
+}
+
+/// Names of ended requests are swept out once this many are held, so that a sweep costs little a request.
+const FORGET_FROM: usize = 512;
+
+fn known(entry: wire::Entry<'_>) -> Result<Known, String> {
+    let weight = entry.units.unwrap_or(1.0);
+    let started = entry.last_start_ms.filter(|ms| *ms > 0.0).map(Time::from_ms);
+    Ok(Known {
+        name: Rc::from(&*entry.backend),
+        line: Listed {
+            server: ServerId(0),
+            zone: ZoneId(entry.campus),
+            kind: KindId(entry.class_of_host),
+            cell: CellId(entry.cluster),
+            status: match entry.status {
+                wire::EntryStatus::Serving => Status::Serving,
+                wire::EntryStatus::Draining => Status::Draining,
+                wire::EntryStatus::Deleted => Status::Gone,
+            },
+            weight,
+            started,
+        },
+    })
+}
+
+fn outcome(ending: wire::Ending) -> Outcome {
+    match ending {
+        wire::Ending::Done => Outcome::Success,
+        wire::Ending::Err => Outcome::ServerError,
+        wire::Ending::Busy => Outcome::Rejected,
+        wire::Ending::Etimedout => Outcome::TimedOut,
+        wire::Ending::Econnrefused => Outcome::ConnectFailed,
+        wire::Ending::Econnreset => Outcome::ConnectionReset,
+        wire::Ending::Ecanceled => Outcome::Cancelled,
+        wire::Ending::Skipped => Outcome::NotSent,
+    }
+}
+
+/// The settings in the library's terms; what is absent keeps the library's default.
+fn settings(params: wire::Params) -> Result<Settings, String> {
+    let standard = Settings::default();
+    let span = |ms: Option<f64>, other: Span| ms.map_or(other, Span::from_ms);
+    let rules = params.rules;
+    let classes = params.classes.into_iter().map(class).collect();
+    let field = |name: &String| match name.as_str() {
+        "inflight" => ReportField::InFlight,
+        "queue" => ReportField::Queue,
+        "util" => ReportField::Utilisation,
+        "latency_ms" => ReportField::ServiceTime,
+        "qps" => ReportField::Rate,
+        "eps" => ReportField::Errors,
+        _ => ReportField::Other,
+    };
+    Ok(Settings {
+        balancers: params.balancers.unwrap_or(standard.balancers),
+        zone: ZoneId(params.zone),
+        classes,
+        tenants: params
+            .parties
+            .iter()
+            .map(|p| Tenant { fraction: p.fraction, allowance_per_s: p.allowance_per_s })
+            .collect(),
+        over_share_worth: params.over_share_worth.unwrap_or(standard.over_share_worth),
+        worth_by_work: params.worth_by == Some(wire::WorthBy::Work),
+        goal: Goal {
+            whole: params.goal.whole,
+            worst_window: params.goal.worst_window,
+            worst_class: params.goal.worst_class,
+            worst_tenant: params.goal.worst_tenant,
+        },
+        prices: Prices {
+            cross_zone: params.penalties.cross_zone,
+            probe: params.penalties.probe,
+            handshake: params.penalties.handshake,
+            connection: params.penalties.connection,
+            waste: params.penalties.waste,
+            late_fail: params.penalties.late_fail,
+        },
+        discovery: match params.discovery {
+            Some(wire::Discovery::OnRequest) => Discovery::OnRequest,
+            Some(wire::Discovery::Pushed) | None => Discovery::Pushed,
+        },
+        ask_within: span(rules.ask_within_ms, standard.ask_within),
+        report_source: match params.feedback.source {
+            wire::Source::Piggyback => ReportSource::Answers,
+            wire::Source::Pull => ReportSource::Probes,
+            wire::Source::Silent => ReportSource::None,
+        },
+        report_fields: params.feedback.fields.iter().map(field).collect(),
+        weights: match params.weights {
+            Some(wire::Weights::Nominal | wire::Weights::Rough) => Weights::Size,
+            Some(wire::Weights::Live) => Weights::Live,
+            Some(wire::Weights::Silent) | None => Weights::None,
+        },
+        warm_keys: params.family_info.warm_keys,
+        max_attempts: params.limits.max_attempts.unwrap_or(standard.max_attempts),
+        second_copies: params.limits.second_copies,
+        cancel: params.limits.cancel,
+        probes: params.limits.probes,
+        peers: params.limits.peers,
+        retry_after: params.limits.retry_after,
+        max_retry_after: Span::from_ms(params.limits.max_retry_after_ms),
+        drain_grace: span(rules.stop_sending_within_ms, standard.drain_grace),
+        cold_share: rules.cold_share.unwrap_or(standard.cold_share),
+        warm_after: span(rules.warm_after_ms, standard.warm_after),
+        overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
+        fall_after: span(rules.fall_ms, standard.fall_after),
+        period: span(params.period_ms, standard.period),
+    })
+}
+
+fn class(params: wire::ClassParams) -> Class {
+    let effect = match params.effect {
+        wire::Effect::Idempotent => Effect::Idempotent,
+        wire::Effect::AtMostOnce => Effect::AtMostOnce,
+        wire::Effect::Deduplicated => Effect::Deduplicated {
+            group: match params.group {
+                Some(wire::Group::All) => Group::All,
+                Some(wire::Group::Zone) => Group::Zone,
+                // Without a stated group the narrowest one is the safe reading.
+                Some(wire::Group::Cell) | None => Group::Cell,
+            },
+            window: Span::from_ms(params.dedup_window_ms),
+        },
+    };
+    Class {
+        effect,
+        aim: Span::from_ms(params.aim_ms),
+        aim_stretch: params.aim_stretch.unwrap_or(0.0),
+        deadline: Span::from_ms(params.deadline_ms),
+        worth: params.points,
+        late_worth: params.late_worth,
+        stream: params.stream,
+    }
+}
+
+/// Keys only need to be told apart; the hash is fixed so that equal keys are equal in every process.
+fn fnv1a(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Result<Vec<u8>, String> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+    match digits {
+        Some(digits) if digits.len() % 2 == 0 => Ok(digits.chunks(2).map(|p| p[0] << 4 | p[1]).collect()),
+        _ => Err(format!("MAIL holds {text:?}; an even number of hex digits was expected")),
+    }
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,657 @@
+//! The interface of [`crate::Balancer`]: time, identities, settings, events and actions.
+
+use std::fmt;
+use std::ops::{Add, Mul, Sub};
+
+/// A moment on the caller's clock, in microseconds since any epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Time(pub u64);
+
+/// A length of time in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Span(pub u64);
+
+impl Time {
+    /// The moment `ms` milliseconds after the epoch; below zero or not a number counts as the epoch.
+    pub fn from_ms(ms: f64) -> Self {
+        Time(Span::from_ms(ms).0)
+    }
+    /// Milliseconds since the epoch.
+    pub fn ms(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+    /// The time that has passed since `earlier`, zero if it lies ahead.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Span = Span(0);
+    /// `ms` milliseconds; below zero or not a number counts as none.
+    pub fn from_ms(ms: f64) -> Self {
+        Span((ms * 1e3).round() as u64)
+    }
+    /// The length in milliseconds.
+    pub fn ms(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+    /// This length less `other`, never below zero.
+    pub fn less(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor).round() as u64)
+    }
+}
+
+macro_rules! id {
+    ($(#[$doc:meta] $name:ident($inner:ty)),* $(,)?) => {$(
+        #[$doc]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+id! {
+    /// A request, named by the caller; never used twice in a balancer's life.
+    RequestId(u64),
+    /// A server, named by the caller; the same while the machine is, and the same at every balancer.
+    ServerId(u32),
+    /// A request class: its place in [`Settings::classes`].
+    ClassId(usize),
+    /// A tenant: its place in [`Settings::tenants`].
+    TenantId(usize),
+    /// A zone, as the server list numbers them.
+    ZoneId(u32),
+    /// A kind of machine, as the server list numbers them.
+    KindId(u32),
+    /// A cell (a group of servers that remember each other's requests), as the server list numbers them.
+    CellId(u32),
+    /// The thing that a request concerns; requests for the same thing carry the same key.
+    KeyId(u64),
+    /// An attempt of a request: 0 for its first send, 1 for its second and so on.
+    AttemptNo(u32),
+    /// Names a timer; chosen by the balancer.
+    TimerId(u64),
+    /// Another balancer of the same service.
+    PeerId(u32),
+}
+
+/// What repeating a request would do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub enum Effect {
+    /// Safe to repeat.
+    #[default]
+    Idempotent,
+    /// Carries a key by which the servers of `group` drop a repeat for `window` from the first send on.
+    Deduplicated {
+        /// Which servers drop repeats.
+        group: Group,
+        /// For how long they do.
+        window: Span,
+    },
+    /// Must not run twice.
+    AtMostOnce,
+}
+
+/// The servers that share a memory of what has already run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// What a repeat would do.
+    pub effect: Effect,
+    /// An answer within this is worth all of `worth`.
+    pub aim: Span,
+    /// The aim grows by this multiple of the request's own work, up to the deadline.
+    pub aim_stretch: f64,
+    /// How long a client waits in all, over all its tries.
+    pub deadline: Span,
+    /// What a request answered within its aim is worth.
+    pub worth: f64,
+    /// The share of the worth that an answer between aim and deadline keeps.
+    pub late_worth: f64,
+    /// The answer is a stream, announced by [`Event::FirstByte`].
+    pub stream: bool,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class {
+            effect: Effect::Idempotent,
+            aim: Span::from_ms(500.0),
+            aim_stretch: 0.0,
+            deadline: Span::from_ms(1000.0),
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: false,
+        }
+    }
+}
+
+/// A tenant with a share of the service.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Tenant {
+    /// Its fraction of the service.
+    pub fraction: f64,
+    /// Requests a second, over all balancers, that lie within its share.
+    pub allowance_per_s: f64,
+}
+
+/// What a server's report can say, in the order that [`Settings::report_fields`] gives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ReportField {
+    /// Requests it holds.
+    InFlight,
+    /// Requests that wait in it.
+    Queue,
+    /// The busy share of its cores.
+    Utilisation,
+    /// Its recent service time in milliseconds, waiting left out.
+    ServiceTime,
+    /// Requests it answers a second.
+    Rate,
+    /// Errors a second.
+    Errors,
+    /// Something that the balancer has no use for.
+    Other,
+}
+
+/// How the balancer hears of changes to the server list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub enum Discovery {
+    /// They come by themselves.
+    #[default]
+    Pushed,
+    /// Only after [`Action::Follow`] or [`Action::FetchList`].
+    OnRequest,
+}
+
+/// Where load reports come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub enum ReportSource {
+    /// There are none.
+    #[default]
+    None,
+    /// In outcomes and in probe results.
+    Answers,
+    /// In probe results only.
+    Probes,
+}
+
+/// The meaning of [`Listed::weight`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub enum Weights {
+    /// They say nothing.
+    #[default]
+    None,
+    /// The size of the machine, exactly or roughly.
+    Size,
+    /// The size divided by the load of a while ago.
+    Live,
+}
+
+/// How the service weighs its results; the parts need not sum to one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Goal {
+    /// All requests together.
+    pub whole: f64,
+    /// The worst stretch of time.
+    pub worst_window: f64,
+    /// The class that is served worst.
+    pub worst_class: f64,
+    /// The tenant that is served worst within its share.
+    pub worst_tenant: f64,
+}
+
+impl Default for Goal {
+    fn default() -> Self {
+        Goal { whole: 1.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 }
+    }
+}
+
+/// What things cost, as a share of the result for one of each per request.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Prices {
+    /// An attempt that leaves the balancer's zone.
+    pub cross_zone: f64,
+    /// A probe.
+    pub probe: f64,
+    /// A fresh connection.
+    pub handshake: f64,
+    /// An open connection, per hundred servers' worth.
+    pub connection: f64,
+    /// Work that served no answer.
+    pub waste: f64,
+    /// A request that ends unserved after its aim.
+    pub late_fail: f64,
+}
+
+/// All that a balancer is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Number of balancers of this service, this one included.
+    pub balancers: u32,
+    /// The zone that this balancer is in.
+    pub zone: ZoneId,
+    /// The request classes.
+    pub classes: Vec<Class>,
+    /// The tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// What a request over its tenant's share is still worth, as a fraction.
+    pub over_share_worth: f64,
+    /// Worth counts by work and not by request.
+    pub worth_by_work: bool,
+    /// How the results are weighed.
+    pub goal: Goal,
+    /// What things cost.
+    pub prices: Prices,
+    /// How the server list is heard.
+    pub discovery: Discovery,
+    /// Without a subscription the list must be asked for at least this often.
+    pub ask_within: Span,
+    /// Where load reports come from.
+    pub report_source: ReportSource,
+    /// What a load report holds, in order.
+    pub report_fields: Vec<ReportField>,
+    /// What the list's weights mean.
+    pub weights: Weights,
+    /// A server that met a key lately serves it for less work.
+    pub warm_keys: bool,
+    /// Most attempts for one request.
+    pub max_attempts: u32,
+    /// A request may have two attempts out at once.
+    pub second_copies: bool,
+    /// [`Action::Cancel`] is allowed.
+    pub cancel: bool,
+    /// [`Action::Probe`] is allowed.
+    pub probes: bool,
+    /// [`Action::Tell`] is allowed.
+    pub peers: bool,
+    /// Clients are passed the advice in [`Action::Refuse`].
+    pub retry_after: bool,
+    /// The longest advice that a client heeds.
+    pub max_retry_after: Span,
+    /// Nothing new may go to a draining or gone server this long after the balancer was told.
+    pub drain_grace: Span,
+    /// A server starts at this share of its capacity or more.
+    pub cold_share: f64,
+    /// And is warm after this.
+    pub warm_after: Span,
+    /// Sent more than this multiple of what it can do ...
+    pub overload_factor: f64,
+    /// ... for this long, a cold server falls over.
+    pub fall_after: Span,
+    /// How often at most events come.
+    pub period: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            balancers: 1,
+            zone: ZoneId(0),
+            classes: vec![Class::default()],
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            worth_by_work: false,
+            goal: Goal::default(),
+            prices: Prices::default(),
+            discovery: Discovery::Pushed,
+            ask_within: Span::from_ms(10_000.0),
+            report_source: ReportSource::None,
+            report_fields: Vec::new(),
+            weights: Weights::None,
+            warm_keys: false,
+            max_attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            peers: false,
+            retry_after: false,
+            max_retry_after: Span::from_ms(1000.0),
+            drain_grace: Span::from_ms(1000.0),
+            cold_share: 0.1,
+            warm_after: Span::from_ms(20_000.0),
+            overload_factor: 2.0,
+            fall_after: Span::from_ms(1000.0),
+            period: Span::from_ms(1.0),
+        }
+    }
+}
+
+impl Settings {
+    /// Refuses settings that no balancer can work with; [`crate::Balancer::new`] calls it.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::NoClasses);
+        }
+        if self.max_attempts == 0 {
+            return Err(SettingsError::NoAttempts);
+        }
+        for class in &self.classes {
+            if class.aim == Span::ZERO {
+                return Err(SettingsError::ZeroSpan { setting: "aim" });
+            }
+            if class.deadline == Span::ZERO {
+                return Err(SettingsError::ZeroSpan { setting: "deadline" });
+            }
+        }
+        let numbers = [("cold_share", self.cold_share), ("overload_factor", self.overload_factor)];
+        let numbers = numbers.into_iter().chain(self.classes.iter().map(|c| ("worth", c.worth)));
+        for (setting, value) in numbers {
+            if !value.is_finite() || value < 0.0 {
+                return Err(SettingsError::BadNumber { setting, value });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Settings that no balancer can work with.
+#[derive(Debug, Clone, PartialEq)]
+#[non_exhaustive]
+pub enum SettingsError {
+    /// There must be at least one class.
+    NoClasses,
+    /// A number that must be finite and not negative is not.
+    BadNumber {
+        /// Which setting.
+        setting: &'static str,
+        /// What it was.
+        value: f64,
+    },
+    /// A span that must be above zero is zero.
+    ZeroSpan {
+        /// Which setting.
+        setting: &'static str,
+    },
+    /// A request needs at least one attempt.
+    NoAttempts,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SettingsError::NoClasses => write!(f, "settings name no request class; at least one is needed"),
+            SettingsError::BadNumber { setting, value } => {
+                write!(f, "setting {setting} is {value}; a finite number of zero or more is needed")
+            }
+            SettingsError::ZeroSpan { setting } => write!(f, "setting {setting} is zero; it must be longer"),
+            SettingsError::NoAttempts => {
+                write!(f, "settings allow no attempt for a request; at least one is needed")
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What the list says of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Status {
+    /// It takes requests.
+    Serving,
+    /// It finishes what it has; send it nothing new.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// A line of the server list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// The server.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its kind.
+    pub kind: KindId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its status.
+    pub status: Status,
+    /// Its size among the others; see [`Settings::weights`].
+    pub weight: f64,
+    /// When it last started, if that was lately.
+    pub started: Option<Time>,
+}
+
+impl Listed {
+    /// A serving server that started long ago, in zone, kind and cell 0.
+    pub fn serving(server: ServerId) -> Self {
+        Listed {
+            server,
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: CellId(0),
+            status: Status::Serving,
+            weight: 1.0,
+            started: None,
+        }
+    }
+}
+
+/// News of the server list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ListUpdate {
+    /// The changed lines only.
+    Changes(Vec<Listed>),
+    /// The whole list: what it leaves out has left.
+    Complete(Vec<Listed>),
+    /// The whole list as it was saved before a restart; may be stale.
+    Saved(Vec<Listed>),
+    /// A call or the subscription failed; what was known still stands.
+    Failed,
+}
+
+/// A request that a client has handed over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Whose it is.
+    pub tenant: Option<TenantId>,
+    /// What it concerns.
+    pub key: Option<KeyId>,
+    /// A guess at its work, in core time.
+    pub cost_hint: Option<Span>,
+    /// The client says that this is a repeat.
+    pub repeat: bool,
+    /// How long the client still waits for this try.
+    pub time_left: Span,
+}
+
+impl Request {
+    /// A first try without tenant, key or hint.
+    pub fn new(id: RequestId, class: ClassId, time_left: Span) -> Self {
+        Request { id, class, tenant: None, key: None, cost_hint: None, repeat: false, time_left }
+    }
+}
+
+/// How an attempt or a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// Served.
+    Success,
+    /// The server answered with an error; the request may have run.
+    ServerError,
+    /// The server turned it away unseen.
+    Rejected,
+    /// No answer in time; it may have run or still run.
+    TimedOut,
+    /// No connection could be had in time; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    ConnectionReset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent: the request was over, or its attempts or time were used up.
+    NotSent,
+}
+
+impl Outcome {
+    /// True if this outcome proves that the request did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
+/// A server's load report: values as [`Settings::report_fields`] orders them.
+pub type Report = [f64];
+
+/// What the balancer is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A request has come in.
+    Request(Request),
+    /// A stream has begun; the request is bound to this attempt.
+    FirstByte {
+        /// The request.
+        request: RequestId,
+        /// The attempt that it is bound to.
+        attempt: AttemptNo,
+    },
+    /// An attempt is over.
+    Outcome {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// How it ended.
+        outcome: Outcome,
+        /// The time since it was sent.
+        elapsed: Span,
+        /// The server's report, if one came.
+        report: Option<Vec<f64>>,
+        /// The request has its final answer; without this one is still owed.
+        closed: bool,
+    },
+    /// The client has gone; nothing is owed any more.
+    ClientGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// A timer is due.
+    Timer(TimerId),
+    /// The answer to a probe.
+    Probed {
+        /// The server.
+        server: ServerId,
+        /// How the probe ended.
+        outcome: Outcome,
+        /// The time since it was sent.
+        elapsed: Span,
+        /// The server's report, if one came.
+        report: Option<Vec<f64>>,
+    },
+    /// News of the server list.
+    List(ListUpdate),
+    /// Another balancer's message.
+    PeerMessage {
+        /// Who sent it.
+        from: PeerId,
+        /// What it holds.
+        payload: Vec<u8>,
+    },
+}
+
+/// What the balancer wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send an attempt; attempts of a request are numbered in the order of their sends.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        server: ServerId,
+        /// When the attempt times out.
+        timeout_at: Time,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// Final answer: refused, and harmless to try again.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// When a new try makes sense, if that is known.
+        retry_after: Option<Span>,
+    },
+    /// Final answer: failed, with no promise about its effect.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Wake the balancer at this time; timers are not unset.
+    SetTimer {
+        /// When.
+        at: Time,
+        /// The name that [`Event::Timer`] brings back.
+        timer: TimerId,
+    },
+    /// Send a health probe.
+    Probe {
+        /// Where to.
+        server: ServerId,
+    },
+    /// Close this balancer's idle connections to a server.
+    CloseIdle {
+        /// The server.
+        server: ServerId,
+    },
+    /// Send a message to one other balancer, or to all.
+    Tell {
+        /// Whom; `None` for all.
+        to: Option<PeerId>,
+        /// What.
+        payload: Vec<u8>,
+    },
+    /// Open or close the subscription to the server list.
+    Follow {
+        /// Open it.
+        active: bool,
+    },
+    /// Ask for the whole server list once.
+    FetchList,
+    /// Something that people on call may want to read.
+    Log {
+        /// The text.
+        text: String,
+    },
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,905 @@
+//! Every decision of the balancer; its interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes
+//! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
+//! `outcome` learns from the answer and decides what follows, `end` gives the one final answer. `tick` looks
+//! after silent servers, held requests and the list.
+
+use crate::api::*;
+use crate::records::*;
+
+/// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
+const REMEMBERED: usize = 1;
+const DRAWS: usize = 3;
+/// Weight of a new answer in a server's pace: about the last eight answers count.
+const PACE_GAIN: f64 = 0.12;
+/// An answer counts as this many aims at most: late is late, and one costly request must not weigh like ten.
+const LATE: f64 = 1.0;
+/// Weight of a new answer in its class's pace; a slower one counts a quarter.
+const CLASS_GAIN: f64 = 0.04;
+/// A server is slow at this multiple of the fleet's median pace; under it, counts alone shift the load.
+const SLOW: f64 = 3.0;
+/// Answers needed before a server can be called slow; one costly request is no evidence.
+const SLOW_SAMPLES: u32 = 4;
+/// Failures in a row, with no success between, that make a server suspect.
+const FAILURES: u32 = 2;
+/// Failed connects to a zone in a row, to any of its servers, that tell of a cut link and not of a dead
+/// server.
+const ZONE_FAILURES: u32 = 2;
+/// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
+/// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
+const OVERDUE: f64 = 4.0;
+const OVERDUE_LEAST: f64 = 0.6;
+const OVERDUE_ALONE: f64 = 1.0;
+/// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
+const SUSPECT_SHARE: f64 = 0.75;
+/// First and longest pause between two trials of a suspect server.
+const TRIAL_FIRST: Span = Span(250_000);
+const TRIAL_MOST: Span = Span(4_000_000);
+/// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
+const TARGET: f64 = 0.25;
+/// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
+/// as much as one request more at zero, so that the price alone does not fill a zone.
+const AWAY: f64 = 0.25;
+const AWAY_MOST: f64 = 1.8;
+/// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
+const WARM: f64 = 0.7;
+/// Keys remembered; past that all are forgotten, which costs each of them one cold run.
+const KEYS_MOST: usize = 10_000;
+/// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
+const ALIKE: f64 = 0.25;
+/// What an answer past its aim leaves of a server's limit.
+const LATE_CUT: f64 = 0.85;
+/// A limit in full use grows by this much in the time that it takes to use it once.
+const GROWTH: f64 = 0.1;
+/// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
+const SHRINK: f64 = 0.02;
+/// The common level loses this share of itself in a round trip of slow answers (over twice the target), and
+/// gains `LEVEL_UP` of its root in one of good ones: a quarter of slow answers holds it, low levels catch up.
+const LEVEL_CUT: f64 = 0.6;
+const LEVEL_UP: f64 = 0.2;
+/// A blind balancer counts this many answers as a round trip at least, or one slow answer would shut it; and
+/// it always lets this share in, or it would never see a jam end.
+const ROUND_LEAST: usize = 4;
+const LEVEL_LEAST: f64 = 0.02;
+/// Own requests in flight that a server is first thought to bear, and the most it is ever given.
+const LIMIT_FIRST: f64 = 2.0;
+const LIMIT_MOST: f64 = 1000.0;
+/// Each request earns this much of a further attempt, saved up to the burst.
+const RETRY_EARN: f64 = 0.1;
+const RETRY_BURST: f64 = 10.0;
+/// How often the balancer looks around when it holds requests, and when it does not.
+const TICK_BUSY: Span = Span(10_000);
+const TICK_IDLE: Span = Span(50_000);
+/// Votes that a class's usual wait can gather; a new habit of the clients is believed after as many.
+const VOTES_MOST: u32 = 50;
+/// A held request must have this multiple of its class's present answer time left, or this share of its aim.
+const WAIT_MARGIN: f64 = 2.0;
+const WAIT_MOST: f64 = 0.7;
+/// Traffic is counted over about this many milliseconds.
+const COUNT_MS: f64 = 3000.0;
+/// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
+const SHARE_SLACK: f64 = 1.4;
+/// Longest local queue, in requests.
+const HELD_MOST: usize = 500;
+/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
+const ASK_AGAIN: Span = Span(200_000);
+
+/// The news of a report fades over about this many milliseconds.
+const NEWS_MS: f64 = 2000.0;
+/// The part of its share that a doubted server is still sent, and for how long after own evidence or hearsay.
+const DOUBTED: f64 = 0.05;
+const DOUBT_OWN: Span = Span(8_000_000);
+const DOUBT_HEARD: Span = Span(5_000_000);
+/// Peers told of a doubted server, and the bytes that each request earns for that, saved up to a limit.
+const TELL_MOST: u32 = 64;
+const TELL_EARN: f64 = 25.0;
+const TELL_SAVED: f64 = 512.0;
+/// Answers that the pace of a kind of machine remembers at most, those that it counts for beside a server's
+/// own, and those that a server's own count for at most.
+const KIND_MOST: f64 = 12.0;
+const KIND_WORTH: f64 = 4.0;
+const OWN_MOST: f64 = 8.0;
+/// Candidates are asked for their load where all probes of a pick cost this much at most, and for this share
+/// of the aim.
+const ASK_PRICE: f64 = 0.01;
+const ASK_WAIT: f64 = 0.05;
+
+/// How an attempt ended, after how long, and the report that came with it.
+type Ended = (Outcome, Span, Option<Vec<f64>>);
+
+const TICK: TimerId = TimerId(0);
+const ASKED: TimerId = TimerId(1);
+
+impl Balancer {
+    /// A balancer for these settings; equal seeds and events give equal actions.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let mut blank = Balancer::blank(settings, seed);
+        (blank.retries, blank.tell_bytes, blank.ask_pause) = (RETRY_BURST, TELL_SAVED, ASK_AGAIN);
+        Ok(blank)
+    }
+
+    /// To be called once, before the first event.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.settings.discovery == Discovery::OnRequest {
+            out.push(Action::Follow { active: true });
+        }
+        self.set_tick(now, TICK_IDLE, out);
+    }
+
+    /// Takes in what has happened by `now` and appends what is to be done about it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.arrive(now, request, out),
+            Event::FirstByte { request, attempt } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.bound = (attempt.0 as usize) < live.attempts.len();
+                }
+            }
+            Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
+                self.outcome(now, (request, attempt.0), (outcome, elapsed, report), closed, out);
+            }
+            Event::ClientGone { request } => {
+                self.live.remove(&request);
+            }
+            Event::Timer(TICK) => self.tick(now, out),
+            Event::Timer(ASKED) => self.choose_asked(now, out),
+            Event::Timer(_) => {}
+            Event::PeerMessage { payload, .. } => self.hear(now, &payload),
+            Event::Probed { server, outcome, report, .. } => {
+                let Some(&s) = self.index.get(&server) else { return };
+                match report {
+                    Some(report) => self.read_report(now, s, &report),
+                    None if outcome != Outcome::Success => self.suspect(now, s, "silent to probes", out),
+                    None => {}
+                }
+                self.choose_asked(now, out);
+            }
+            Event::List(update) => self.list(now, update, out),
+        }
+    }
+
+    // ---- a request comes in -------------------------------------------------------------------------
+
+    fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        let Some(class) = self.settings.classes.get(request.class.0) else {
+            out.push(Action::Refuse { request: id, retry_after: None });
+            return;
+        };
+        if self.live.contains_key(&id) {
+            return;
+        }
+        // First tries of a class wait alike; another wait is what earlier tries have left of the deadline.
+        let period = self.settings.period;
+        let (usual, votes) = &mut self.usual_wait[request.class.0];
+        let near = request.time_left.less(*usual) <= period && usual.less(request.time_left) <= period;
+        let alike = near || *votes == 0;
+        match *votes {
+            0 => (*usual, *votes) = (request.time_left, 1),
+            _ if alike => *votes = (*votes + 1).min(VOTES_MOST),
+            _ => *votes -= 1,
+        }
+        let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
+        let deadline = now + request.time_left;
+        let wanted_by = (now + class.aim.less(spent)).min(deadline);
+        self.count(now, &request);
+        let over_share = self.over_share(&request);
+        let live = Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share };
+        let hopeless = self.hopeless(now, &live);
+        self.live.insert(id, live);
+        // Many balancers that each save up a burst would all spend it in the same jam.
+        self.tell_bytes = (self.tell_bytes + TELL_EARN).min(TELL_SAVED);
+        let burst = if self.blind { 1.0 } else { RETRY_BURST };
+        self.retries = (self.retries + RETRY_EARN).min(burst);
+        if hopeless || !self.admits() {
+            self.end(now, id, out);
+        } else if !self.place(now, id, out) {
+            self.hold(now, id, out);
+        }
+    }
+
+    /// Where a balancer meets a server once in many seconds, limits per server bind nothing: in a jam of the
+    /// fleet it lets in only the part of its requests that the level says, by chance.
+    fn admits(&mut self) -> bool {
+        !self.blind || self.rng.f64() < self.level
+    }
+
+    /// Keeps the traffic of the last seconds by class and by tenant.
+    fn count(&mut self, now: Time, request: &Request) {
+        let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
+        self.counted_at = now;
+        self.asked.iter_mut().chain(&mut self.tenant_asked).for_each(|n| *n *= keep);
+        self.asked[request.class.0] += 1.0;
+        if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
+            *n += 1.0;
+        }
+    }
+
+    /// Of a tenant that takes more than its fraction of this balancer's traffic, the excess is over share.
+    /// No balancer sees the whole; its own traffic is the sample that it has.
+    fn over_share(&mut self, request: &Request) -> bool {
+        let Some(tenant) = request.tenant.filter(|t| t.0 < self.settings.tenants.len()) else { return false };
+        let all: f64 = self.tenant_asked.iter().sum();
+        let fair = SHARE_SLACK * self.settings.tenants[tenant.0].fraction * all;
+        self.settings.over_share_worth < 1.0 && self.rng.f64() * self.tenant_asked[tenant.0] > fair.max(1.0)
+    }
+
+    /// Classes to be refused last. Refusing a set of classes costs their worth and, once, the part of the
+    /// goal that hangs on the worst class; the set that frees most work for its cost gives way.
+    fn rank_classes(&mut self) {
+        let classes = &self.settings.classes;
+        let work = |c: usize| self.asked[c] * self.usual(c);
+        let worth =
+            |c: usize| classes[c].worth * if self.settings.worth_by_work { work(c) } else { self.asked[c] };
+        let mut order: Vec<usize> = (0..classes.len()).filter(|&c| work(c) > 0.0).collect();
+        order.sort_by(|&a, &b| (worth(a) / work(a)).total_cmp(&(worth(b) / work(b))));
+        let total: f64 = order.iter().map(|&c| worth(c)).sum();
+        let goal = &self.settings.goal;
+        let (mut lost, mut freed, mut least, mut giving) = (goal.worst_class * total, 0.0, f64::INFINITY, 0);
+        for (i, &c) in order.iter().enumerate() {
+            lost += (goal.whole + goal.worst_window) * worth(c);
+            freed += work(c);
+            if lost / freed < least {
+                (least, giving) = (lost / freed, i + 1);
+            }
+        }
+        self.spared = vec![false; classes.len()];
+        order[giving..].iter().for_each(|&c| self.spared[c] = true);
+    }
+
+    /// Sent now, it would not be answered while that is worth something.
+    fn hopeless(&self, now: Time, live: &Live) -> bool {
+        let c = &self.settings.classes[live.request.class.0];
+        let soon = c.aim * (0.7 * self.class_pace[live.request.class.0]);
+        now + soon >= if c.late_worth > 0.0 { live.deadline } else { live.wanted_by }
+    }
+
+    /// Keeps a request for later, or ends it if that is hopeless.
+    fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        if self.held.len() >= HELD_MOST {
+            self.end(now, id, out);
+            return;
+        }
+        self.held.insert(0, id);
+        // A tick that is due is never put off: requests held at each tick would starve it and lose requests.
+        if self.tick_at > now + TICK_BUSY {
+            self.set_tick(now, TICK_BUSY, out);
+        }
+    }
+
+    /// What the rules still allow; the whole of "no effect happens twice" is here.
+    fn lawful(&self, live: &Live, now: Time) -> Lawful {
+        let class = &self.settings.classes[live.request.class.0];
+        let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
+        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        let full = live.attempts.len() >= self.settings.max_attempts as usize;
+        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let send = match (first, class.effect) {
+            _ if shut => Reach::Nowhere,
+            (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
+            (Some(_), Effect::AtMostOnce) => Reach::Nowhere,
+            (Some(first), Effect::Deduplicated { window, .. }) if now > first.sent + window => Reach::Nowhere,
+            (Some(first), Effect::Deduplicated { group, .. }) => match group {
+                Group::All => Reach::Anywhere,
+                Group::Zone => Reach::Zone(first.zone),
+                Group::Cell => Reach::Cell(first.cell),
+            },
+        };
+        let refuse = match (first, class.effect) {
+            (None, _) | (_, Effect::Idempotent) => true,
+            (Some(_), Effect::AtMostOnce) => false,
+            (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
+        };
+        Lawful { send, refuse: refuse && !live.bound }
+    }
+
+    // ---- the pick -----------------------------------------------------------------------------------
+
+    /// Sends a request to the lightest candidate, if any server is open to it; false if none is.
+    fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(live) = self.live.get(&id) else { return true };
+        let pick = self.pick_for(now, live);
+        if pick.reach == Reach::Nowhere {
+            return false;
+        }
+        let candidates = self.candidates(now, &pick);
+        if self.asks() && !candidates.is_empty() {
+            self.ask(now, id, candidates, out);
+            return true;
+        }
+        self.choose(now, &pick, &candidates, out)
+    }
+
+    fn pick_for(&self, now: Time, live: &Live) -> Pick {
+        let class = live.request.class.0;
+        let key = live.request.key.filter(|_| self.settings.warm_keys);
+        Pick {
+            id: live.request.id,
+            class,
+            reach: self.lawful(live, now).send,
+            work: self.work(live),
+            heavy: (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt(),
+            safe: self.settings.classes[class].effect == Effect::Idempotent,
+            key,
+            warm: key.and_then(|k| self.warm_keys.get(&k)).copied(),
+            tried: live.attempts.iter().map(|a| a.server).collect(),
+        }
+    }
+
+    /// Sends to the lightest candidate and remembers it; false if there is none.
+    fn choose(&mut self, now: Time, pick: &Pick, candidates: &[usize], out: &mut Vec<Action>) -> bool {
+        let Some(server) = self.lightest(now, candidates, pick) else { return false };
+        self.remember(server, pick.key);
+        self.send(now, pick, server, out);
+        true
+    }
+
+    /// Whether the candidates are asked for their load first: where own counts say little, reports come with
+    /// probes only, say what a server holds, and those of one pick cost next to nothing.
+    fn asks(&self) -> bool {
+        let s = &self.settings;
+        let telling = s.report_fields.iter().any(|f| matches!(f, ReportField::InFlight | ReportField::Queue));
+        let price = s.prices.probe * (DRAWS + REMEMBERED) as f64;
+        s.probes && s.report_source == ReportSource::Probes && telling && price <= ASK_PRICE && self.blind
+    }
+
+    /// Probes the candidates; the pick waits until all have answered, for a small part of the aim at most.
+    fn ask(&mut self, now: Time, id: RequestId, mut candidates: Vec<usize>, out: &mut Vec<Action>) {
+        candidates.sort_unstable();
+        candidates.dedup();
+        let live = &self.live[&id];
+        let until = (now + self.settings.classes[live.request.class.0].aim * ASK_WAIT).min(live.deadline);
+        for &c in &candidates {
+            out.push(Action::Probe { server: self.servers[c].listed.server });
+        }
+        out.push(Action::SetTimer { at: until, timer: ASKED });
+        self.asking.push(Asking { id, candidates, since: now, until });
+    }
+
+    /// Sends the requests whose candidates have told their load, or have been waited for long enough.
+    fn choose_asked(&mut self, now: Time, out: &mut Vec<Action>) {
+        let servers = &self.servers;
+        let told = |a: &Asking, c: usize| servers[c].reported_at.is_some_and(|at| at >= a.since);
+        let done = |a: &Asking| now >= a.until || a.candidates.iter().all(|&c| told(a, c));
+        let (done, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.asking).into_iter().partition(done);
+        self.asking = waiting;
+        for mut a in done {
+            let Some(live) = self.live.get(&a.id) else { continue };
+            let pick = self.pick_for(now, live);
+            let heard = |c: &usize| self.servers[*c].reported_at.is_some_and(|at| at >= a.since);
+            let some = a.candidates.iter().any(heard);
+            a.candidates.retain(|c| (!some || heard(c)) && self.ready(now, *c, &pick));
+            if !self.choose(now, &pick, &a.candidates, out) {
+                self.hold(now, a.id, out);
+            }
+        }
+    }
+
+    /// Whether a server may be sent this request now.
+    fn ready(&self, now: Time, i: usize, ask: &Pick) -> bool {
+        let s = &self.servers[i];
+        let lawful = match ask.reach {
+            Reach::Nowhere => false,
+            Reach::Anywhere => true,
+            Reach::Zone(zone) => s.listed.zone == zone,
+            Reach::Cell(cell) => s.listed.cell == cell,
+        };
+        lawful
+            && s.listed.status == Status::Serving
+            && self.has_room(now, s, ask.work)
+            && (self.blind || s.suspicion.as_ref().is_none_or(|q| due(q, now, ask.safe)))
+    }
+
+    /// Room by the learned limit; where that says nothing, only a server that was full is given a rest. A
+    /// cold server has room for its share of what warm ones were sent lately, so that the sum of all
+    /// balancers cannot push it over while the warm ones are held back.
+    fn has_room(&self, now: Time, s: &Server, work: f64) -> bool {
+        if self.blind {
+            return now >= s.rest_until;
+        }
+        // Many balancers with one request each are a crowd too: below one, the limit is kept by rests, judged
+        // by the limit as it is now; else one late answer at a low level would rest a server for a minute.
+        let limit = s.limit * self.level;
+        let rested = now.since(s.ended).ms() >= s.took * (1.0 / limit - 1.0).max(0.0) && now >= s.rest_until;
+        let warmth = self.warmth(s, now);
+        let share = warmth * self.warm_sent.now(now);
+        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share;
+        rested && !cold && f64::from(s.in_flight) + 1.0 <= (limit * warmth).max(1.0)
+    }
+
+    /// Fresh uniform draws from the servers that are ready for the request, and the remembered ones that are.
+    /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
+    /// fail is each server looked at, and those that were tried before come last.
+    fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
+        let mut found: Vec<usize> = Vec::with_capacity(DRAWS + REMEMBERED + 1);
+        for _ in 0..4 * DRAWS {
+            if found.len() >= DRAWS || self.serving.is_empty() {
+                break;
+            }
+            let i = self.serving[self.rng.usize(0..self.serving.len())];
+            if !ask.tried.contains(&i) && self.ready(now, i, ask) && self.passes(now, i) {
+                found.push(i);
+            }
+        }
+        for m in self.memory.clone().into_iter().chain(ask.warm) {
+            if !ask.tried.contains(&m) && self.ready(now, m, ask) && self.passes(now, m) {
+                found.push(m);
+            }
+        }
+        if found.is_empty() {
+            let ready = |i: &usize| self.ready(now, *i, ask);
+            let open = self.serving.iter().copied().filter(ready);
+            let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| ask.tried.contains(i));
+            let open = if fresh.is_empty() { again } else { fresh };
+            found.extend((0..DRAWS.min(open.len())).map(|_| open[self.rng.usize(0..open.len())]));
+        }
+        found
+    }
+
+    /// A cold server, empty and remembered by all, would be pushed over by the sum of all balancers. Each
+    /// lets it be a candidate only as often as the part of its capacity that it surely has, so that all
+    /// together send it that part of a warm server's share, and no talk among them is needed. Where being
+    /// empty wins the pick, a candidate counts for as many as it wins over.
+    fn passes(&mut self, now: Time, i: usize) -> bool {
+        let warmth = self.warmth(&self.servers[i], now);
+        let wins = if self.asks() { DRAWS + REMEMBERED } else { 1 };
+        !self.blind || warmth >= 1.0 || self.rng.f64() * (wins as f64) < warmth
+    }
+
+    /// The candidate with the least own load: requests in flight, scaled by what the machine costs (how slow
+    /// it has shown itself, a priced crossing, a warm key). Ties fall by its report; a coin is last.
+    ///
+    /// A blind balancer compares the plain counts, and the coin is weighed by what each candidate can bear.
+    /// As the last choice is among the candidates, the choices of all together settle in proportion to that.
+    fn lightest(&mut self, now: Time, candidates: &[usize], pick: &Pick) -> Option<usize> {
+        let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
+        let (blind, asks) = (self.blind, self.asks());
+        let mut best = None;
+        for &c in candidates {
+            let coin = self.rng.f64();
+            let s = &self.servers[c];
+            let report = s.reported + f64::from(s.sent_since);
+            let key = if blind {
+                let told = if asks { report.round() as i64 } else { 0 };
+                (i64::from(s.in_flight), told, (-(1.0 - coin).ln() / self.bears(s, now)).to_bits())
+            } else {
+                let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
+                let known = if pick.warm == Some(c) { WARM } else { 1.0 };
+                // A suspect drawn for its trial goes first: by its own record it would never be tried.
+                let count = if s.suspicion.is_some() { 0.0 } else { f64::from(s.in_flight) + 1.0 };
+                let load = (count * far * (s.stretch * known).powf(0.5 * pick.heavy)).ln();
+                ((load / ALIKE).round() as i64, report.round() as i64, coin.to_bits())
+            };
+            if best.is_none_or(|(least, _)| key < least) {
+                best = Some((key, c));
+            }
+        }
+        best.map(|(_, c)| c)
+    }
+
+    /// What a server can bear next to others: its listed size over what waits there by its report. A report's
+    /// news fades, and what is not known is as crowded as the rest.
+    /// The pace counts in its cube: by the plain one slow machines time out while fast ones idle.
+    fn bears(&self, s: &Server, now: Time) -> f64 {
+        let size = if self.settings.weights == Weights::Size { s.listed.weight } else { 1.0 };
+        let size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
+        let news = s.reported_at.map_or(0.0, |at| (-now.since(at).ms() / NEWS_MS).exp());
+        let waiting = news * (s.reported + f64::from(s.sent_since)) + (1.0 - news) * self.crowd;
+        let cut = self.zones.get(&s.listed.zone).is_some_and(|zone| now < zone.1);
+        let doubt = if cut || now < s.doubted_until { DOUBTED } else { 1.0 };
+        let kind = self.kinds.get(&s.listed.kind).map_or(self.median, |k| k.0);
+        let own = f64::from(s.samples).min(OWN_MOST);
+        let pace = (kind * KIND_WORTH + s.pace * own) / (KIND_WORTH + own);
+        doubt * size / (1.0 + waiting) / pace.max(0.01).powi(3)
+    }
+
+    fn remember(&mut self, server: usize, key: Option<KeyId>) {
+        if let Some(key) = key {
+            if self.warm_keys.len() >= KEYS_MOST {
+                self.warm_keys.clear();
+            }
+            self.warm_keys.insert(key, server);
+        }
+        self.memory.retain(|&m| m != server);
+        self.memory.insert(0, server);
+        self.memory.truncate(REMEMBERED);
+    }
+
+    fn send(&mut self, now: Time, pick: &Pick, server: usize, out: &mut Vec<Action>) {
+        let (id, class) = (pick.id, pick.class);
+        let cold = self.warmth(&self.servers[server], now) < 1.0;
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let timeout_at = live.deadline;
+        let s = &mut self.servers[server];
+        let attempt = live.attempts.len() as u32;
+        let (zone, cell) = (s.listed.zone, s.listed.cell);
+        live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
+        s.in_flight += 1;
+        s.sent_since += 1;
+        let share = pick.work / self.warm.max(1) as f64;
+        let (sent, work) = if cold { (&mut s.cold_sent, pick.work) } else { (&mut self.warm_sent, share) };
+        sent.add(now, 0.5 * self.settings.fall_after.ms(), work);
+        let trial = s.suspicion.is_some();
+        s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
+        let again = attempt > 0;
+        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, again, counted: false });
+        out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
+    }
+
+    // ---- cold servers -------------------------------------------------------------------------------
+
+    /// The share of its capacity that a server surely has.
+    fn warmth(&self, s: &Server, now: Time) -> f64 {
+        let Some(started) = s.listed.started else { return 1.0 };
+        let (age, warm) = (now.since(started).ms(), self.settings.warm_after.ms());
+        if age >= warm {
+            return 1.0;
+        }
+        let cold = self.settings.cold_share.min(1.0);
+        cold + (1.0 - cold) * age / warm
+    }
+
+    /// The usual answer time of a class in milliseconds.
+    fn usual(&self, class: usize) -> f64 {
+        (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
+    }
+
+    /// A guess at a request's work: the hint, else the usual answer time of its class.
+    fn work(&self, live: &Live) -> f64 {
+        live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
+    }
+
+    // ---- what follows an outcome --------------------------------------------------------------------
+
+    fn outcome(
+        &mut self,
+        now: Time,
+        key: (RequestId, u32),
+        ended: Ended,
+        closed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.remove(&key) else { return };
+        self.servers[flight.server].in_flight -= 1;
+        let (outcome, elapsed, report) = ended;
+        if let Some(report) = report {
+            self.read_report(now, flight.server, &report);
+        }
+        self.learn(now, &flight, outcome, elapsed, out);
+        self.let_go(flight.server, out);
+        let id = key.0;
+        if closed {
+            self.live.remove(&id);
+        } else if let Some(live) = self.live.get_mut(&id) {
+            let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+            live.attempts[key.1 as usize].fate = fate;
+            self.follow_up(now, id, outcome, out);
+        }
+        self.pump(now, out);
+    }
+
+    /// Fresh draws range over the whole fleet, so kept connections would grow to balancers times servers and
+    /// fill the servers' tables. A blind balancer comes by too seldom to be worth a place in each: it keeps
+    /// only the connections of the remembered server.
+    fn let_go(&self, server: usize, out: &mut Vec<Action>) {
+        let s = &self.servers[server];
+        if s.in_flight == 0 && self.blind && !self.memory.contains(&server) {
+            out.push(Action::CloseIdle { server: s.listed.server });
+        }
+    }
+
+    /// The request still owes its answer after an attempt has failed.
+    fn follow_up(&mut self, now: Time, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
+        let live = &self.live[&id];
+        if live.attempts.iter().any(|a| a.fate == Fate::Out) {
+            return;
+        }
+        let useful = !self.hopeless(now, live);
+        let paid = outcome.never_ran() || self.retries >= 1.0;
+        if self.lawful(live, now).send != Reach::Nowhere && useful && paid {
+            if !outcome.never_ran() {
+                self.retries -= 1.0;
+            }
+            if !self.place(now, id, out) {
+                self.hold(now, id, out);
+            }
+        } else {
+            self.end(now, id, out);
+        }
+    }
+
+    /// The final answer from here: a refusal if that is true to the client, else a failure.
+    fn end(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(live) = self.live.remove(&id) else { return };
+        if self.lawful(&live, now).refuse {
+            let advice = self.settings.classes[live.request.class.0].aim.min(self.settings.max_retry_after);
+            let retry_after = self.settings.retry_after.then_some(advice);
+            out.push(Action::Refuse { request: id, retry_after });
+        } else {
+            out.push(Action::Fail { request: id });
+        }
+    }
+
+    /// Sends what is held and can go, newest first, and ends what can no longer be answered in time: first
+    /// come first served would let every request wait until it is nearly too late, and then be late.
+    fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.held.is_empty() {
+            return;
+        }
+        let mut held = std::mem::take(&mut self.held);
+        held.sort_by_cached_key(|id| {
+            self.live.get(id).map(|l| (l.over_share, !self.spared[l.request.class.0]))
+        });
+        held.retain(|&id| {
+            let Some(live) = self.live.get(&id) else { return false };
+            let class = live.request.class.0;
+            let margin = (WAIT_MARGIN * self.class_now[class]).min(WAIT_MOST);
+            if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
+                self.end(now, id, out);
+                return false;
+            }
+            !self.place(now, id, out)
+        });
+        self.held = held;
+    }
+
+    // ---- what is learned of servers -----------------------------------------------------------------
+
+    fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
+        let aim = self.settings.classes[flight.class].aim.ms();
+        let least = 1.0 / f64::from(self.settings.balancers.max(1));
+        let (median, own) = (self.median, self.servers[flight.server].in_flight);
+        let used = match outcome {
+            Outcome::Success => (elapsed.ms() / aim).min(LATE),
+            // Called back is not stopped: the work may still stand in the server's queue.
+            Outcome::TimedOut | Outcome::Rejected | Outcome::Cancelled => LATE,
+            _ => 0.0,
+        };
+        if used > 0.0 && !flight.counted && !(self.blind && outcome == Outcome::Rejected && !flight.again) {
+            self.set_level(used);
+        }
+        let s = &mut self.servers[flight.server];
+        match outcome {
+            Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut => {}
+            Outcome::Success => {
+                s.failures = 0;
+                s.last_answer = now;
+                self.zones.remove(&s.listed.zone);
+                if used < 1.0 {
+                    s.doubted_until = now;
+                }
+                lean(&mut self.class_pace[flight.class], used, CLASS_GAIN);
+                lean(&mut s.stretch, (used / self.class_pace[flight.class].max(0.001)).min(8.0), CLASS_GAIN);
+                s.stretch = s.stretch.max(0.05);
+                let current = &mut self.class_now[flight.class];
+                *current += PACE_GAIN * (used - *current);
+            }
+            // A full server is no sick one: it is only sent less.
+            Outcome::Rejected => s.last_answer = now,
+            Outcome::ConnectFailed => {
+                s.failures += 1;
+                let (failures, cut_until) = self.zones.entry(s.listed.zone).or_default();
+                *failures += 1;
+                *cut_until = if *failures >= ZONE_FAILURES { now + DOUBT_HEARD } else { now };
+            }
+            Outcome::ServerError | Outcome::ConnectionReset => {
+                s.failures += 1;
+                s.last_answer = now;
+            }
+        }
+        if used > 0.0 {
+            let (pace, n) = self.kinds.entry(s.listed.kind).or_insert((median, 1.0));
+            *n = (*n + 1.0).min(KIND_MOST);
+            *pace += (used - *pace) / *n;
+            s.pace = if s.samples == 0 { used } else { s.pace + PACE_GAIN * (used - s.pace) };
+            s.samples += 1;
+            // Slower than the pace forgets, or its lag would drive the limit down too far; an answer past its
+            // aim or a full queue is sure evidence and counts at once.
+            let over = (s.pace / TARGET - 1.0).min(2.0);
+            let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
+            s.limit = (s.limit * factor).max(least);
+            if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= (0.7 * s.limit).floor() {
+                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
+            }
+            // A full server rests in any case, or what it turns away would go round the fleet at once.
+            (s.ended, s.took) = (now, elapsed.ms());
+            if outcome == Outcome::Rejected {
+                s.took = aim;
+                s.rest_until = now + Span::from_ms(aim * self.class_pace[flight.class]);
+            }
+        }
+        if flight.trial {
+            let good = outcome == Outcome::Success && used < SLOW * median.max(0.1);
+            if good {
+                s.suspicion = None;
+                (s.pace, s.samples, s.failures, s.stretch) = (used, 1, 0, 1.0);
+            } else if let Some(q) = &mut s.suspicion {
+                q.on_trial = false;
+                q.pause = (q.pause * 2.0).min(TRIAL_MOST);
+                q.next_trial = now + q.pause;
+            }
+            return;
+        }
+        let slow = s.samples >= SLOW_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
+        let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
+        if s.failures >= FAILURES || slow || late || (self.blind && s.failures > 0) {
+            self.suspect(now, flight.server, if slow { "slow" } else { "failing" }, out);
+        }
+    }
+
+    /// Moves the common level by one answer.
+    fn set_level(&mut self, used: f64) {
+        let least = if self.blind { LEVEL_LEAST } else { 1.0 / f64::from(self.settings.balancers.max(1)) };
+        let slow = if self.blind { 1.0 } else { 2.0 * TARGET };
+        let step = if used >= slow { -LEVEL_CUT * self.level } else { LEVEL_UP * self.level.sqrt() };
+        let round = if self.blind { ROUND_LEAST.max(self.flights.len() + 1) } else { self.flights.len() + 1 };
+        self.level = (self.level + step / round as f64).clamp(least, 1.0);
+    }
+
+    /// Takes a server out of the draw and out of memory, unless too many are out already.
+    fn suspect(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
+        if self.blind {
+            return self.doubt(now, server, out);
+        }
+        let all = self.serving.len() as f64;
+        let suspects = self.serving.iter().filter(|&&i| self.servers[i].suspicion.is_some()).count();
+        let s = &mut self.servers[server];
+        if s.suspicion.is_some() || (suspects + 1) as f64 > SUSPECT_SHARE * all {
+            return;
+        }
+        s.suspicion = Some(Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST, on_trial: false });
+        self.memory.retain(|&m| m != server);
+        let text =
+            format!("server {} {why}: pace {:.2} of median {:.2}", s.listed.server.0, s.pace, self.median);
+        out.push(Action::Log { text });
+    }
+
+    /// A blind balancer meets a server too seldom for trials: those of all balancers together would be a load
+    /// of their own. It sends a doubted server a small part of its share for a while and tells some peers,
+    /// for each of them would else lose a request of its own to find out.
+    fn doubt(&mut self, now: Time, server: usize, out: &mut Vec<Action>) {
+        let s = &mut self.servers[server];
+        s.doubted_until = now + DOUBT_OWN;
+        self.memory.retain(|&m| m != server);
+        let payload = s.listed.server.0.to_be_bytes().to_vec();
+        let paid = if self.settings.peers { self.tell_bytes / payload.len() as f64 } else { 0.0 };
+        for _ in 0..(paid as u32).min(TELL_MOST).min(self.settings.balancers - 1) {
+            self.tell_bytes -= payload.len() as f64;
+            let peer = PeerId(self.rng.u32(0..self.settings.balancers));
+            out.push(Action::Tell { to: Some(peer), payload: payload.clone() });
+        }
+    }
+
+    /// Hearsay makes a known server doubted for a short while and nothing else: old, lost or false news is
+    /// harmless.
+    fn hear(&mut self, now: Time, payload: &[u8]) {
+        let Ok(id) = payload.try_into().map(u32::from_be_bytes) else { return };
+        if let Some(&s) = self.index.get(&ServerId(id)) {
+            let s = &mut self.servers[s];
+            s.doubted_until = s.doubted_until.max(now + DOUBT_HEARD);
+            self.memory.retain(|&m| self.servers[m].doubted_until <= now);
+        }
+    }
+
+    fn read_report(&mut self, now: Time, server: usize, report: &Report) {
+        let place = |field| self.settings.report_fields.iter().position(|f| *f == field);
+        let told = place(ReportField::InFlight).or_else(|| place(ReportField::Queue));
+        if let Some(value) = told.and_then(|i| report.get(i)).filter(|value| value.is_finite()) {
+            let s = &mut self.servers[server];
+            (s.reported, s.reported_at, s.sent_since) = (value.clamp(0.0, 1e6), Some(now), 0);
+            self.crowd += PACE_GAIN * (s.reported - self.crowd);
+        }
+    }
+
+    // ---- the list and the clock ---------------------------------------------------------------------
+
+    fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
+        let (lines, complete) = match update {
+            ListUpdate::Failed => {
+                let jitter = 0.5 + self.rng.f64();
+                self.ask_at = Some(now + self.ask_pause * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                return;
+            }
+            ListUpdate::Changes(lines) => (lines, false),
+            ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
+        };
+        self.ask_pause = ASK_AGAIN;
+        if complete {
+            for s in &mut self.servers {
+                s.listed.status = Status::Gone;
+            }
+        }
+        for line in lines {
+            let server = line.server;
+            match self.index.get(&server) {
+                Some(&i) => {
+                    let s = &mut self.servers[i];
+                    if line.started.is_some() && line.started != s.listed.started {
+                        // A new process: what was learned of the old one says nothing, and it is cold.
+                        let (in_flight, last_answer) = (s.in_flight, s.last_answer);
+                        *s = Server { in_flight, last_answer, ..Server::new(line, LIMIT_FIRST, now) };
+                    } else {
+                        s.listed = line;
+                    }
+                }
+                None => {
+                    self.index.insert(server, self.servers.len());
+                    self.servers.push(Server::new(line, LIMIT_FIRST, now));
+                }
+            }
+        }
+        let servers = &self.servers;
+        self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
+        self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
+        self.most = self.most.max(self.serving.len());
+        self.blind = self.settings.balancers as usize > self.most;
+        self.pump(now, out);
+    }
+
+    fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
+        self.tick_at = now + after;
+        out.push(Action::SetTimer { at: self.tick_at, timer: TICK });
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.tick_at {
+            return;
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = None;
+            out.push(Action::Follow { active: true });
+        }
+        let judged = |s: &&Server| s.listed.status == Status::Serving && s.samples > 0;
+        let mut paces: Vec<f64> = self.servers.iter().filter(judged).map(|s| s.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        if let Some(&median) = paces.get(paces.len() / 2) {
+            self.median = median.max(0.01);
+        }
+        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
+        self.rank_classes();
+        self.find_silent(now, out);
+        self.pump(now, out);
+        self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
+    }
+
+    /// A server is silent if an attempt there is overdue and nothing has come back since it was sent. What
+    /// may be repeated and can still be answered in time is called back from it and sent elsewhere.
+    fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
+            let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
+            let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
+            let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
+            let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
+            let wait = aim * (OVERDUE * pace).max(least);
+            let quiet = server.last_answer < flight.sent;
+            (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
+        };
+        let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
+        // An answer that is late is known to be late before it comes; waiting for it lets a jam grow.
+        let (classes, blind) = (&self.settings.classes, self.blind);
+        let late = |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim;
+        let late = self.flights.values_mut().filter(late).map(|f| f.counted = true).count();
+        (0..late).for_each(|_| self.set_level(LATE));
+        for &((id, attempt), server) in &silent {
+            self.suspect(now, server, "silent", out);
+            let Some(live) = self.live.get(&id) else { continue };
+            let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
+            let last = attempt as usize + 1 == live.attempts.len();
+            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
+            if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
+                out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
+            }
+        }
+    }
+}
+
+/// Whether a request may try the server. Safe ones first; any will do once none has come for two pauses,
+/// or a site without a safe class would never take a server back.
+fn due(q: &Suspicion, now: Time, safe: bool) -> bool {
+    let at = if safe { q.next_trial } else { q.next_trial + q.pause * 2.0 };
+    !q.on_trial && now >= at
+}
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,262 @@
+//! What the decisions keep of requests, attempts and servers: records only, nothing is decided here.
+
+use crate::api::*;
+use std::collections::BTreeMap;
+
+/// Where a request may still go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Nowhere,
+    Anywhere,
+    Zone(ZoneId),
+    Cell(CellId),
+}
+
+/// A request whose candidates have been asked for their load.
+pub(crate) struct Asking {
+    pub(crate) id: RequestId,
+    pub(crate) candidates: Vec<usize>,
+    pub(crate) since: Time,
+    pub(crate) until: Time,
+}
+
+/// A sum whose parts fade with time.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Fading {
+    sum: f64,
+    over_ms: f64,
+    at: Time,
+}
+
+impl Fading {
+    pub(crate) fn now(&self, now: Time) -> f64 {
+        self.sum * (-now.since(self.at).ms() / self.over_ms.max(1.0)).exp()
+    }
+
+    pub(crate) fn add(&mut self, now: Time, over_ms: f64, part: f64) {
+        *self = Fading { sum: self.now(now) + part, over_ms, at: now };
+    }
+}
+
+/// What a pick must know of its request.
+pub(crate) struct Pick {
+    pub(crate) id: RequestId,
+    pub(crate) class: usize,
+    pub(crate) reach: Reach,
+    pub(crate) work: f64,
+    /// How much its work weighs a machine's slowness.
+    pub(crate) heavy: f64,
+    pub(crate) safe: bool,
+    pub(crate) key: Option<KeyId>,
+    /// The server that met its key last.
+    pub(crate) warm: Option<usize>,
+    pub(crate) tried: Vec<usize>,
+}
+
+/// What may still be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Lawful {
+    pub(crate) send: Reach,
+    pub(crate) refuse: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) server: usize,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) sent: Time,
+    pub(crate) fate: Fate,
+}
+
+/// The one record of an accepted request; it goes when the request has its final answer.
+pub(crate) struct Live {
+    pub(crate) request: Request,
+    pub(crate) deadline: Time,
+    /// After this an answer is worth nothing more, or less.
+    pub(crate) wanted_by: Time,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) bound: bool,
+    /// Its tenant had its share already; worth little if that is so.
+    pub(crate) over_share: bool,
+}
+
+/// An attempt that has not ended; it outlives its request if that ends first.
+pub(crate) struct Flight {
+    pub(crate) server: usize,
+    pub(crate) class: usize,
+    pub(crate) sent: Time,
+    pub(crate) trial: bool,
+    /// It was not the first attempt of its request.
+    pub(crate) again: bool,
+    /// It has already counted as late.
+    pub(crate) counted: bool,
+}
+
+pub(crate) struct Suspicion {
+    pub(crate) next_trial: Time,
+    pub(crate) pause: Span,
+    pub(crate) on_trial: bool,
+}
+
+pub(crate) struct Server {
+    pub(crate) listed: Listed,
+    pub(crate) in_flight: u32,
+    /// Answer time over its class's usual, leaning to the quick ones: how slow the machine itself is.
+    pub(crate) stretch: f64,
+    /// Smoothed answer time as a share of the class's aim.
+    pub(crate) pace: f64,
+    pub(crate) samples: u32,
+    pub(crate) failures: u32,
+    pub(crate) last_answer: Time,
+    /// Own requests that it may hold; under one, a rest follows each answer.
+    pub(crate) limit: f64,
+    pub(crate) rest_until: Time,
+    /// When its last answer came, and what that took in milliseconds.
+    pub(crate) ended: Time,
+    pub(crate) took: f64,
+    pub(crate) suspicion: Option<Suspicion>,
+    /// Until then a blind balancer doubts it, by what it saw itself or by hearsay.
+    pub(crate) doubted_until: Time,
+    /// Work sent to it while it was cold.
+    pub(crate) cold_sent: Fading,
+    /// Load by the last report, and sends since.
+    pub(crate) reported: f64,
+    pub(crate) reported_at: Option<Time>,
+    pub(crate) sent_since: u32,
+}
+
+impl Server {
+    pub(crate) fn new(listed: Listed, limit: f64, now: Time) -> Self {
+        Server {
+            listed,
+            in_flight: 0,
+            stretch: 1.0,
+            pace: 0.0,
+            samples: 0,
+            failures: 0,
+            last_answer: now,
+            limit,
+            rest_until: now,
+            ended: now,
+            took: 0.0,
+            suspicion: None,
+            doubted_until: now,
+            cold_sent: Fading::default(),
+            reported: 0.0,
+            reported_at: None,
+            sent_since: 0,
+        }
+    }
+}
+
+/// The decisions of one client process about where, when and how often its requests are sent.
+pub struct Balancer {
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) index: BTreeMap<ServerId, usize>,
+    pub(crate) live: BTreeMap<RequestId, Live>,
+    pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
+    /// Newest first within each rank.
+    pub(crate) held: Vec<RequestId>,
+    pub(crate) memory: Vec<usize>,
+    pub(crate) asking: Vec<Asking>,
+    /// Servers that are warm, and the work that each of them was sent on average.
+    pub(crate) warm: usize,
+    pub(crate) warm_sent: Fading,
+    /// The most servers that were serving at a time.
+    pub(crate) most: usize,
+    /// With more balancers than servers, most of a server's load is other balancers' and own counts are
+    /// nearly all alike. A fleet that shrinks for a while makes no balancer blind.
+    pub(crate) blind: bool,
+    /// The servers that the list says are serving.
+    pub(crate) serving: Vec<usize>,
+    /// The server that each key was last sent to, where servers do known keys for less.
+    pub(crate) warm_keys: BTreeMap<KeyId, usize>,
+    /// Answer time of a class as a share of its aim, over all servers, leaning to the quick ones, so that a
+    /// crowd does not pass for the usual state.
+    pub(crate) class_pace: Vec<f64>,
+    /// The same as it is now, slow ones and all.
+    pub(crate) class_now: Vec<f64>,
+    /// The wait that most requests of a class come with, that of a first try, and the votes for it.
+    pub(crate) usual_wait: Vec<(Span, u32)>,
+    /// Traffic of the last seconds by class and by tenant.
+    pub(crate) asked: Vec<f64>,
+    pub(crate) tenant_asked: Vec<f64>,
+    pub(crate) counted_at: Time,
+    /// Classes that are refused last.
+    pub(crate) spared: Vec<bool>,
+    pub(crate) median: f64,
+    /// Scales all limits: a balancer sees few answers of each server but many of the fleet, so a jam of most
+    /// servers is answered within a few round trips, where the single limits would take half a minute.
+    pub(crate) level: f64,
+    /// Answer time as a share of the aim by kind of machine, and the answers that it rests on.
+    pub(crate) kinds: BTreeMap<KindId, (f64, f64)>,
+    /// Failed connects in a row by zone, and until when its link is taken to be cut.
+    pub(crate) zones: BTreeMap<ZoneId, (u32, Time)>,
+    /// Bytes that may be told to peers.
+    pub(crate) tell_bytes: f64,
+    /// What the last reports said on average.
+    pub(crate) crowd: f64,
+    pub(crate) retries: f64,
+    pub(crate) ask_pause: Span,
+    pub(crate) ask_at: Option<Time>,
+    pub(crate) tick_at: Time,
+}
+
+impl Balancer {
+    /// A balancer that has seen nothing yet.
+    pub(crate) fn blank(settings: Settings, seed: u64) -> Self {
+        let classes = settings.classes.len();
+        let class_pace = vec![0.2; classes];
+        Balancer {
+            rng: fastrand::Rng::with_seed(seed),
+            servers: Vec::new(),
+            index: BTreeMap::new(),
+            live: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            held: Vec::new(),
+            memory: Vec::new(),
+            serving: Vec::new(),
+            asking: Vec::new(),
+            warm: 0,
+            warm_sent: Fading::default(),
+            most: 0,
+            blind: false,
+            warm_keys: BTreeMap::new(),
+            class_now: class_pace.clone(),
+            class_pace,
+            usual_wait: vec![(Span::ZERO, 0); classes],
+            asked: vec![0.0; classes],
+            tenant_asked: vec![0.0; settings.tenants.len()],
+            counted_at: Time(0),
+            spared: vec![false; classes],
+            median: 0.2,
+            level: 1.0,
+            crowd: 0.0,
+            tell_bytes: 0.0,
+            kinds: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            retries: 0.0,
+            ask_pause: Span::ZERO,
+            ask_at: None,
+            tick_at: Time(0),
+            settings,
+        }
+    }
+}
+
+/// Moves a figure towards a new one by its gain, a quarter as fast if that is slower: a crowd must not pass
+/// for usual.
+pub(crate) fn lean(figure: &mut f64, new: f64, gain: f64) {
+    let gain = if new < *figure { gain } else { gain / 4.0 };
+    *figure += gain * (new - *figure);
+}
--- /dev/null
+++ b/tests/drains_kept.rs
@@ -0,0 +1,61 @@
+//! Guards rule three: nothing new goes to a server that drains or is gone.
+mod common;
+use common::*;
+use micasail::*;
+
+fn drained(update: impl Fn(Vec<Listed>) -> ListUpdate) {
+    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
+    let mut rig = Rig::new(settings, 2);
+    rig.list(fleet(2, 1, 1));
+    rig.tell(Event::List(update(fleet(2, 1, 1))));
+    for _ in 0..50 {
+        let (id, sent) = rig.ask(0);
+        assert_eq!(sent, Some(ServerId(1)));
+        rig.wait(Span::from_ms(10.0));
+        rig.answer(id, 0, Outcome::Success, 10.0);
+    }
+    rig.assert_rules();
+}
+
+#[test]
+fn draining_and_gone_by_change() {
+    for status in [Status::Draining, Status::Gone] {
+        drained(|lines| ListUpdate::Changes(vec![Listed { status, ..lines[0].clone() }]));
+    }
+}
+
+#[test]
+fn left_out_of_a_complete_list() {
+    drained(|lines| ListUpdate::Complete(lines[1..].to_vec()));
+}
+
+#[test]
+fn the_last_of_two_lines_for_a_server_counts() {
+    drained(|lines| {
+        let gone = Listed { status: Status::Draining, ..lines[0].clone() };
+        ListUpdate::Complete(vec![lines[0].clone(), lines[1].clone(), gone])
+    });
+}
+
+#[test]
+fn a_failed_call_for_the_list_is_repeated_and_the_old_list_stands() {
+    let settings = Settings {
+        discovery: Discovery::OnRequest,
+        classes: vec![class(Effect::Idempotent)],
+        ..Settings::default()
+    };
+    let mut rig = Rig::new(settings, 2);
+    assert!(rig.actions.contains(&Action::Follow { active: true }), "followed from the start");
+    rig.list(fleet(2, 1, 1));
+    let mut asked = 0;
+    for _ in 0..5 {
+        rig.tell(Event::List(ListUpdate::Failed));
+        let (id, sent) = rig.ask(0);
+        assert!(sent.is_some());
+        rig.answer(id, 0, Outcome::Success, 10.0);
+        let actions = rig.wait(Span::from_ms(5000.0));
+        asked += actions.iter().filter(|a| **a == Action::Follow { active: true }).count();
+    }
+    assert_eq!(asked, 5, "one more call after each failure, within half of what the site asks");
+    rig.assert_rules();
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,56 @@
+//! Guards against settings that lack what a decision could use, and against ones that no decision can use.
+mod common;
+use common::*;
+use micasail::*;
+
+#[test]
+fn impossible_settings_are_errors_and_not_panics() {
+    let with = |change: fn(&mut Settings)| {
+        let mut settings = Settings::default();
+        change(&mut settings);
+        Balancer::new(settings, 1).err()
+    };
+    assert_eq!(with(|s| s.classes.clear()), Some(SettingsError::NoClasses));
+    assert_eq!(with(|s| s.max_attempts = 0), Some(SettingsError::NoAttempts));
+    assert_eq!(with(|s| s.classes[0].aim = Span::ZERO), Some(SettingsError::ZeroSpan { setting: "aim" }));
+    assert_eq!(
+        with(|s| s.classes[0].deadline = Span::ZERO),
+        Some(SettingsError::ZeroSpan { setting: "deadline" })
+    );
+    assert!(matches!(with(|s| s.cold_share = f64::NAN), Some(SettingsError::BadNumber { .. })));
+    assert!(matches!(with(|s| s.overload_factor = -1.0), Some(SettingsError::BadNumber { .. })));
+    assert!(matches!(with(|s| s.classes[0].worth = f64::INFINITY), Some(SettingsError::BadNumber { .. })));
+    assert_eq!(with(|_| ()), None);
+}
+
+/// No reports, keys, tenants, probes, cancels or advice, and no goal to speak of: requests are served all the same.
+#[test]
+fn the_plain_path_needs_nothing_but_a_class() {
+    let settings = Settings {
+        classes: vec![class(Effect::Idempotent)],
+        cancel: false,
+        goal: Goal { whole: 0.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
+        warm_after: Span::ZERO,
+        ..Settings::default()
+    };
+    let mut rig = Rig::new(settings, 1);
+    rig.list(fleet(3, 1, 1));
+    for _ in 0..100 {
+        let (id, sent) = rig.ask(0);
+        assert!(sent.is_some());
+        rig.wait(Span::from_ms(10.0));
+        rig.answer_with(id, 0, Outcome::Success, 10.0, Some(vec![f64::NAN, -1.0, 1e300]));
+    }
+    rig.assert_rules();
+}
+
+#[test]
+fn a_request_of_an_unknown_class_is_refused() {
+    let mut rig = Rig::new(Settings::default(), 1);
+    rig.list(fleet(3, 1, 1));
+    let request = Request::new(RequestId(5), ClassId(9), Span::from_ms(100.0));
+    let mut actions = Vec::new();
+    rig.balancer.handle(rig.now, Event::Request(request), &mut actions);
+    assert!(refused(&actions, RequestId(5)));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Send { .. })));
+}
