--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
 use micasail::*;
+use micasail_settings::{fnv1a, settings};
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -75,7 +76,7 @@
                 return Ok(());
             }
             Incoming::Attach { salt, params } => {
-                let balancer = Balancer::new(settings(*params)?, salt).map_err(|e| e.to_string())?;
+                let balancer = Balancer::new(settings(&params), salt).map_err(|e| e.to_string())?;
                 self.instances.insert(who, Instance::new(balancer));
                 return self.drive(now, who, None, outbox);
             }
@@ -334,109 +335,6 @@
     }
 }
 
-/// The settings in the library's terms; what is absent keeps the library's default.
-fn settings(params: wire::Params) -> Result<Settings, String> {
-    let standard = Settings::default();
-    let span = |ms: Option<f64>, other: Span| ms.map_or(other, Span::from_ms);
-    let rules = params.rules;
-    let classes = params.classes.into_iter().map(class).collect();
-    let field = |name: &String| match name.as_str() {
-        "inflight" => ReportField::InFlight,
-        "queue" => ReportField::Queue,
-        "util" => ReportField::Utilisation,
-        "latency_ms" => ReportField::ServiceTime,
-        "qps" => ReportField::Rate,
-        "eps" => ReportField::Errors,
-        _ => ReportField::Other,
-    };
-    Ok(Settings {
-        balancers: params.balancers.unwrap_or(standard.balancers),
-        zone: ZoneId(params.zone),
-        classes,
-        tenants: params
-            .parties
-            .iter()
-            .map(|p| Tenant { fraction: p.fraction, allowance_per_s: p.allowance_per_s })
-            .collect(),
-        over_share_worth: params.over_share_worth.unwrap_or(standard.over_share_worth),
-        worth_by_work: params.worth_by == Some(wire::WorthBy::Work),
-        goal: Goal {
-            whole: params.goal.whole,
-            worst_window: params.goal.worst_window,
-            worst_class: params.goal.worst_class,
-            worst_tenant: params.goal.worst_tenant,
-        },
-        prices: Prices {
-            cross_zone: params.penalties.cross_zone,
-            probe: params.penalties.probe,
-            handshake: params.penalties.handshake,
-            connection: params.penalties.connection,
-            waste: params.penalties.waste,
-            late_fail: params.penalties.late_fail,
-        },
-        discovery: match params.discovery {
-            Some(wire::Discovery::OnRequest) => Discovery::OnRequest,
-            Some(wire::Discovery::Pushed) | None => Discovery::Pushed,
-        },
-        ask_within: span(rules.ask_within_ms, standard.ask_within),
-        report_source: match params.feedback.source {
-            wire::Source::Piggyback => ReportSource::Answers,
-            wire::Source::Pull => ReportSource::Probes,
-            wire::Source::Silent => ReportSource::None,
-        },
-        report_fields: params.feedback.fields.iter().map(field).collect(),
-        weights: match params.weights {
-            Some(wire::Weights::Nominal | wire::Weights::Rough) => Weights::Size,
-            Some(wire::Weights::Live) => Weights::Live,
-            Some(wire::Weights::Silent) | None => Weights::None,
-        },
-        warm_keys: params.family_info.warm_keys,
-        max_attempts: params.limits.max_attempts.unwrap_or(standard.max_attempts),
-        second_copies: params.limits.second_copies,
-        cancel: params.limits.cancel,
-        probes: params.limits.probes,
-        peers: params.limits.peers,
-        retry_after: params.limits.retry_after,
-        max_retry_after: Span::from_ms(params.limits.max_retry_after_ms),
-        drain_grace: span(rules.stop_sending_within_ms, standard.drain_grace),
-        cold_share: rules.cold_share.unwrap_or(standard.cold_share),
-        warm_after: span(rules.warm_after_ms, standard.warm_after),
-        overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
-        fall_after: span(rules.fall_ms, standard.fall_after),
-        period: span(params.period_ms, standard.period),
-    })
-}
-
-fn class(params: wire::ClassParams) -> Class {
-    let effect = match params.effect {
-        wire::Effect::Idempotent => Effect::Idempotent,
-        wire::Effect::AtMostOnce => Effect::AtMostOnce,
-        wire::Effect::Deduplicated => Effect::Deduplicated {
-            group: match params.group {
-                Some(wire::Group::All) => Group::All,
-                Some(wire::Group::Zone) => Group::Zone,
-                // Without a stated group the narrowest one is the safe reading.
-                Some(wire::Group::Cell) | None => Group::Cell,
-            },
-            window: Span::from_ms(params.dedup_window_ms),
-        },
-    };
-    Class {
-        effect,
-        aim: Span::from_ms(params.aim_ms),
-        aim_stretch: params.aim_stretch.unwrap_or(0.0),
-        deadline: Span::from_ms(params.deadline_ms),
-        worth: params.points,
-        late_worth: params.late_worth,
-        stream: params.stream,
-    }
-}
-
-/// Keys only need to be told apart; the hash is fixed so that equal keys are equal in every process.
-fn fnv1a(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|b| format!("{b:02x}")).collect()
 }
--- /dev/null
+++ b/agent/src/discovery.rs
@@ -0,0 +1,233 @@
+//! The server list: reading it, watching it, asking for the whole of it.
+//!
+//! When to begin a watch and when to ask again after a failure is the balancer's to say
+//! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
+
+use crate::driver::Driver;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How long a watch waits for news. Short enough that a mute discovery is found out soon.
+const WAIT: Duration = Duration::from_millis(5_000);
+/// A call that has said nothing this long after it should have is mute: discovery is down or cut off.
+const MUTE: Duration = Duration::from_millis(2_500);
+/// The longest list that is read.
+const LIST_MOST: usize = 4 << 20;
+
+/// A server list or a change of one, as discovery words it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub seq: u64,
+    /// It is the whole list, not only what has changed.
+    pub whole: bool,
+    /// Its entries.
+    pub hosts: Vec<Host>,
+}
+
+/// One server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Host {
+    /// Its name, the same at every agent.
+    pub name: String,
+    /// Where this agent reaches it; an entry of a removed server may lack it.
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    pub site: String,
+    /// Its kind of machine.
+    pub kind: String,
+    /// Its cell.
+    pub block: u32,
+    /// What it says of its health.
+    pub health: Health,
+    /// Its weight.
+    pub share: f64,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    pub born_ms: f64,
+}
+
+/// Whether a server takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It does.
+    Up,
+    /// It finishes what it has.
+    Draining,
+    /// It has left.
+    Removed,
+}
+
+/// Reads a list. An entry that makes no sense is left out: one bad line must not cost the others.
+pub fn parse_list(value: &Value) -> Option<List> {
+    let hosts = value.get("hosts")?.as_array()?;
+    Some(List {
+        seq: value.get("seq")?.as_u64()?,
+        whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
+        hosts: hosts.iter().filter_map(parse_host).collect(),
+    })
+}
+
+fn parse_host(value: &Value) -> Option<Host> {
+    let text = |key: &str| value.get(key).and_then(Value::as_str);
+    let health = match text("health")? {
+        "up" => Health::Up,
+        "draining" => Health::Draining,
+        "removed" => Health::Removed,
+        _ => return None,
+    };
+    let dial = text("dial").and_then(|d| d.parse().ok());
+    if dial.is_none() && health == Health::Up {
+        return None;
+    }
+    Some(Host {
+        name: text("host").filter(|name| !name.is_empty())?.to_owned(),
+        dial,
+        site: text("site").unwrap_or_default().to_owned(),
+        kind: text("class").unwrap_or_default().to_owned(),
+        block: value.get("block").and_then(Value::as_u64).and_then(|b| u32::try_from(b).ok()).unwrap_or(0),
+        health,
+        share: value.get("share").and_then(Value::as_f64).unwrap_or(1.0),
+        born_ms: value.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0),
+    })
+}
+
+/// The calls to discovery; at most one watch and one call for the whole list at a time.
+pub struct Discovery {
+    address: SocketAddr,
+    watch: Option<JoinHandle<()>>,
+    fetch: Option<JoinHandle<()>>,
+}
+
+impl Discovery {
+    /// Knows where discovery is; calls nobody yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Discovery { address, watch: None, fetch: None }
+    }
+
+    /// Begins a watch for what is newer than `seq`, or ends the one there is.
+    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: u64) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+        if active {
+            let watch = watch(self.address, driver.clone(), seq);
+            self.watch = Some(tokio::task::spawn_local(watch));
+        }
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(&mut self, driver: &Rc<Driver>) {
+        if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
+            return;
+        }
+        let (address, driver) = (self.address, driver.clone());
+        self.fetch = Some(tokio::task::spawn_local(async move {
+            let mut connection = None;
+            driver.listed(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
+        }));
+    }
+}
+
+/// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
+/// told, and begins another when it sees fit.
+async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: u64) {
+    let mut connection = None;
+    loop {
+        let path = format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis());
+        let answer = call(address, &mut connection, &path, WAIT).await;
+        let failed = answer.is_none();
+        if let Some(list) = &answer {
+            seq = list.seq;
+        }
+        driver.listed(answer);
+        if failed {
+            return;
+        }
+    }
+}
+
+type Connection = (SendRequest<Empty<Bytes>>, Ended);
+
+/// Ends a connection's task with its last user.
+struct Ended(JoinHandle<()>);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// One call; `None` if it failed in any way. The connection is kept for the next call only if all went well.
+async fn call(
+    address: SocketAddr,
+    kept: &mut Option<Connection>,
+    path: &str,
+    wait: Duration,
+) -> Option<List> {
+    let mut connection = kept.take();
+    let exchange = async {
+        if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
+            let task = tokio::task::spawn_local(async move {
+                // Its end shows at the sender.
+                let _ = driven.await;
+            });
+            connection = Some((sender, Ended(task)));
+        }
+        let (sender, _) = connection.as_mut()?;
+        sender.ready().await.ok()?;
+        let request = Request::get(path).header("host", address.to_string()).body(Empty::new()).ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = Limited::new(response.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
+        parse_list(&serde_json::from_slice(&body).ok()?)
+    };
+    // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
+    let answer = tokio::time::timeout(wait + MUTE, exchange).await.ok().flatten();
+    if answer.is_some() {
+        *kept = connection;
+    }
+    answer
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn entries_without_sense_are_left_out_and_unknown_fields_skipped() {
+        let list = parse_list(&json!({"seq": 7, "whole": true, "novel": 1, "hosts": [
+            {"host": "a", "dial": "127.0.0.1:1", "site": "x", "health": "up", "born_ms": 5.0, "novel": {}},
+            {"host": "b", "dial": "nowhere", "health": "up"},
+            {"host": "c", "dial": "127.0.0.1:1", "health": "asleep"},
+            {"host": 4, "dial": "127.0.0.1:1", "health": "up"},
+            {"host": "d", "health": "removed", "block": -3},
+            "e"]}))
+        .expect("a list");
+        let names: Vec<&str> = list.hosts.iter().map(|h| h.name.as_str()).collect();
+        assert_eq!(names, ["a", "d"]);
+        assert_eq!((list.seq, list.whole), (7, true));
+        assert_eq!(list.hosts[0].born_ms, 5.0);
+    }
+
+    #[test]
+    fn what_is_no_list_is_none() {
+        for value in [json!(null), json!([]), json!({"seq": 1}), json!({"seq": "1", "hosts": []})] {
+            assert_eq!(parse_list(&value), None, "{value}");
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/driver.rs
@@ -0,0 +1,449 @@
+//! The one owner of the [`Balancer`]: tells it what happens on the sockets, and does what it decides.
+//!
+//! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
+//! out, before anything else happens; an action never calls back into the balancer, it queues an event.
+
+use crate::config::Config;
+use crate::discovery::{Discovery, Health, List};
+use crate::upstream::{Ended, Progress, Upstream};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
+use hyper::{Method, Request, StatusCode, Uri};
+use micasail::*;
+use micasail_settings::{fnv1a, Names};
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
+
+/// Idle connections are looked through this often.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// The balancer's time: Unix time at the start, carried on by the monotonic clock. So a server's `born_ms` is
+/// a time of the same kind, and no step of the system's clock moves a deadline.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+    unix: Span,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix: Span(unix.as_micros() as u64) }
+    }
+
+    /// The time at `instant`.
+    pub fn at(&self, instant: Instant) -> Time {
+        Time(self.unix.0 + instant.saturating_duration_since(self.origin).as_micros() as u64)
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    /// The instant of `time`.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.origin + Duration::from_micros(time.0.saturating_sub(self.unix.0).min(1 << 50))
+    }
+}
+
+/// A request as the application sent it, whole.
+pub struct Arrival {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// What it is about.
+    pub key: Option<KeyId>,
+    /// A guess at its work.
+    pub cost_hint: Option<Span>,
+    /// The client says that it is a repeat.
+    pub repeat: bool,
+    /// When its answer must be on its way.
+    pub deadline: Instant,
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// A backend's answer, whole: its content type and its body.
+    Served(Option<HeaderValue>, Bytes),
+    /// Refused by the balancer; trying again is harmless, and makes sense after this long.
+    Refused(Option<Span>),
+    /// Failed, with no promise.
+    Failed(StatusCode),
+}
+
+/// A request that is owed its answer.
+struct Open {
+    answer: oneshot::Sender<Answer>,
+    parts: Rc<Arrival>,
+    sends: u32,
+    timed_out: bool,
+}
+
+struct State {
+    balancer: Balancer,
+    queue: VecDeque<Event>,
+    actions: Vec<Action>,
+    timers: BinaryHeap<Reverse<(Time, u64)>>,
+    next_request: u64,
+    open: HashMap<RequestId, Open>,
+    attempts: HashMap<(RequestId, u32), Rc<Progress>>,
+    servers: HashMap<String, ServerId>,
+    names: HashMap<ServerId, String>,
+    /// Servers that the list says are up.
+    up: HashMap<ServerId, ()>,
+    seq: u64,
+    discovery: Discovery,
+}
+
+/// Drives the balancer.
+pub struct Driver {
+    /// The balancer's clock.
+    pub clock: Clock,
+    /// The names of the settings.
+    pub names: Names,
+    /// What each class would do twice, by its number.
+    pub effects: Vec<Effect>,
+    upstream: Rc<Upstream>,
+    state: RefCell<State>,
+    wake: Notify,
+}
+
+impl Driver {
+    /// A driver that has the list that the configuration knows.
+    pub fn start(config: Config, connections: usize) -> Result<Rc<Self>, SettingsError> {
+        let clock = Clock::start();
+        let effects = config.settings.classes.iter().map(|c| c.effect).collect();
+        let upstream = Rc::new(Upstream::new(
+            connections,
+            Duration::from_micros(config.names.connect_timeout.0),
+            Duration::from_micros(config.names.keepalive.0),
+            config.names.report_fields.clone(),
+        ));
+        let mut balancer = Balancer::new(config.settings, config.seed)?;
+        let mut actions = Vec::new();
+        balancer.start(clock.now(), &mut actions);
+        let state = State {
+            balancer,
+            queue: VecDeque::new(),
+            actions: Vec::new(),
+            timers: BinaryHeap::new(),
+            next_request: 0,
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            servers: HashMap::new(),
+            names: HashMap::new(),
+            up: HashMap::new(),
+            seq: config.known.seq,
+            discovery: Discovery::new(config.discovery),
+        };
+        let driver = Rc::new(Driver {
+            clock,
+            names: config.names,
+            effects,
+            upstream,
+            state: RefCell::new(state),
+            wake: Notify::new(),
+        });
+        {
+            let mut state = driver.state.borrow_mut();
+            let list = driver.take_list(&mut state, config.known);
+            state.queue.push_back(Event::List(ListUpdate::Saved(list)));
+            for action in actions {
+                driver.carry_out(&mut state, action);
+            }
+        }
+        driver.pump();
+        Ok(driver)
+    }
+
+    /// Whether there is a backend to send to.
+    pub fn ready(&self) -> bool {
+        !self.state.borrow().up.is_empty()
+    }
+
+    /// Hands a request to the balancer; its answer comes over the channel.
+    pub fn submit(self: &Rc<Self>, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
+        let (answer, receiver) = oneshot::channel();
+        let id = {
+            let mut state = self.state.borrow_mut();
+            let id = RequestId(state.next_request);
+            state.next_request += 1;
+            let request = micasail::Request {
+                id,
+                class: arrival.class,
+                tenant: arrival.tenant,
+                key: arrival.key,
+                cost_hint: arrival.cost_hint,
+                repeat: arrival.repeat,
+                time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
+            };
+            state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
+            state.queue.push_back(Event::Request(request));
+            id
+        };
+        self.pump();
+        (id, receiver)
+    }
+
+    /// The client no longer waits, or must not wait longer. Attempts that are out whole go on, and their
+    /// outcomes still count; what has not been written stays unwritten.
+    pub fn gone(self: &Rc<Self>, id: RequestId) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(open) = state.open.remove(&id) else { return };
+            state.stop_unwritten(id, open.sends);
+            state.queue.push_back(Event::ClientGone { request: id });
+        }
+        self.pump();
+    }
+
+    /// News of discovery; `None` for a call that failed.
+    pub fn listed(self: &Rc<Self>, list: Option<List>) {
+        {
+            let mut state = self.state.borrow_mut();
+            let update = match list {
+                None => ListUpdate::Failed,
+                Some(list) if list.whole => ListUpdate::Complete(self.take_list(&mut state, list)),
+                Some(list) => ListUpdate::Changes(self.take_list(&mut state, list)),
+            };
+            state.queue.push_back(Event::List(update));
+        }
+        self.pump();
+    }
+
+    /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
+    pub async fn run(self: Rc<Self>) {
+        let mut sweep = Instant::now() + SWEEP;
+        loop {
+            let next = self.state.borrow().timers.peek().map(|Reverse((at, _))| self.clock.instant(*at));
+            let until = next.map_or(sweep, |at| at.min(sweep));
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => {}
+                () = self.wake.notified() => {}
+            }
+            let now = self.clock.now();
+            {
+                let mut state = self.state.borrow_mut();
+                while let Some(Reverse((at, timer))) = state.timers.peek().copied() {
+                    if at > now {
+                        break;
+                    }
+                    state.timers.pop();
+                    state.queue.push_back(Event::Timer(TimerId(timer)));
+                }
+            }
+            self.pump();
+            if Instant::now() >= sweep {
+                self.upstream.sweep();
+                sweep = Instant::now() + SWEEP;
+            }
+        }
+    }
+
+    /// Handles what is queued, and what that brings.
+    fn pump(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        while let Some(event) = state.queue.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            state.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(&mut state, action);
+            }
+            state.actions = actions;
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, server, timeout_at } => self.send(state, request, server, timeout_at),
+            Action::Cancel { request, attempt } => {
+                if let Some(progress) = state.attempts.get(&(request, attempt.0)) {
+                    progress.call_off();
+                }
+            }
+            Action::Refuse { request, retry_after } => state.answer(request, Answer::Refused(retry_after)),
+            Action::Fail { request } => {
+                let late = state.open.get(&request).is_some_and(|open| open.timed_out);
+                let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+                state.answer(request, Answer::Failed(status));
+            }
+            Action::SetTimer { at, timer } => {
+                let first = state.timers.peek().is_none_or(|Reverse((next, _))| at < *next);
+                state.timers.push(Reverse((at, timer.0)));
+                if first {
+                    self.wake.notify_one();
+                }
+            }
+            Action::Probe { server } => self.probe(server),
+            Action::CloseIdle { server } => self.upstream.close_idle(server),
+            Action::Follow { active } => {
+                let seq = state.seq;
+                state.discovery.follow(self, active, seq);
+            }
+            Action::FetchList => state.discovery.fetch(self),
+            // Agents of this deployment have no way to talk to each other, and the settings say so.
+            Action::Tell { .. } => {}
+            Action::Log { text } => eprintln!("{text}"),
+        }
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout_at: Time) {
+        let Some(open) = state.open.get_mut(&request) else { return };
+        let attempt = open.sends;
+        open.sends += 1;
+        let sent = Instant::now();
+        let until = self.clock.instant(timeout_at);
+        let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
+        let progress = Rc::new(Progress::default());
+        state.attempts.insert((request, attempt), progress.clone());
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let ended = driver.upstream.attempt(server, outgoing, until, &progress).await;
+            driver.ended((request, attempt), ended, sent);
+        });
+    }
+
+    /// An attempt is over: the first that is served answers its request.
+    fn ended(self: &Rc<Self>, key: (RequestId, u32), ended: Ended, sent: Instant) {
+        let elapsed = Span(sent.elapsed().as_micros() as u64);
+        {
+            let mut state = self.state.borrow_mut();
+            state.attempts.remove(&key);
+            if let Some((kind, body)) = ended.answer {
+                state.answer(key.0, Answer::Served(kind, body));
+            }
+            if let Some(open) = state.open.get_mut(&key.0) {
+                open.timed_out = ended.outcome == Outcome::TimedOut;
+            }
+            let closed = !state.open.contains_key(&key.0);
+            state.queue.push_back(Event::Outcome {
+                request: key.0,
+                attempt: AttemptNo(key.1),
+                outcome: ended.outcome,
+                elapsed,
+                report: ended.report,
+                closed,
+            });
+        }
+        self.pump();
+    }
+
+    fn probe(self: &Rc<Self>, server: ServerId) {
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let sent = Instant::now();
+            let Ended { outcome, report, .. } = driver.upstream.probe(server).await;
+            let elapsed = Span(sent.elapsed().as_micros() as u64);
+            driver.state.borrow_mut().queue.push_back(Event::Probed { server, outcome, elapsed, report });
+            driver.pump();
+        });
+    }
+
+    /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
+    fn take_list(&self, state: &mut State, list: List) -> Vec<Listed> {
+        state.seq = list.seq;
+        let mut lines = Vec::with_capacity(list.hosts.len());
+        if list.whole {
+            state.up.clear();
+        }
+        for host in &list.hosts {
+            let server = state.intern(&host.name);
+            self.upstream.describe(server, host);
+            let status = match host.health {
+                Health::Up => Status::Serving,
+                Health::Draining => Status::Draining,
+                Health::Removed => Status::Gone,
+            };
+            if status == Status::Serving {
+                state.up.insert(server, ());
+            } else {
+                state.up.remove(&server);
+            }
+            lines.push(Listed {
+                server,
+                zone: ZoneId(place(&self.names.zones, &host.site)),
+                kind: KindId(place(&self.names.kinds, &host.kind)),
+                cell: CellId(host.block),
+                status,
+                weight: host.share,
+                started: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
+            });
+        }
+        if list.whole {
+            let named: Vec<ServerId> = lines.iter().map(|l| l.server).collect();
+            self.upstream.keep_only(|server| named.contains(&server));
+        }
+        lines
+    }
+}
+
+impl State {
+    /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.remove(&id) else { return };
+        self.stop_unwritten(id, open.sends);
+        // A client that left at this very moment hears nothing.
+        let _ = open.answer.send(answer);
+    }
+
+    fn stop_unwritten(&self, id: RequestId, sends: u32) {
+        for attempt in 0..sends {
+            if let Some(progress) = self.attempts.get(&(id, attempt)).filter(|p| !p.may_have_run()) {
+                progress.call_off();
+            }
+        }
+    }
+
+    /// A server's number is a hash of its name, the same at every agent. Should two names meet in one number,
+    /// the later one takes the next that is free.
+    fn intern(&mut self, name: &str) -> ServerId {
+        if let Some(id) = self.servers.get(name) {
+            return *id;
+        }
+        let mut id = fnv1a(name) as u32;
+        while self.names.contains_key(&ServerId(id)) {
+            id = id.wrapping_add(1);
+        }
+        self.names.insert(ServerId(id), name.to_owned());
+        self.servers.insert(name.to_owned(), ServerId(id));
+        ServerId(id)
+    }
+}
+
+/// A name's place in the settings; one that they lack gets a number of its own past them, so that no two zones
+/// pass for one.
+fn place(names: &[String], name: &str) -> u32 {
+    let known = names.iter().position(|n| n == name);
+    known.unwrap_or_else(|| names.len() + (fnv1a(name) as u32 >> 1) as usize) as u32
+}
+
+/// What goes to a backend: the request unchanged, and how long the agent will wait.
+fn outgoing(parts: &Arrival, wait: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(parts.body.clone()));
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = parts.uri.clone();
+    *request.headers_mut() = parts.headers.clone();
+    let wait = HeaderValue::from_str(&format!("{}u", wait.as_micros().max(1)));
+    let headers = request.headers_mut();
+    headers.extend(wait.ok().map(|wait| (hyper::header::HeaderName::from_static("x-timeout"), wait)));
+    if parts.method != Method::GET || !parts.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(parts.body.len()));
+    }
+    request
+}
--- /dev/null
+++ b/agent/src/main.rs
@@ -0,0 +1,74 @@
+//! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
+//! the decisions of `micasail` in between.
+
+mod config;
+mod discovery;
+mod driver;
+mod server;
+mod upstream;
+
+use config::Config;
+use driver::Driver;
+use server::Server;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{sleep, Instant};
+
+/// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
+const SPARE_SOCKETS: usize = 64;
+/// Answers that are decided are written within this.
+const FLUSH: Duration = Duration::from_millis(30);
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("bellcroft: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let config = Config::load(|name| std::env::var(name).ok())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| format!("cannot start the runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+}
+
+/// Serves until SIGTERM, and then until all that came is answered.
+async fn serve(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
+    let listen = config.listen;
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let name = config.name.clone();
+    let half = config.sockets.saturating_sub(SPARE_SOCKETS).max(2) / 2;
+    let driver = Driver::start(config, half).map_err(|e| e.to_string())?;
+    tokio::task::spawn_local(driver.clone().run());
+    let server = Server::new(driver, half);
+    let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    eprintln!("{name}: listening on {address}");
+
+    term.recv().await;
+    let told = Instant::now();
+    server.drain();
+    sleep(server::ACCEPT_ON).await;
+    accepting.abort();
+    // What is in flight has its deadline; past the longest one nothing is owed any more.
+    let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
+    loop {
+        sleep(FLUSH).await;
+        if !server.busy() || Instant::now() >= last {
+            break;
+        }
+    }
+    sleep(FLUSH).await;
+    eprintln!("{name}: all is answered");
+    Ok(())
+}
--- /dev/null
+++ b/agent/src/server.rs
@@ -0,0 +1,271 @@
+//! The application's side: takes requests in, checks them, and writes the one answer of each.
+
+use crate::driver::{Answer, Arrival, Driver};
+use crate::upstream::{forwarded, BODY_MOST};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
+use micasail_settings::fnv1a;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// The part of a client's wait that is kept for writing the answer.
+const ANSWER_ROOM: Duration = Duration::from_millis(3);
+/// The longest wait that a request may ask for.
+const WAIT_MOST: Duration = Duration::from_secs(600);
+/// A request whose head or body takes longer to come is given up.
+const READ_MOST: Duration = Duration::from_secs(60);
+/// The balancer ends each request by its deadline; should it not, the agent does, this much later.
+const OVERDUE: Duration = Duration::from_millis(2);
+/// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// After SIGTERM new connections go on coming for a while; each is still taken.
+pub const ACCEPT_ON: Duration = Duration::from_millis(650);
+
+/// The listening side and the connections it has taken.
+pub struct Server {
+    driver: Rc<Driver>,
+    draining: watch::Sender<bool>,
+    busy: Cell<usize>,
+    places: std::sync::Arc<Semaphore>,
+}
+
+impl Server {
+    /// Serves at most `connections` at a time.
+    pub fn new(driver: Rc<Driver>, connections: usize) -> Rc<Self> {
+        Rc::new(Server {
+            driver,
+            draining: watch::Sender::new(false),
+            busy: Cell::new(0),
+            places: std::sync::Arc::new(Semaphore::new(connections)),
+        })
+    }
+
+    /// Takes connections until it is dropped.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok(place) = self.places.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(self.clone().connection(stream, place));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    /// Says `Connection: close` from now on and closes what is idle.
+    pub fn drain(&self) {
+        self.draining.send_replace(true);
+    }
+
+    /// Whether any request is being read or answered.
+    pub fn busy(&self) -> bool {
+        self.busy.get() > 0
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream, _place: OwnedSemaphorePermit) {
+        // Without it answers of one connection would wait for each other's acknowledgement.
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let mut draining = self.draining.subscribe();
+        let late = *draining.borrow();
+        let server = self.clone();
+        let service = service_fn(move |request| server.clone().answer(request));
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new()).header_read_timeout(READ_MOST).keep_alive(!late);
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        // An error here is the client's leaving or its bad bytes; both concern this connection alone.
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = draining.wait_for(|on| *on), if !late => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        self.busy.set(self.busy.get() + 1);
+        let _busy = Busy(&self.busy);
+        Ok(match self.take(request).await {
+            Ok(answer) | Err(answer) => answer,
+        })
+    }
+
+    async fn take(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+        if request.uri().path() == "/ready" {
+            let ready = self.driver.ready() && !*self.draining.borrow();
+            return Ok(if ready {
+                plain(StatusCode::OK, "ready")
+            } else {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+            });
+        }
+        let arrival = self.read(request).await?;
+        let deadline = arrival.deadline;
+        let (id, answer) = self.driver.submit(arrival);
+        // When the client leaves, hyper drops this future, and the guard tells the balancer.
+        let _owed = Owed(&self.driver, id);
+        Ok(match timeout_at(deadline + OVERDUE, answer).await {
+            Ok(Ok(answer)) => word(answer),
+            Ok(Err(_)) => plain(StatusCode::BAD_GATEWAY, "no answer was decided"),
+            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        })
+    }
+
+    /// Reads a request whole; the error is the answer to a bad one.
+    async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Full<Bytes>>> {
+        let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
+        let (head, body) = request.into_parts();
+        let names = &self.driver.names;
+        let path = head.uri.path();
+        let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = names.classes.iter().position(|name| name == first);
+        let class = class.ok_or_else(|| plain(StatusCode::NOT_FOUND, "no such class of request"))?;
+        if text(&head.headers, "x-priority-class") != Some(first) {
+            return Err(bad("X-Priority-Class must be the first part of the path"));
+        }
+        if text(&head.headers, "x-request-id").is_none_or(str::is_empty) {
+            return Err(bad("X-Request-ID is missing"));
+        }
+        let tenant = match text(&head.headers, "x-tenant-id") {
+            _ if names.tenants.is_empty() => None,
+            Some(tenant) => names.tenants.iter().position(|name| name == tenant).map(TenantId),
+            None => None,
+        };
+        if tenant.is_none() && !names.tenants.is_empty() {
+            return Err(bad("X-Tenant-Id names no tenant"));
+        }
+        let wait = text(&head.headers, "x-timeout").and_then(wait_of);
+        let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
+        let effect = self.driver.effects[class];
+        let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
+        if head.method != method {
+            let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
+            let allow = if method == Method::GET { "GET" } else { "POST" };
+            answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
+            return Err(answer);
+        }
+        let keyed = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
+        if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
+            return Err(bad("this class needs an Idempotency-Key"));
+        }
+        let large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB");
+        if body.size_hint().lower() > BODY_MOST as u64 {
+            return Err(large());
+        }
+        let body = match timeout(READ_MOST, Limited::new(body, BODY_MOST).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
+            Ok(Err(_)) => return Err(bad("the body did not come whole")),
+            Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        };
+        let room = ANSWER_ROOM.min(wait / 10);
+        let query = head.uri.query().unwrap_or_default();
+        let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
+        let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
+        Ok(Arrival {
+            class: ClassId(class),
+            tenant,
+            key: key.map(|key| KeyId(fnv1a(key))),
+            cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
+            repeat: text(&head.headers, "x-retried") == Some("1"),
+            deadline: Instant::now() + (wait - room),
+            headers: forwarded(&head.headers),
+            method: head.method,
+            uri: head.uri,
+            body,
+        })
+    }
+}
+
+/// Counts a request in work.
+struct Busy<'a>(&'a Cell<usize>);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Tells the balancer if a request ends without having been given its answer.
+struct Owed<'a>(&'a Rc<Driver>, RequestId);
+
+impl Drop for Owed<'_> {
+    fn drop(&mut self) {
+        self.0.gone(self.1);
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Reads a wait such as `480m` (milliseconds) or `900u` (microseconds).
+fn wait_of(text: &str) -> Option<Duration> {
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let micros = match unit {
+        "m" => 1000.0,
+        "u" => 1.0,
+        _ => return None,
+    };
+    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
+        return None;
+    }
+    let wait = Duration::try_from_secs_f64(digits.parse::<f64>().ok()? * micros / 1e6).ok()?;
+    (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
+}
+
+fn word(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Served(kind, body) => {
+            let mut response = Response::new(Full::new(body));
+            response.headers_mut().extend(kind.map(|kind| (CONTENT_TYPE, kind)));
+            response
+        }
+        Answer::Refused(after) => {
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless");
+            let after =
+                after.and_then(|after| HeaderValue::from_str(&format!("{:.3}", after.ms() / 1e3)).ok());
+            response.headers_mut().extend(after.map(|after: HeaderValue| (RETRY_AFTER, after)));
+            response
+        }
+        Answer::Failed(status) => plain(status, "failed"),
+    }
+}
+
+fn plain(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{why}\n"))));
+    *response.status_mut() = status;
+    let kind: (HeaderName, HeaderValue) = (CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response.headers_mut().extend([kind]);
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_have_a_number_and_a_unit() {
+        assert_eq!(wait_of("480m"), Some(Duration::from_millis(480)));
+        assert_eq!(wait_of("900u"), Some(Duration::from_micros(900)));
+        for text in
+            ["", "m", "480", "-1m", "0m", "1e9m", "nanm", "infm", "99999999999999999999m", "4s", "é", "1é"]
+        {
+            assert_eq!(wait_of(text), None, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/upstream.rs
@@ -0,0 +1,477 @@
+//! Connections to backends, and what goes over them: attempts and probes.
+//!
+//! A connection carries one exchange at a time and is used again only after a whole answer. Whatever else ends
+//! an exchange (a time-out, a cancel, an error) ends its connection with it.
+
+use crate::discovery::{Health, Host};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use micasail::{Outcome, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::JoinHandle;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// The longest body of either direction.
+pub const BODY_MOST: usize = 64 << 10;
+/// An idle connection is given up after this share of the time in the settings: one that the backend closes
+/// while a request is on its way to it costs that request a reset of which nobody knows whether it ran.
+const IDLE_SHARE: f64 = 0.7;
+/// A probe that has not been answered by then has timed out.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// After a whole answer a connection is ready again at once, or there is something wrong with it.
+const SETTLE: Duration = Duration::from_millis(5);
+
+/// What passes between a connection's task and its user: bytes written so far, and leave to write more.
+#[derive(Default)]
+struct Wire {
+    written: Cell<u64>,
+    shut: Cell<bool>,
+}
+
+/// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
+struct Counted {
+    io: TokioIo<TcpStream>,
+    wire: Rc<Wire>,
+}
+
+impl Counted {
+    fn wrote(&self, n: usize) -> usize {
+        self.wire.written.set(self.wire.written.get() + n as u64);
+        n
+    }
+
+    /// Nothing goes out for a request that has its answer, not even what is queued already.
+    fn leave(&self) -> io::Result<()> {
+        if self.wire.shut.get() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.leave()?;
+        let n = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        Poll::Ready(Ok(self.wrote(n)))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.leave()?;
+        let n = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        Poll::Ready(Ok(self.wrote(n)))
+    }
+}
+
+/// How far an attempt has come, shared by the driver and the attempt's task.
+#[derive(Default)]
+pub struct Progress {
+    /// The wire that it goes over, and the count there when its last byte is out.
+    wire: RefCell<Option<(Rc<Wire>, u64)>>,
+    stopped: Cell<bool>,
+    stop: Notify,
+}
+
+impl Progress {
+    /// Its last byte may be out: from here on it may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.wire.borrow().as_ref().is_some_and(|(wire, whole)| wire.written.get() >= *whole)
+    }
+
+    /// Gives the attempt up. What has not been written stays unwritten.
+    pub fn call_off(&self) {
+        self.stopped.set(true);
+        if let Some((wire, _)) = &*self.wire.borrow() {
+            wire.shut.set(true);
+        }
+        self.stop.notify_one();
+    }
+}
+
+/// How an exchange ended.
+pub struct Ended {
+    /// The outcome in the balancer's terms.
+    pub outcome: Outcome,
+    /// The load report that came along.
+    pub report: Option<Vec<f64>>,
+    /// The whole answer of a served request: its content type and its body.
+    pub answer: Option<(Option<HeaderValue>, Bytes)>,
+}
+
+impl Ended {
+    fn without_answer(outcome: Outcome) -> Self {
+        Ended { outcome, report: None, answer: None }
+    }
+}
+
+/// One open connection; dropping it closes it.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    wire: Rc<Wire>,
+    server: ServerId,
+    life: u64,
+    idle_since: Instant,
+    _place: Place,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A counted place among the connections that the process may hold.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A backend as the list last described it.
+struct Remote {
+    dial: Option<SocketAddr>,
+    born_ms: f64,
+    /// Counts its processes and addresses; connections of an earlier one are not used again.
+    life: u64,
+    open: bool,
+    idle: Vec<Connection>,
+}
+
+/// All backends and the connections to them.
+pub struct Upstream {
+    remotes: RefCell<HashMap<ServerId, Remote>>,
+    held: Rc<Cell<usize>>,
+    most: usize,
+    connect_timeout: Duration,
+    idle_most: Duration,
+    fields: Vec<String>,
+}
+
+impl Upstream {
+    /// Knows no backend yet; holds at most `most` connections.
+    pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration, fields: Vec<String>) -> Self {
+        Upstream {
+            remotes: RefCell::default(),
+            held: Rc::default(),
+            most,
+            connect_timeout,
+            idle_most: keepalive.mul_f64(IDLE_SHARE),
+            fields,
+        }
+    }
+
+    /// Takes in a line of the list. A new address or a new process means new connections; one that drains or
+    /// has left keeps none that are idle.
+    pub fn describe(&self, server: ServerId, host: &Host) {
+        let mut remotes = self.remotes.borrow_mut();
+        let remote = remotes.entry(server).or_insert_with(|| Remote {
+            dial: host.dial,
+            born_ms: host.born_ms,
+            life: 0,
+            open: true,
+            idle: Vec::new(),
+        });
+        let moved = host.dial.is_some() && host.dial != remote.dial;
+        if moved || host.born_ms != remote.born_ms {
+            remote.life += 1;
+            remote.idle.clear();
+            remote.dial = host.dial.or(remote.dial);
+            remote.born_ms = host.born_ms;
+        }
+        remote.open = host.health == Health::Up;
+        if !remote.open {
+            remote.idle.clear();
+        }
+    }
+
+    /// Forgets the backends that a whole list no longer names; what is out to them goes on.
+    pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) {
+        self.remotes.borrow_mut().retain(|server, _| named(*server));
+    }
+
+    /// Closes the idle connections to a backend.
+    pub fn close_idle(&self, server: ServerId) {
+        if let Some(remote) = self.remotes.borrow_mut().get_mut(&server) {
+            remote.idle.clear();
+        }
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub fn sweep(&self) {
+        for remote in self.remotes.borrow_mut().values_mut() {
+            remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed());
+        }
+    }
+
+    /// The most recently used connection that still stands, or a fresh one.
+    async fn connection(self: &Rc<Self>, server: ServerId) -> Option<Connection> {
+        let (dial, life) = {
+            let mut remotes = self.remotes.borrow_mut();
+            let remote = remotes.get_mut(&server)?;
+            while let Some(connection) = remote.idle.pop() {
+                if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
+                    return Some(connection);
+                }
+            }
+            (remote.dial?, remote.life)
+        };
+        let place = self.place()?;
+        // A task of its own: when its attempt is given up meanwhile, the connection, which has cost the
+        // backend work by then, serves the next one.
+        let (tell, told) = oneshot::channel();
+        let upstream = self.clone();
+        tokio::task::spawn_local(async move {
+            let opened = timeout(upstream.connect_timeout, open(dial)).await;
+            let opened = opened.ok().and_then(Result::ok).map(|(sender, task, wire)| Connection {
+                sender,
+                task,
+                wire,
+                server,
+                life,
+                idle_since: Instant::now(),
+                _place: place,
+            });
+            if let Err(Some(connection)) = tell.send(opened) {
+                upstream.park(connection);
+            }
+        });
+        told.await.ok().flatten()
+    }
+
+    /// A place for one more connection; an idle one of another backend gives way if all are taken.
+    fn place(&self) -> Option<Place> {
+        if self.held.get() >= self.most {
+            let mut remotes = self.remotes.borrow_mut();
+            let oldest =
+                remotes.values_mut().filter(|r| !r.idle.is_empty()).min_by_key(|r| r.idle[0].idle_since);
+            oldest?.idle.remove(0);
+        }
+        self.held.set(self.held.get() + 1);
+        Some(Place(self.held.clone()))
+    }
+
+    fn park(&self, mut connection: Connection) {
+        let mut remotes = self.remotes.borrow_mut();
+        let Some(remote) = remotes.get_mut(&connection.server) else { return };
+        if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
+            connection.idle_since = Instant::now();
+            remote.idle.push(connection);
+        }
+    }
+
+    /// Sends an attempt and waits for its end, until `until` at the longest.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        server: ServerId,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+        progress: &Progress,
+    ) -> Ended {
+        let exchange = async {
+            let connection = self.connection(server).await?;
+            if progress.stopped.get() {
+                self.park(connection);
+                return None;
+            }
+            let whole = connection.wire.written.get() + length(&request);
+            *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
+            self.exchange(connection, request).await
+        };
+        let ended = tokio::select! {
+            biased;
+            () = progress.stop.notified() => Some(Outcome::Cancelled),
+            ended = timeout_at(until, exchange) => match ended {
+                Ok(Some(ended)) => return ended,
+                Ok(None) => None,
+                Err(_) => Some(Outcome::TimedOut),
+            },
+        };
+        // Whether a broken attempt may have run rests on the bytes that went out and on nothing else.
+        Ended::without_answer(match (progress.may_have_run(), ended) {
+            (true, outcome) => outcome.unwrap_or(Outcome::ConnectionReset),
+            (false, _) if progress.stopped.get() => Outcome::NotSent,
+            (false, _) => Outcome::ConnectFailed,
+        })
+    }
+
+    /// Asks a backend for its health, and for its load where it tells that.
+    pub async fn probe(self: &Rc<Self>, server: ServerId) -> Ended {
+        let path = if self.fields.is_empty() { "/health" } else { "/status/load" };
+        let request = Request::get(path).header("host", "backend").body(Full::default());
+        let exchange = async {
+            let (Some(connection), Ok(request)) = (self.connection(server).await, request) else {
+                return Ended::without_answer(Outcome::ConnectFailed);
+            };
+            let ended = self.exchange(connection, request).await;
+            let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
+            if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
+                ended.report =
+                    std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields));
+            }
+            ended
+        };
+        timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
+    }
+
+    /// One request and its whole answer over a connection; `None` if that broke on the way.
+    async fn exchange(&self, mut connection: Connection, request: Request<Full<Bytes>>) -> Option<Ended> {
+        let response = connection.sender.send_request(request).await.ok()?;
+        let (outcome, report) = self.judge(&response);
+        let kind = response.headers().get(CONTENT_TYPE).cloned();
+        let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
+        if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
+            self.park(connection);
+        }
+        let answer = (outcome == Outcome::Success).then_some((kind, body));
+        Some(Ended { outcome, report, answer })
+    }
+
+    /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
+    /// may come from something that ran it.
+    fn judge<B>(&self, response: &Response<B>) -> (Outcome, Option<Vec<f64>>) {
+        let untouched = response.headers().get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
+        let outcome = match response.status() {
+            StatusCode::OK => Outcome::Success,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if untouched => Outcome::Rejected,
+            _ => Outcome::ServerError,
+        };
+        let report = response.headers().get("x-server-load").and_then(|v| v.to_str().ok());
+        (outcome, report.and_then(|text| parse_report(text, &self.fields)))
+    }
+}
+
+async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
+    let stream = TcpStream::connect(dial).await?;
+    stream.set_nodelay(true)?;
+    let wire = Rc::<Wire>::default();
+    let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
+    let (sender, driven) = handshake(io).await.map_err(io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        // How it ended shows at the sender and in the bytes written.
+        let _ = driven.await;
+    });
+    Ok((sender, task, wire))
+}
+
+/// The bytes of a request as they go out, or a few less: short of them, its last byte is not out.
+fn length(request: &Request<Full<Bytes>>) -> u64 {
+    let line =
+        request.method().as_str().len() + request.uri().path().len() + " ".len() + " HTTP/1.1\r\n".len();
+    let headers: usize =
+        request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
+    let query = request.uri().query().map_or(0, |q| q.len() + "?".len());
+    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
+    (line + query + headers + "\r\n".len()) as u64 + body
+}
+
+/// Reads `TEXT inflight=7, queue=2` into the order of the settings; `None` if it says nothing of these.
+fn parse_report(text: &str, fields: &[String]) -> Option<Vec<f64>> {
+    let text = text.trim();
+    let pairs = text.strip_prefix("TEXT").unwrap_or(text);
+    let mut report = vec![f64::NAN; fields.len()];
+    for pair in pairs.split(',') {
+        let Some((name, value)) = pair.split_once('=') else { continue };
+        let Some(place) = fields.iter().position(|f| f.as_str() == name.trim()) else { continue };
+        report[place] = value.trim().parse().unwrap_or(f64::NAN);
+    }
+    report.iter().any(|value| value.is_finite()).then_some(report)
+}
+
+/// The headers that go on: those that speak of the connection or are worded anew stay behind.
+pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    const OWN: [&str; 12] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+        "x-timeout",
+    ];
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    let goes_on = |name: &str| !OWN.contains(&name) && !named.iter().any(|n| n == name);
+    headers.iter().filter(|(n, _)| goes_on(n.as_str())).map(|(n, v)| (n.clone(), v.clone())).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_are_read_in_the_order_of_the_settings() {
+        let fields = ["qps", "queue"].map(String::from);
+        assert_eq!(parse_report("TEXT queue=2, novel=1, qps=40.5", &fields), Some(vec![40.5, 2.0]));
+        let odd = parse_report("queue=x,,=,qps=1", &fields).expect("a report");
+        assert_eq!(odd[0], 1.0);
+        assert!(odd[1].is_nan());
+        for text in ["", "TEXT", "TEXT queue=NaN", "novel=1", "queue"] {
+            assert_eq!(parse_report(text, &fields), None, "{text}");
+        }
+    }
+
+    #[test]
+    fn headers_of_the_connection_stay_behind() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in
+            [("connection", "close, X-Hop"), ("x-hop", "1"), ("x-timeout", "5m"), ("x-a", "b")]
+        {
+            headers.append(name, HeaderValue::from_static(value));
+        }
+        let left = forwarded(&headers);
+        assert_eq!(left.len(), 1);
+        assert_eq!(left["x-a"], "b");
+    }
+}
