Test the agent over loopback sockets; keep 6 ms of a client's wait for the answer

Checked instead, one by one, what bites on sockets: fates of broken attempts, bare and marked 503, truncated and senseless answers, mute backends and discovery, stale idle connections, clients that leave, drains, changed addresses, SIGTERM, bad requests, a broken configuration, no descriptors left. All hold; each has a test with scripted backends. Changed: the room for the answer grows from 3 to 6 ms, since the agent's own backstop at deadline + 4 ms must not overtake the balancer's word nor the client's end; aims lie far below the deadlines, so it costs nothing. The log names a server beside its number. The program ends if its clock task does.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -420,6 +420,7 @@
         while self.names.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
+        eprintln!("server {id} is {name}");
         self.names.insert(ServerId(id), name.to_owned());
         self.servers.insert(name.to_owned(), ServerId(id));
         ServerId(id)
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -50,12 +50,16 @@
     let name = config.name.clone();
     let half = config.sockets.saturating_sub(SPARE_SOCKETS).max(2) / 2;
     let driver = Driver::start(config, half).map_err(|e| e.to_string())?;
-    tokio::task::spawn_local(driver.clone().run());
+    let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver, half);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{name}: listening on {address}");
 
-    term.recv().await;
+    tokio::select! {
+        _ = term.recv() => {}
+        // Without its clock the agent would take requests and answer none: better that it ends and is restarted.
+        _ = &mut driven => return Err("the decisions have stopped".into()),
+    }
     let told = Instant::now();
     server.drain();
     sleep(server::ACCEPT_ON).await;
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -22,13 +22,13 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
-const ANSWER_ROOM: Duration = Duration::from_millis(3);
+const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
 const WAIT_MOST: Duration = Duration::from_secs(600);
 /// A request whose head or body takes longer to come is given up.
 const READ_MOST: Duration = Duration::from_secs(60);
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
-const OVERDUE: Duration = Duration::from_millis(2);
+const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After SIGTERM new connections go on coming for a while; each is still taken.
@@ -172,7 +172,7 @@
             Ok(Err(_)) => return Err(bad("the body did not come whole")),
             Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
-        let room = ANSWER_ROOM.min(wait / 10);
+        let room = ANSWER_ROOM.min(wait / 4);
         let query = head.uri.query().unwrap_or_default();
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
         let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
--- /dev/null
+++ b/agent/tests/attempts.rs
@@ -0,0 +1,260 @@
+//! What becomes of a request at the backends, and what its client is told.
+
+mod common;
+use common::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::Notify;
+
+async fn world(backends: &[&Backend]) -> (Directory, Agent) {
+    let named = |(i, b): (usize, &&Backend)| host(&format!("s{i}"), b.address, "up");
+    let hosts: Vec<_> = backends.iter().enumerate().map(named).collect();
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &hosts).await;
+    (directory, agent)
+}
+
+#[tokio::test]
+async fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("body of the answer"))).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let mut client = agent.client().await;
+    let answer = client.ask(&request("POST", "/save/x?key=7f&more=%20", "2000m", "the body")).await;
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"body of the answer".as_slice()));
+    let seen = backend.next().await;
+    assert_eq!(seen.first_line(), "POST /save/x?key=7f&more=%20 HTTP/1.1");
+    assert_eq!(seen.header("x-request-id"), Some("id1"));
+    assert_eq!(seen.header("idempotency-key"), Some("k1"));
+    assert_eq!(seen.body, b"the body");
+    let wait = seen.header("x-timeout").and_then(|w| w.strip_suffix('u')).expect("a wait");
+    let wait: u64 = wait.parse().expect("microseconds");
+    assert!(wait > 0 && wait < 2_000_000, "{wait}: less than the client waits");
+}
+
+#[tokio::test]
+async fn connections_are_kept_and_used_again() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let mut client = agent.client().await;
+    for _ in 0..20 {
+        assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+        assert_eq!(backend.next().await.connection, 0);
+    }
+    assert_eq!(backend.connections(), 1);
+}
+
+/// An unsafe request whose connection breaks after its last byte may have run: it is neither sent again nor
+/// refused, for a refusal would have the client repeat it.
+#[tokio::test]
+async fn a_reset_after_the_last_byte_may_have_run() {
+    let mut first = Backend::start(|_| Reply::Last(Vec::new())).await;
+    let (_directory, agent) = world(&[&first]).await;
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 502);
+    first.next().await;
+    assert!(first.seen.try_recv().is_err(), "sent twice");
+}
+
+/// A refused connect never ran, whatever the class.
+#[tokio::test]
+async fn a_refused_connect_never_ran_and_even_an_unsafe_request_goes_elsewhere() {
+    let mut good = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("dead", nobody().await, "up"), host("good", good.address, "up")];
+    let agent = Agent::start(directory.address, &hosts).await;
+    for _ in 0..6 {
+        let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+        assert_eq!(answer.status(), 200);
+        good.next().await;
+    }
+}
+
+/// Only `X-Not-Processed: 1` proves that a request did not run; a bare 503 may come from something that ran it.
+#[tokio::test]
+async fn a_bare_503_may_have_run_and_is_not_passed_on() {
+    let mut backend =
+        Backend::start(|_| Reply::Bytes(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_vec())).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 502);
+    backend.next().await;
+    assert!(backend.seen.try_recv().is_err(), "sent twice");
+}
+
+#[tokio::test]
+async fn a_marked_503_never_ran_and_an_unsafe_request_is_sent_again() {
+    let count = AtomicUsize::new(0);
+    let mut backend = Backend::start(move |_| match count.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Bytes(b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec()),
+        _ => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 200);
+    assert_eq!(backend.next().await.header("x-request-id"), Some("id1"));
+    assert_eq!(backend.next().await.connection, 0, "a rejection costs no connection");
+}
+
+/// A part of a body must never pass for the whole.
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_no_answer() {
+    let backend =
+        Backend::start(|_| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_vec())).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 502);
+}
+
+#[tokio::test]
+async fn answers_that_make_no_sense_fail_their_attempt_alone() {
+    let count = AtomicUsize::new(0);
+    let backend = Backend::start(move |_| match count.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Last(b"\0\xff\r\n\r\n".to_vec()),
+        1 => {
+            Reply::Last(b"HTTP/1.1 999 What\r\nX-Server-Load: \xff=,,\r\nContent-Length: 0\r\n\r\n".to_vec())
+        }
+        2 => Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n".to_vec()),
+        _ => Reply::Bytes(
+            b"HTTP/1.1 200 OK\r\nX-Server-Load: TEXT queue=NaN, qps\r\nContent-Length: 0\r\n\r\n".to_vec(),
+        ),
+    })
+    .await;
+    let (_directory, agent) = world(&[&backend]).await;
+    for status in [502, 502, 502, 200] {
+        let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+        assert_eq!(answer.status(), status);
+    }
+}
+
+/// A cut-off machine says nothing at all. The client still gets its answer before it gives up, and the mute
+/// connection is not used again.
+#[tokio::test]
+async fn a_mute_backend_costs_its_request_only_until_the_deadline() {
+    let mut backend =
+        Backend::start(|m| if m.connection == 0 { Reply::Mute } else { Reply::Bytes(ok("x")) }).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let asked = Instant::now();
+    let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(answer.status(), 504);
+    assert!(asked.elapsed() < Duration::from_millis(2000), "{:?}", asked.elapsed());
+    assert_eq!(backend.next().await.connection, 0);
+    assert_eq!(soon("the mute connection's end", backend.closed.recv()).await, Some(0));
+    // It is suspect now, but the only one there is.
+    soon("a served request", async {
+        while agent.client().await.ask(&request("GET", "/read", "2000m", "")).await.status() != 200 {}
+    })
+    .await;
+    assert_eq!(backend.next().await.connection, 1);
+}
+
+/// A connection that the backend has closed while it stood idle is not written to.
+#[tokio::test]
+async fn a_connection_that_was_closed_while_idle_is_not_used() {
+    let closing = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".to_vec();
+    let mut backend = Backend::start(move |_| Reply::Last(closing.clone())).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    for connection in 0..5 {
+        let answer = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(backend.next().await.connection, connection);
+        // The end that the backend's side sent arrives within this on loopback.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The agent's own limit lies well below the backend's: at its limit a backend closes, and a request that is
+/// on its way just then ends as a reset.
+#[tokio::test]
+async fn idle_connections_are_retired_before_the_backend_would() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["settings"]["limits"]["keepaliveMs"] = 1500.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let asked = Instant::now();
+    assert_eq!(agent.client().await.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+    backend.next().await;
+    assert_eq!(soon("its retirement", backend.closed.recv()).await, Some(0));
+    assert!(asked.elapsed() > Duration::from_millis(900), "kept for a good part of the time");
+}
+
+/// The client leaves: an attempt that is out goes on, its outcome counts, and its connection serves the next.
+#[tokio::test]
+async fn an_attempt_whose_client_left_keeps_its_connection() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("x")),
+        // Not to be used again, so that the first connection is the only one that can be.
+        false => Reply::Bytes(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".to_vec()),
+    })
+    .await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let mut client = agent.client().await;
+    client.send(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(backend.next().await.connection, 0);
+    client.stream.shutdown().await.expect("the client leaves");
+    client.closed().await;
+    word.notify_one();
+    // The answer must have come back to the agent before its connection can serve again.
+    soon("the connection's second use", async {
+        loop {
+            assert_eq!(agent.client().await.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+            if backend.next().await.connection == 0 {
+                return;
+            }
+        }
+    })
+    .await;
+}
+
+/// Nothing goes out for a request whose client has left: here its connect is still under way, to an address
+/// that takes no connection until its backlog has room.
+#[tokio::test]
+async fn nothing_goes_out_for_a_client_that_left_while_connecting() {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    // Two fill the backlog of one; a third connect stays under way until they are taken.
+    let mut fillers = Vec::new();
+    for _ in 0..2 {
+        fillers.push(tokio::net::TcpStream::connect(address).await.expect("a place in the backlog"));
+    }
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", address, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let mut client = agent.client().await;
+    client.send(&request("POST", "/pay", "60000m", "b")).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(client);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // Now there is room: the connect comes up (the kernel tries again within a second or so) and waits unused.
+    for _ in 0..2 {
+        soon("a filler", listener.accept()).await.expect("a filler");
+    }
+    let (mut stream, _) = soon("the agent's connection", listener.accept()).await.expect("a connection");
+    // It serves the next request, so the first one's bytes would have come before these.
+    let mut client = agent.client().await;
+    client.send(&request("GET", "/read/next", "60000m", "")).await;
+    let message = soon("the next request", read_message(&mut stream, 0)).await.expect("a request");
+    assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
+}
+
+/// What the balancer gives up is answered at once, and a client that the settings allow advice is told when to
+/// come back.
+#[tokio::test]
+async fn a_refusal_says_when_to_come_back() {
+    let directory = Directory::start(Mood::Mute).await;
+    let rejecting = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+    let backend = Backend::start(move |_| Reply::Bytes(rejecting.clone())).await;
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let answer = agent.client().await.ask(&request("GET", "/read", "2000m", "")).await;
+    assert_eq!(answer.status(), 429);
+    let after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 0.75, "{after}");
+}
--- /dev/null
+++ b/agent/tests/service.rs
@@ -0,0 +1,212 @@
+//! The application's side, the server list, and the agent's own start and end.
+
+mod common;
+use common::*;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+#[tokio::test]
+async fn bad_requests_are_told_so_and_harm_nobody() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let good = request("GET", "/read", "2000m", "");
+    let bad = [
+        (good.replace("/read", "/nowhere"), 404),
+        (good.replace("Class: read", "Class: save"), 400),
+        (good.replace("X-Priority-Class: read\r\n", ""), 400),
+        (good.replace("acme", "nobody"), 400),
+        (good.replace("X-Tenant-Id: acme\r\n", ""), 400),
+        (good.replace("X-Request-ID: id1\r\n", ""), 400),
+        (good.replace("X-Timeout: 2000m\r\n", ""), 400),
+        (good.replace("2000m", "soon"), 400),
+        (good.replace("2000m", "-5m"), 400),
+        (good.replace("2000m", "0m"), 400),
+        (good.replace("2000m", "99999999999999999999999m"), 400),
+        (request("POST", "/read", "2000m", ""), 405),
+        (request("GET", "/save", "2000m", ""), 405),
+        (request("POST", "/save", "2000m", "").replace("Idempotency-Key: k1\r\n", ""), 400),
+        (request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 65537"), 413),
+        ("what is this\r\n\r\n".to_owned(), 400),
+    ];
+    for (bytes, status) in bad {
+        assert_eq!(agent.client().await.ask(&bytes).await.status(), status, "{bytes}");
+    }
+    let chunk = "8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n";
+    let chunked =
+        request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let answer = agent.client().await.ask(&(chunked + &chunk + &chunk + &chunk + "0\r\n\r\n")).await;
+    assert_eq!(answer.status(), 413);
+    let largest = "b".repeat(64 << 10);
+    assert_eq!(agent.client().await.ask(&request("POST", "/pay", "2000m", &largest)).await.status(), 200);
+    assert_eq!(backend.next().await.body.len(), 64 << 10);
+    assert!(backend.seen.try_recv().is_err(), "a bad request went on");
+}
+
+#[tokio::test]
+async fn the_agent_is_ready_once_there_is_a_backend() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &[]).await;
+    let answer = agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await;
+    assert_eq!(answer.status(), 503);
+    directory.next_call().await;
+    directory.list(2, &[host("s", backend.address, "up")]);
+    agent.ready().await;
+    assert_eq!(agent.get("/read").await.status(), 200);
+}
+
+/// A watch goes on from the version of its last answer, and a backend that drains gets nothing new.
+#[tokio::test]
+async fn the_list_is_followed_and_a_draining_backend_gets_nothing_new() {
+    let mut old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let agent = Agent::start(directory.address, &[host("old", old.address, "up")]).await;
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=1&wait_ms="));
+    assert_eq!(agent.get("/read").await.body, b"old");
+    old.next().await;
+    directory
+        .list(2, &[host("old", old.address, "draining"), host("new", new.address, "up"), json!({"host": 3})]);
+    // The next call shows that the list has been taken in.
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=2&wait_ms="));
+    for _ in 0..20 {
+        assert_eq!(agent.get("/read").await.body, b"new");
+    }
+    assert!(old.seen.try_recv().is_err(), "sent to a draining backend");
+    assert_eq!(soon("the idle connection's end", old.closed.recv()).await, Some(0));
+}
+
+/// The same host at another address, or started anew, is another process: nothing goes over old connections.
+#[tokio::test]
+async fn a_new_address_or_a_new_process_means_new_connections() {
+    let mut first = Backend::start(|_| Reply::Bytes(ok("1"))).await;
+    let mut second = Backend::start(|_| Reply::Bytes(ok("2"))).await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let agent = Agent::start(directory.address, &[host("s", first.address, "up")]).await;
+    directory.next_call().await;
+    assert_eq!(agent.get("/read").await.body, b"1");
+    first.next().await;
+    directory.list(2, &[host("s", second.address, "up")]);
+    directory.next_call().await;
+    assert_eq!(agent.get("/read").await.body, b"2");
+    assert_eq!(second.next().await.connection, 0);
+    let mut born = host("s", second.address, "up");
+    born["born_ms"] = 1_700_000_000_000_u64.into();
+    directory.list(3, &[born]);
+    directory.next_call().await;
+    assert_eq!(agent.get("/read").await.body, b"2");
+    assert_eq!(second.next().await.connection, 1);
+}
+
+/// A discovery that answers with an error, and one that says nothing at all, is asked again.
+#[tokio::test]
+async fn a_failed_or_mute_discovery_is_asked_again() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::Down).await;
+    let agent = Agent::start(directory.address, &[]).await;
+    directory.next_call().await;
+    directory.next_call().await;
+    directory.mood.send_replace(Mood::Mute);
+    directory.next_call().await;
+    // Given up as mute, and asked again.
+    directory.next_call().await;
+    directory.list(2, &[host("s", backend.address, "up")]);
+    agent.ready().await;
+    assert_eq!(agent.get("/read").await.status(), 200);
+}
+
+/// After SIGTERM: idle connections close, what is in flight is answered, connections that come late are still
+/// taken, each answer says that it is the last, and the agent ends by itself.
+#[tokio::test]
+async fn a_planned_end_loses_nothing() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("x")),
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let mut idle = agent.client().await;
+    assert_eq!(idle.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+    backend.next().await;
+    let mut in_flight = agent.client().await;
+    in_flight.send(&request("POST", "/pay", "2400m", "b")).await;
+    backend.next().await;
+    agent.term().await;
+    idle.closed().await;
+    let mut late = agent.client().await;
+    let answer = late.ask(&request("GET", "/read", "2000m", "")).await;
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    late.closed().await;
+    let mut late = agent.client().await;
+    assert_eq!(late.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+    word.notify_one();
+    let answer = in_flight.answer().await;
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(agent.end().await.success());
+}
+
+#[tokio::test]
+async fn a_broken_configuration_ends_the_start_with_one_line() {
+    for text in ["", "{}", "[1]", r#"{"settings":{"classes":[]},"discovery":"127.0.0.1:1"}"#] {
+        let file = write_config(text);
+        let output = soon("the end", command(&file).output()).await.expect("output");
+        std::fs::remove_file(&file).expect("the file is there");
+        assert!(!output.status.success());
+        let log = String::from_utf8(output.stderr).expect("UTF-8");
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(log.starts_with("bellcroft: "), "{log}");
+    }
+}
+
+/// With no descriptor left for another connection the agent goes on, and serves again when there are some.
+#[tokio::test]
+async fn running_out_of_descriptors_is_survived() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    // It is promised more than it has.
+    let config = config(directory.address, &[host("s", backend.address, "up")]).to_string();
+    let file = write_config(&config);
+    let mut child = tokio::process::Command::new("sh")
+        .args(["-c", "ulimit -n 40; exec \"$0\"", env!("CARGO_BIN_EXE_bellcroft")])
+        .env("PROXY_CONFIG", &file)
+        .stderr(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program starts");
+    let mut log = child.stderr.take().expect("its log");
+    let mut text = Vec::new();
+    let address: std::net::SocketAddr = soon("the start", async {
+        loop {
+            log.read_buf(&mut text).await.expect("a log");
+            let line = String::from_utf8_lossy(&text);
+            if let Some((_, address)) =
+                line.trim_end().split_once("listening on ").filter(|_| line.contains('\n'))
+            {
+                return address.lines().next().and_then(|a| a.parse().ok()).expect("an address");
+            }
+        }
+    })
+    .await;
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        crowd.push(tokio::net::TcpStream::connect(address).await.expect("a connection"));
+    }
+    // One that was taken and one that waits in the backlog: the last has no descriptor at the agent.
+    let mut last = Client { stream: crowd.pop().expect("a connection") };
+    last.stream
+        .write_all(request("GET", "/read", "60000m", "").as_bytes())
+        .await
+        .expect("the kernel takes it");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(crowd);
+    assert_eq!(last.answer().await.status(), 200);
+    assert!(child.try_wait().expect("a status").is_none(), "it still runs");
+    std::fs::remove_file(&file).expect("the file is there");
+}
