Test a planned end under load and a start after a kill; check limits.sockets

Sixteen clients that go on through SIGTERM lose nothing. A first form of that test failed with refusals: the cause was the test's own backend, which stopped reading when the test had left 1,024 requests unread; the agent's log showed no suspect server. Changed: limits.sockets too small to serve, or absurdly large (which would panic at the start), is caught in config.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -9,6 +9,9 @@
 
 /// Descriptors and memory are for small machines; a configuration that is silent about them means these.
 const SOCKETS: usize = 1024;
+/// Fewer leave no room to serve; more than this no process may hold.
+const SOCKETS_LEAST: usize = 80;
+const SOCKETS_MOST: usize = 1 << 20;
 
 /// Everything that one start of the agent goes by.
 #[derive(Debug)]
@@ -77,6 +80,9 @@
         if let Some(place) = names.classes.iter().position(String::is_empty) {
             return Err(format!("settings give class {place} no name"));
         }
+        if file.limits.sockets.is_some_and(|sockets| sockets < SOCKETS_LEAST) {
+            return Err(format!("limits.sockets is below {SOCKETS_LEAST}; that leaves no room to serve"));
+        }
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
             serde_json::Value::Null => List::default(),
@@ -88,7 +94,7 @@
             discovery,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
-            sockets: file.limits.sockets.unwrap_or(SOCKETS),
+            sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
             settings,
             names,
             known,
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -14,7 +14,7 @@
 use micasail_settings::{fnv1a, Names};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -106,7 +106,7 @@
     servers: HashMap<String, ServerId>,
     names: HashMap<ServerId, String>,
     /// Servers that the list says are up.
-    up: HashMap<ServerId, ()>,
+    up: HashSet<ServerId>,
     seq: u64,
     discovery: Discovery,
 }
@@ -148,7 +148,7 @@
             attempts: HashMap::new(),
             servers: HashMap::new(),
             names: HashMap::new(),
-            up: HashMap::new(),
+            up: HashSet::new(),
             seq: config.known.seq,
             discovery: Discovery::new(config.discovery),
         };
@@ -371,7 +371,7 @@
                 Health::Removed => Status::Gone,
             };
             if status == Status::Serving {
-                state.up.insert(server, ());
+                state.up.insert(server);
             } else {
                 state.up.remove(&server);
             }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -48,7 +48,7 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let name = config.name.clone();
-    let half = config.sockets.saturating_sub(SPARE_SOCKETS).max(2) / 2;
+    let half = config.sockets.saturating_sub(SPARE_SOCKETS) / 2;
     let driver = Driver::start(config, half).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver, half);
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -3,8 +3,9 @@
 mod common;
 use common::*;
 use serde_json::json;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
@@ -210,3 +211,79 @@
     assert!(child.try_wait().expect("a status").is_none(), "it still runs");
     std::fs::remove_file(&file).expect("the file is there");
 }
+
+/// A planned end in the midst of traffic, as clients really behave: they use the connections they have, open new
+/// ones for a while, and send once more what crossed the closing of an idle one. Nothing may be lost.
+#[tokio::test]
+async fn a_planned_end_under_load_loses_nothing() {
+    const CLIENTS: usize = 16;
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let (told, end) = tokio::sync::watch::channel(None::<Instant>);
+    let served = Arc::new(AtomicUsize::new(0));
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        let (address, end, served) = (agent.address, end.clone(), served.clone());
+        clients.push(tokio::spawn(async move {
+            let text = request("GET", "/read", "2000m", "");
+            let mut kept: Option<tokio::net::TcpStream> = None;
+            loop {
+                let connects = end.borrow().is_none_or(|at| at.elapsed() < Duration::from_millis(300));
+                let mut answer = None;
+                if let Some(stream) = &mut kept {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    answer = soon("an answer or the end", read_message(stream, 0)).await;
+                }
+                if answer.is_none() {
+                    if !connects {
+                        return;
+                    }
+                    let mut stream = tokio::net::TcpStream::connect(address).await.expect("still taken");
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    answer = soon("an answer", read_message(&mut stream, 0)).await;
+                    kept = Some(stream);
+                }
+                let answer = answer.expect("a request was lost");
+                assert_eq!(answer.status(), 200);
+                served.fetch_add(1, Ordering::SeqCst);
+                if answer.header("connection") == Some("close") {
+                    kept = None;
+                }
+            }
+        }));
+    }
+    let serve_more = |from: usize| {
+        let served = served.clone();
+        async move {
+            while served.load(Ordering::SeqCst) < from + 10 * CLIENTS {
+                tokio::task::yield_now().await;
+            }
+        }
+    };
+    soon("traffic", serve_more(0)).await;
+    agent.term().await;
+    told.send_replace(Some(Instant::now()));
+    soon("traffic after SIGTERM", serve_more(served.load(Ordering::SeqCst))).await;
+    for client in clients {
+        soon("a client's end", client).await.expect("nothing lost");
+    }
+    assert!(agent.end().await.success());
+}
+
+/// An agent that was killed outright starts again under the same address with the list it had, and serves.
+#[tokio::test]
+async fn a_killed_agent_serves_again_at_its_address() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    let mut agent = Agent::with(config.clone(), |_| {}).await;
+    // A connection that is open when the process dies leaves its address in use for a while.
+    let mut client = agent.client().await;
+    assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+    agent.child.kill().await.expect("it is killed");
+    config["listen"] = agent.address.to_string().into();
+    let again = Agent::with(config, |_| {}).await;
+    again.ready().await;
+    assert_eq!(again.get("/read").await.status(), 200);
+}
