--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -70,6 +70,7 @@
     assert!(directory.next_call().await.starts_with("/v1/endpoints?after=1&wait_ms="));
     assert_eq!(agent.get("/read").await.body, b"old");
     old.next().await;
+    let told = Instant::now();
     directory
         .list(2, &[host("old", old.address, "draining"), host("new", new.address, "up"), json!({"host": 3})]);
     // The next call shows that the list has been taken in.
@@ -79,6 +80,7 @@
     }
     assert!(old.seen.try_recv().is_err(), "sent to a draining backend");
     assert_eq!(soon("the idle connection's end", old.closed.recv()).await, Some(0));
+    assert!(told.elapsed() < Duration::from_secs(6), "closed for the drain, not for its age of 7 s");
 }
 
 /// The same host at another address, or started anew, is another process: nothing goes over old connections.
