--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -57,14 +57,25 @@
     sockets: Option<usize>,
 }
 
+impl File {
+    fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        serde_json::from_slice(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
+    }
+}
+
+/// Where the file, which may have been replaced since the start, says that discovery is. `PROXY_DISCOVERY` is the
+/// start's address and does not mask it.
+pub fn discovery(var: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+    let text = File::read(var)?.discovery.ok_or("the file names no discovery")?;
+    text.parse().map_err(|_| format!("discovery is {text:?}; an address was expected"))
+}
+
 impl Config {
     /// Reads the configuration of this process; the error is one line for a person.
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        let file: File = serde_json::from_slice(&text)
-            .map_err(|e| format!("{} is no configuration: {e}", path.display()))?;
-        Self::from_file(file, var)
+        Self::from_file(File::read(&var)?, var)
     }
 
     fn from_file(file: File, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -113,8 +113,17 @@
         Discovery { address, watch: None, fetch: None }
     }
 
-    /// Begins a watch for what is newer than `seq`, or ends the one there is.
-    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: u64) {
+    /// Discovery has moved: calls to the old address, and their connections, end.
+    pub fn relocate(&mut self, address: SocketAddr) {
+        self.address = address;
+        for call in [self.watch.take(), self.fetch.take()].into_iter().flatten() {
+            call.abort();
+        }
+    }
+
+    /// Begins a watch for what is newer than `seq`, or ends the one there is. With no `seq` it begins with the
+    /// whole list.
+    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: Option<u64>) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
@@ -139,14 +148,18 @@
 
 /// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
 /// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: u64) {
+async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: Option<u64>) {
     let mut connection = None;
     loop {
-        let path = format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis());
-        let answer = call(address, &mut connection, &path, WAIT).await;
+        let (path, wait) = match seq {
+            Some(seq) => (format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+            None => ("/v1/endpoints".to_owned(), Duration::ZERO),
+        };
+        // A change is one of a list that is known; as a first answer it would say nothing of the others.
+        let answer = call(address, &mut connection, &path, wait).await.filter(|l| seq.is_some() || l.whole);
         let failed = answer.is_none();
         if let Some(list) = &answer {
-            seq = list.seq;
+            seq = Some(list.seq);
         }
         driver.listed(answer);
         if failed {
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -107,7 +108,8 @@
     names: HashMap<ServerId, String>,
     /// Servers that the list says are up.
     up: HashSet<ServerId>,
-    seq: u64,
+    /// The version of the list; none after discovery has moved, for versions are each service's own.
+    seq: Option<u64>,
     discovery: Discovery,
 }
 
@@ -149,7 +151,7 @@
             servers: HashMap::new(),
             names: HashMap::new(),
             up: HashSet::new(),
-            seq: config.known.seq,
+            seq: Some(config.known.seq),
             discovery: Discovery::new(config.discovery),
         };
         let driver = Rc::new(Driver {
@@ -227,6 +229,14 @@
         self.pump();
     }
 
+    /// Discovery has moved: the new one is watched from its whole list on. What is known stands until that comes.
+    pub fn relocate(self: &Rc<Self>, address: SocketAddr) {
+        let mut state = self.state.borrow_mut();
+        state.seq = None;
+        state.discovery.relocate(address);
+        state.discovery.follow(self, true, None);
+    }
+
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
     pub async fn run(self: Rc<Self>) {
         let mut sweep = Instant::now() + SWEEP;
@@ -357,7 +367,7 @@
 
     /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
     fn take_list(&self, state: &mut State, list: List) -> Vec<Listed> {
-        state.seq = list.seq;
+        state.seq = Some(list.seq);
         let mut lines = Vec::with_capacity(list.hosts.len());
         if list.whole {
             state.up.clear();
--- /dev/null
+++ b/agent/src/framing.rs
@@ -0,0 +1,342 @@
+//! Where each request of a client's connection begins and ends, seen before hyper sees it.
+//!
+//! hyper drops a `Content-Length` that stands beside a `Transfer-Encoding` and takes equal lengths for one, so
+//! what it hands on no longer shows that a peer might read the message otherwise. It also reads ahead, so that
+//! an idle connection and one with a request on its way look alike. This wrapper passes on one whole head,
+//! then the bytes that its length gives and nothing behind them until the request has its answer.
+
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll, Waker};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The longest head of a request.
+pub const HEAD_MOST: usize = 16 << 10;
+/// Header lines that a head may have; hyper's own bound.
+const LINES_MOST: usize = 100;
+/// Read at a time.
+const CHUNK: usize = 4 << 10;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing has come over it yet.
+    Mute,
+    /// A request is on its way.
+    Arriving,
+    /// A request is whole and has no answer yet.
+    Open,
+    /// All that came has its answer.
+    Idle,
+}
+
+/// What the wrapper and the connection's owner know of each other.
+pub struct Line {
+    phase: Cell<(Phase, Instant)>,
+    ambiguous: Cell<bool>,
+    answered: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Line {
+    /// The line of a connection that has just been taken.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Line {
+            phase: Cell::new((Phase::Mute, Instant::now())),
+            ambiguous: Cell::new(false),
+            answered: Cell::new(false),
+            waker: RefCell::new(None),
+        })
+    }
+
+    /// What the connection is doing, and since when.
+    pub fn phase(&self) -> (Phase, Instant) {
+        self.phase.get()
+    }
+
+    fn enter(&self, phase: Phase) {
+        if self.phase.get().0 != phase {
+            self.phase.set((phase, Instant::now()));
+        }
+    }
+
+    /// The present request's length can be read in two ways; nothing behind its head is passed on.
+    pub fn ambiguous(&self) -> bool {
+        self.ambiguous.get()
+    }
+
+    /// The present request has come whole, which of a chunked body only its reader knows.
+    pub fn whole(&self) {
+        self.enter(Phase::Open);
+    }
+
+    /// The present request has its answer; the next one may be read.
+    pub fn answered(&self) {
+        self.enter(Phase::Idle);
+        self.answered.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+/// How far the present request has been read.
+enum Stage {
+    /// Its head is coming.
+    Head,
+    /// This much of its body is yet to be passed on.
+    Body(u64),
+    /// It is whole; what comes now belongs to the next one, or is the client's leaving.
+    Whole,
+    /// Nothing that comes is a request any more.
+    Shut,
+}
+
+/// A client's connection, read request by request.
+pub struct Framed {
+    io: TokioIo<TcpStream>,
+    line: Rc<Line>,
+    stage: Stage,
+    /// What has been read and not been passed on; its first `pass` bytes may be.
+    ahead: BytesMut,
+    pass: usize,
+    /// A head that was not whole at this length is not parsed again before more has come.
+    parsed: usize,
+    ended: bool,
+}
+
+impl Framed {
+    /// Wraps a connection.
+    pub fn new(stream: TcpStream, line: Rc<Line>) -> Self {
+        Framed {
+            io: TokioIo::new(stream),
+            line,
+            stage: Stage::Head,
+            ahead: BytesMut::new(),
+            pass: 0,
+            parsed: 0,
+            ended: false,
+        }
+    }
+
+    /// Reads more; false at the end of the stream. Memory is taken only once there is something to read.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        if self.ended {
+            return Poll::Ready(Ok(false));
+        }
+        loop {
+            ready!(self.io.inner().poll_read_ready(cx))?;
+            let mut chunk = [0; CHUNK];
+            match self.io.inner().try_read(&mut chunk) {
+                Ok(n) => {
+                    self.ahead.extend_from_slice(&chunk[..n]);
+                    self.ended = n == 0;
+                    return Poll::Ready(Ok(n > 0));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    /// Takes in what has come of a head; true if some of it can be passed on.
+    fn take_head(&mut self) -> bool {
+        if self.ahead.is_empty() {
+            return false;
+        }
+        self.line.enter(Phase::Arriving);
+        if self.ahead.len() == self.parsed {
+            return false;
+        }
+        self.parsed = self.ahead.len();
+        match frame(&self.ahead) {
+            Frame::Partial if self.ahead.len() < HEAD_MOST => return false,
+            // hyper answers what it cannot read, and a head that is too long, in its own words, and closes.
+            Frame::Partial | Frame::Unreadable => (self.pass, self.stage) = (self.ahead.len(), Stage::Shut),
+            Frame::Ambiguous(head) => {
+                self.line.ambiguous.set(true);
+                (self.pass, self.stage) = (head, Stage::Shut);
+            }
+            Frame::Sized(head, 0) => {
+                (self.pass, self.stage) = (head, Stage::Whole);
+                self.line.enter(Phase::Open);
+            }
+            Frame::Sized(head, body) => (self.pass, self.stage) = (head, Stage::Body(body)),
+            Frame::Chunked(head) => (self.pass, self.stage) = (head, Stage::Body(u64::MAX)),
+        }
+        true
+    }
+
+    /// The request has been answered: the next head may come, unless its body has not been read to its end.
+    fn turn(&mut self) {
+        self.stage = match self.stage {
+            Stage::Whole | Stage::Head => Stage::Head,
+            Stage::Body(_) | Stage::Shut => Stage::Shut,
+        };
+        self.parsed = 0;
+    }
+}
+
+impl Read for Framed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.line.answered.take() {
+            this.turn();
+        }
+        loop {
+            if this.pass > 0 {
+                let n = this.pass.min(buf.remaining());
+                buf.put_slice(&this.ahead[..n]);
+                this.ahead.advance(n);
+                this.pass -= n;
+                return Poll::Ready(Ok(()));
+            }
+            match this.stage {
+                Stage::Head => {
+                    if this.take_head() {
+                        continue;
+                    }
+                }
+                Stage::Body(left) if !this.ahead.is_empty() => {
+                    this.pass = left.min(this.ahead.len() as u64) as usize;
+                    this.stage = Stage::Body(left - this.pass as u64);
+                    if left == this.pass as u64 {
+                        this.stage = Stage::Whole;
+                        this.line.enter(Phase::Open);
+                    }
+                    continue;
+                }
+                Stage::Shut => return Poll::Pending,
+                // Enough has been read ahead; the answer to the present request wakes this again.
+                Stage::Whole if this.ahead.len() >= HEAD_MOST || (this.ended && !this.ahead.is_empty()) => {
+                    *this.line.waker.borrow_mut() = Some(cx.waker().clone());
+                    return Poll::Pending;
+                }
+                Stage::Body(_) | Stage::Whole => {}
+            }
+            match this.poll_fill(cx) {
+                Poll::Ready(Ok(true)) => {}
+                Poll::Ready(Ok(false)) if matches!(this.stage, Stage::Whole) && !this.ahead.is_empty() => {}
+                Poll::Ready(Ok(false)) => return Poll::Ready(Ok(())),
+                Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
+                Poll::Pending => {
+                    *this.line.waker.borrow_mut() = Some(cx.waker().clone());
+                    return Poll::Pending;
+                }
+            }
+        }
+    }
+}
+
+impl Write for Framed {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
+
+/// What the bytes so far are; a whole head with its length, and that of its body.
+#[derive(Debug, PartialEq)]
+enum Frame {
+    Partial,
+    Unreadable,
+    Ambiguous(usize),
+    Sized(usize, u64),
+    Chunked(usize),
+}
+
+fn frame(bytes: &[u8]) -> Frame {
+    let mut lines = [httparse::EMPTY_HEADER; LINES_MOST];
+    let mut request = httparse::Request::new(&mut lines);
+    let head = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Frame::Partial,
+        Err(_) => return Frame::Unreadable,
+    };
+    let values = |name: &str| {
+        let named = request.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+        named.map(|h| h.value).collect::<Vec<_>>()
+    };
+    match (values("content-length").as_slice(), values("transfer-encoding").as_slice()) {
+        ([], []) => Frame::Sized(head, 0),
+        ([length], []) => length_of(length).map_or(Frame::Ambiguous(head), |body| Frame::Sized(head, body)),
+        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => Frame::Chunked(head),
+        _ => Frame::Ambiguous(head),
+    }
+}
+
+/// Digits and nothing else: no sign, no list, no blank in between.
+fn length_of(value: &[u8]) -> Option<u64> {
+    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    digits.then(|| std::str::from_utf8(value).ok()?.parse().ok()).flatten()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn framed(lines: &str) -> Frame {
+        frame(format!("POST /pay HTTP/1.1\r\n{lines}\r\nrest").as_bytes())
+    }
+
+    #[test]
+    fn a_length_that_can_be_read_in_two_ways_is_ambiguous() {
+        for lines in [
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            "Content-Length: 4\r\nContent-Length: 4\r\n",
+            "Content-Length: 4\r\ncontent-length: 5\r\n",
+            "Content-Length: 4, 4\r\n",
+            "Content-Length: +4\r\n",
+            "Content-Length: -1\r\n",
+            "Content-Length: 4 4\r\n",
+            "Content-Length: 0x4\r\n",
+            "Content-Length:\r\n",
+            "Content-Length: 99999999999999999999999\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: identity\r\n",
+        ] {
+            let head = "POST /pay HTTP/1.1\r\n\r\n".len() + lines.len();
+            assert_eq!(framed(lines), Frame::Ambiguous(head), "{lines}");
+        }
+    }
+
+    #[test]
+    fn plain_lengths_are_read() {
+        assert_eq!(framed("Content-Length: 4\r\n"), Frame::Sized(41, 4));
+        assert_eq!(framed("A: b\r\n"), Frame::Sized(28, 0));
+        assert_eq!(framed("transfer-encoding: Chunked\r\n"), Frame::Chunked(50));
+        assert_eq!(frame(b"POST /pay HTTP/1.1\r\nContent-Le"), Frame::Partial);
+        assert_eq!(frame(b"\0\x01\x02"), Frame::Unreadable);
+    }
+}
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,32 +1,47 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
 use crate::driver::{Answer, Arrival, Driver};
+use crate::framing::{Framed, Line, Phase, HEAD_MOST};
 use crate::upstream::{forwarded, BODY_MOST};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
 const WAIT_MOST: Duration = Duration::from_secs(600);
-/// A request whose head or body takes longer to come is given up.
-const READ_MOST: Duration = Duration::from_secs(60);
+/// A request must have come whole within this of its first byte, and a connection's first request within this of
+/// the connect: what connects and says nothing, or half of something, holds a place that others need.
+const READ_MOST: Duration = Duration::from_millis(2_300);
+/// An idle connection is closed after this; much sooner where places run short, and then it must have been idle
+/// for as long as clients are promised.
+const IDLE_MOST: Duration = Duration::from_secs(10);
+const IDLE_LEAST: Duration = Duration::from_millis(2_050);
+/// Places run short once this share of them is taken: clients count connections that they have left behind
+/// among those that they may hold.
+const SHORT: f64 = 0.25;
+/// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
+const MUTE_LEAST: Duration = Duration::from_millis(100);
+/// How often a connection's time is looked at.
+const LOOK: Duration = Duration::from_millis(250);
+/// The longest id of a request that is kept.
+const ID_MOST: usize = 256;
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
 const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
@@ -34,12 +49,22 @@
 /// After SIGTERM new connections go on coming for a while; each is still taken.
 pub const ACCEPT_ON: Duration = Duration::from_millis(650);
 
+/// A connection that has been taken.
+struct Held {
+    line: Rc<Line>,
+    leave: Rc<Notify>,
+}
+
 /// The listening side and the connections it has taken.
 pub struct Server {
     driver: Rc<Driver>,
     draining: watch::Sender<bool>,
     busy: Cell<usize>,
-    places: std::sync::Arc<Semaphore>,
+    most: usize,
+    held: RefCell<HashMap<u64, Held>>,
+    freed: Notify,
+    /// Ids of the requests that are open.
+    ids: RefCell<HashSet<Box<str>>>,
 }
 
 impl Server {
@@ -49,20 +74,52 @@
             driver,
             draining: watch::Sender::new(false),
             busy: Cell::new(0),
-            places: std::sync::Arc::new(Semaphore::new(connections)),
+            most: connections,
+            held: RefCell::default(),
+            freed: Notify::new(),
+            ids: RefCell::default(),
         })
     }
 
-    /// Takes connections until it is dropped.
+    /// Takes connections until it is dropped. Each is taken at once; where there is no place for it, one that
+    /// nobody needs gives way, so that hundreds that say nothing do not shut the others out.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok(place) = self.places.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().connection(stream, place));
+        for number in 0.. {
+            let stream = loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => break stream,
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            };
+            while self.held.borrow().len() >= self.most {
+                self.give_way();
+                // A connection that leaves frees its place; one that may leave soon is found by looking again.
+                let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
             }
+            let held = Held { line: Line::new(), leave: Rc::default() };
+            let (line, leave) = (held.line.clone(), held.leave.clone());
+            self.held.borrow_mut().insert(number, held);
+            let server = self.clone();
+            tokio::task::spawn_local(async move {
+                server.clone().connection(stream, line, leave).await;
+                server.held.borrow_mut().remove(&number);
+                server.freed.notify_one();
+            });
+        }
+    }
+
+    /// Closes the connection that can best be spared: one that has said nothing, else the one that has been idle
+    /// longest. One with a request open or on its way never is.
+    fn give_way(&self) {
+        let held = self.held.borrow();
+        let spare = |h: &&Held| match h.line.phase() {
+            (Phase::Mute, since) => since.elapsed() >= MUTE_LEAST,
+            (Phase::Idle, since) => since.elapsed() >= IDLE_LEAST,
+            (Phase::Arriving | Phase::Open, _) => false,
+        };
+        let rank = |h: &&Held| (h.line.phase().0 == Phase::Idle, h.line.phase().1);
+        if let Some(held) = held.values().filter(spare).min_by_key(rank) {
+            held.leave.notify_one();
         }
     }
 
@@ -76,35 +133,82 @@
         self.busy.get() > 0
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, _place: OwnedSemaphorePermit) {
+    /// Until when a connection may go on as it is.
+    fn until(&self, line: &Line, taken: Instant) -> Instant {
+        let short = self.held.borrow().len() as f64 >= SHORT * self.most as f64;
+        match line.phase() {
+            (Phase::Mute, _) => taken + READ_MOST,
+            (Phase::Arriving, since) if since.duration_since(taken) < READ_MOST => taken + READ_MOST,
+            (Phase::Arriving, since) => since + READ_MOST,
+            // A request that is whole ends by its deadline.
+            (Phase::Open, _) => Instant::now() + LOOK,
+            (Phase::Idle, since) => since + if short { IDLE_LEAST } else { IDLE_MOST },
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
         // Without it answers of one connection would wait for each other's acknowledgement.
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        let taken = Instant::now();
         let mut draining = self.draining.subscribe();
-        let late = *draining.borrow();
-        let server = self.clone();
-        let service = service_fn(move |request| server.clone().answer(request));
+        let (server, read) = (self.clone(), line.clone());
+        let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(READ_MOST).keep_alive(!late);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-        // An error here is the client's leaving or its bad bytes; both concern this connection alone.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = draining.wait_for(|on| *on), if !late => connection.as_mut().graceful_shutdown(),
+        builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
+        let mut connection = pin!(builder.serve_connection(Framed::new(stream, line.clone()), service));
+        let mut told = false;
+        loop {
+            let until = self.until(&line, taken);
+            if Instant::now() >= until {
+                return;
+            }
+            // What has come is looked at before the connection's time.
+            tokio::select! {
+                biased;
+                // An error here is the client's leaving or its bad bytes; both concern this connection alone.
+                _ = connection.as_mut() => return,
+                () = leave.notified() => return,
+                _ = draining.wait_for(|on| *on), if !told => {
+                    told = true;
+                    // A request that is on its way, or is the first, is still answered; that closes.
+                    if line.phase().0 == Phase::Idle {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
+                () = sleep_until(until.min(Instant::now() + LOOK)) => {}
+            }
         }
-        let _ = connection.await;
     }
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        line: Rc<Line>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         self.busy.set(self.busy.get() + 1);
         let _busy = Busy(&self.busy);
-        Ok(match self.take(request).await {
-            Ok(answer) | Err(answer) => answer,
-        })
+        let (mut answer, close) = match self.take(request, &line).await {
+            Ok(answer) => (answer, *self.draining.borrow()),
+            // Who cannot word a request is not trusted with the rest of the connection.
+            Err(answer) => (answer, true),
+        };
+        if close {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        line.answered();
+        Ok(answer)
     }
 
-    async fn take(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        line: &Line,
+    ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+        if line.ambiguous() {
+            return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
+        }
         if request.uri().path() == "/ready" {
             let ready = self.driver.ready() && !*self.draining.borrow();
             return Ok(if ready {
@@ -114,6 +218,8 @@
             });
         }
         let arrival = self.read(request).await?;
+        line.whole();
+        let _open = self.open(&arrival)?;
         let deadline = arrival.deadline;
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
@@ -125,6 +231,16 @@
         })
     }
 
+    /// Marks a request's id as open. Ids are new with every request: one that is open already would disturb the
+    /// request that has it.
+    fn open(&self, arrival: &Arrival) -> Result<OpenId<'_>, Response<Full<Bytes>>> {
+        let id: Box<str> = text(&arrival.headers, "x-request-id").unwrap_or_default().into();
+        if !self.ids.borrow_mut().insert(id.clone()) {
+            return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
+        }
+        Ok(OpenId(&self.ids, id))
+    }
+
     /// Reads a request whole; the error is the answer to a bad one.
     async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Full<Bytes>>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
@@ -137,8 +253,8 @@
         if text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
         }
-        if text(&head.headers, "x-request-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
+        if text(&head.headers, "x-request-id").is_none_or(|id| id.is_empty() || id.len() > ID_MOST) {
+            return Err(bad("X-Request-ID is missing or too long"));
         }
         let tenant = match text(&head.headers, "x-tenant-id") {
             _ if names.tenants.is_empty() => None,
@@ -200,6 +316,15 @@
     }
 }
 
+/// An id that is open as long as this is.
+struct OpenId<'a>(&'a RefCell<HashSet<Box<str>>>, Box<str>);
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
 /// Tells the balancer if a request ends without having been given its answer.
 struct Owed<'a>(&'a Rc<Driver>, RequestId);
 
--- /dev/null
+++ b/agent/tests/clients.rs
@@ -0,0 +1,178 @@
+//! Clients that are idle, mute, slow or wrong, and what they may not cost the others.
+
+mod common;
+use common::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+async fn world(sockets: usize) -> (Backend, Directory, Agent) {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["limits"]["sockets"] = sockets.into();
+    let agent = Agent::with(config, |_| {}).await;
+    (backend, directory, agent)
+}
+
+/// Connections that asked once and stayed, and others that never said a word, hold no place for long: more of
+/// them than there are places, and a client that comes after them is still served in time.
+#[tokio::test]
+async fn idle_and_mute_connections_make_room() {
+    let (_backend, _directory, agent) = world(80).await;
+    let mut kept = Vec::new();
+    for _ in 0..60 {
+        let mut client = agent.client().await;
+        let asked = Instant::now();
+        assert_eq!(client.ask(&request("GET", "/read", "20000m", "")).await.status(), 200);
+        assert!(asked.elapsed() < Duration::from_secs(10), "{:?}", asked.elapsed());
+        kept.push(client);
+        kept.push(agent.client().await);
+    }
+}
+
+/// A connection is not given up for want of room while a request of it is open.
+#[tokio::test]
+async fn a_connection_with_a_request_open_never_gives_way() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("paid")),
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["limits"]["sockets"] = 80.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let mut payer = agent.client().await;
+    payer.send(&request("POST", "/pay", "60000m", "b")).await;
+    backend.next().await;
+    let mut mute = Vec::new();
+    for _ in 0..60 {
+        mute.push(agent.client().await);
+    }
+    assert_eq!(agent.get("/read").await.status(), 200);
+    word.notify_one();
+    assert_eq!(payer.answer().await.body, b"paid");
+}
+
+/// Nothing, half a head and half a body: each is answered with an error or closed, well within 3 s.
+#[tokio::test]
+async fn what_does_not_come_whole_is_given_up() {
+    let (mut backend, _directory, agent) = world(1024).await;
+    let half_body = request("POST", "/pay", "2000m", "body").replace("body", "bo");
+    for text in ["", "GET /read HTTP/1.1\r\nHost: x\r\n", &half_body] {
+        let connected = Instant::now();
+        let mut client = agent.client().await;
+        client.send(text).await;
+        let answer = soon("an end", read_message(&mut client.stream, 0)).await;
+        assert!(answer.is_none_or(|a| a.status() == 408), "{text}");
+        assert!(connected.elapsed() > Duration::from_secs(1), "slow clients have some time");
+        assert!(connected.elapsed() < Duration::from_millis(2900), "{:?}", connected.elapsed());
+    }
+    assert!(backend.seen.try_recv().is_err(), "half a request went on");
+}
+
+/// A length that two readers read in two ways hides a second request from one of them. It goes nowhere, and
+/// nothing behind it is taken for a request.
+#[tokio::test]
+async fn a_request_whose_length_is_ambiguous_is_refused_and_closes() {
+    let (mut backend, _directory, agent) = world(1024).await;
+    let inner = request("GET", "/read/hidden", "2000m", "");
+    let plain = |lines: &str| {
+        let whole = request("POST", "/pay", "2000m", "");
+        whole.replace("Content-Length: 0\r\n", lines)
+    };
+    for lines in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        "Content-Length: 0\r\nContent-Length: 0\r\n",
+        "Content-Length: 0\r\nContent-Length: 5\r\n",
+        "Content-Length: +0\r\n",
+        "Content-Length: -5\r\n",
+        "Transfer-Encoding: identity\r\n",
+    ] {
+        let mut client = agent.client().await;
+        client.send(&format!("{}0\r\n\r\n{inner}", plain(lines))).await;
+        assert_eq!(client.answer().await.status(), 400, "{lines}");
+        client.closed().await;
+    }
+    assert!(backend.seen.try_recv().is_err(), "something went on");
+    // A chunked body alone is plain; its request is served.
+    let chunked = plain("Transfer-Encoding: chunked\r\n") + "2\r\nab\r\n0\r\n\r\n";
+    assert_eq!(agent.client().await.ask(&chunked).await.status(), 200);
+    assert_eq!(backend.next().await.body, b"ab");
+}
+
+/// An endless head and an endless body end early, and take no memory.
+#[tokio::test]
+async fn endless_heads_and_huge_bodies_are_turned_away_early() {
+    let (_backend, _directory, agent) = world(1024).await;
+    let mut client = agent.client().await;
+    let head = "GET /read HTTP/1.1\r\n".to_owned() + &"X-Filler: y\r\n".repeat(50) + "X-Long: ";
+    client.send(&(head + &"z".repeat(20 << 10))).await;
+    assert_eq!(client.answer().await.status(), 431);
+    let mut client = agent.client().await;
+    let large = request("POST", "/pay", "2000m", "").replace("Content-Length: 0", "Content-Length: 60000000");
+    client.send(&large).await;
+    assert_eq!(client.answer().await.status(), 413);
+    client.closed().await;
+}
+
+/// A second request under an id that is open is turned away; the first one is served, and the id is free again.
+#[tokio::test]
+async fn an_open_id_is_not_taken_twice() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("first"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let text = request("POST", "/pay", "20000m", "b");
+    let mut first = agent.client().await;
+    first.send(&text).await;
+    backend.next().await;
+    let mut second = agent.client().await;
+    assert_eq!(second.ask(&text).await.status(), 409);
+    second.closed().await;
+    word.notify_one();
+    assert_eq!(first.answer().await.body, b"first");
+    assert!(backend.seen.try_recv().is_err(), "sent twice");
+}
+
+/// Requests written back to back are answered one by one, in their order.
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let backend = Backend::start(|m| Reply::Bytes(ok(m.first_line()))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let mut client = agent.client().await;
+    let paths = ["/read/1", "/save/2", "/read/3"];
+    let text = |p: &&str| match p.contains("save") {
+        true => request("POST", p, "5000m", "the body"),
+        false => request("GET", p, "5000m", ""),
+    };
+    client.send(&paths.iter().map(text).collect::<String>()).await;
+    for path in paths {
+        let answer = client.answer().await;
+        assert_eq!(answer.status(), 200);
+        assert!(String::from_utf8_lossy(&answer.body).contains(path), "{path}");
+    }
+}
+
+/// A request that comes in pieces, slowly, is served as if it had come at once.
+#[tokio::test]
+async fn a_request_in_pieces_is_served() {
+    let (mut backend, _directory, agent) = world(1024).await;
+    let mut stream = TcpStream::connect(agent.address).await.expect("a connection");
+    stream.set_nodelay(true).expect("an option");
+    for piece in request("POST", "/save/x", "5000m", "the body").as_bytes().chunks(20) {
+        stream.write_all(piece).await.expect("the agent reads");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answer = soon("an answer", read_message(&mut stream, 0)).await.expect("whole");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(backend.next().await.body, b"the body");
+}
