Forget servers that have left; bound what an answer may bring; never hold back a good answer

Cause, by reading: driver's servers and names, micasail's servers and index grew with each id; remotes were dropped at a whole list only; a fresh remote began at life 0, so that a connection of an earlier process could be parked with it.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -24,6 +24,10 @@
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// A server's name and number are kept this long after it has left: longer than the balancer remembers the number,
+/// so that a name that shares it by chance is not taken for the one that left.
+const NAMES_KEPT: Duration = Duration::from_secs(30);
+
 /// The balancer's time: Unix time at the start, carried on by the monotonic clock. So a server's `born_ms` is
 /// a time of the same kind, and no step of the system's clock moves a deadline.
 #[derive(Clone, Copy)]
@@ -106,6 +110,8 @@
     attempts: HashMap<(RequestId, u32), Rc<Progress>>,
     servers: HashMap<String, ServerId>,
     names: HashMap<ServerId, String>,
+    /// Servers that have left, and when.
+    left: HashMap<ServerId, Instant>,
     /// Servers that the list says are up.
     up: HashSet<ServerId>,
     /// The version of the list; none after discovery has moved, for versions are each service's own.
@@ -150,6 +156,7 @@
             attempts: HashMap::new(),
             servers: HashMap::new(),
             names: HashMap::new(),
+            left: HashMap::new(),
             up: HashSet::new(),
             seq: Some(config.known.seq),
             discovery: Discovery::new(config.discovery),
@@ -396,9 +403,10 @@
             });
         }
         if list.whole {
-            let named: Vec<ServerId> = lines.iter().map(|l| l.server).collect();
+            let named: HashSet<ServerId> = lines.iter().map(|l| l.server).collect();
             self.upstream.keep_only(|server| named.contains(&server));
         }
+        state.forget(list.whole, &lines);
         lines
     }
 }
@@ -420,6 +428,30 @@
         }
     }
 
+    /// Forgets the names of servers that left long ago; `lines` are the latest news of the list.
+    fn forget(&mut self, whole: bool, lines: &[Listed]) {
+        let now = Instant::now();
+        let gone = |l: &&Listed| l.status == Status::Gone;
+        for line in lines {
+            self.left.remove(&line.server);
+        }
+        if whole {
+            let named: HashSet<ServerId> = lines.iter().map(|l| l.server).collect();
+            for &server in self.names.keys().filter(|server| !named.contains(server)) {
+                self.left.entry(server).or_insert(now);
+            }
+        }
+        self.left.extend(lines.iter().filter(gone).map(|l| (l.server, now)));
+        let old = |at: &Instant| now.duration_since(*at) >= NAMES_KEPT;
+        let old: Vec<ServerId> = self.left.iter().filter(|(_, at)| old(at)).map(|(s, _)| *s).collect();
+        for server in old {
+            self.left.remove(&server);
+            if let Some(name) = self.names.remove(&server) {
+                self.servers.remove(&name);
+            }
+        }
+    }
+
     /// A server's number is a hash of its name, the same at every agent. Should two names meet in one number,
     /// the later one takes the next that is free.
     fn intern(&mut self, name: &str) -> ServerId {
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -219,7 +219,9 @@
         }
         let arrival = self.read(request).await?;
         line.whole();
-        let _open = self.open(&arrival)?;
+        let Some(_open) = self.open(&arrival) else {
+            return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
+        };
         let deadline = arrival.deadline;
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
@@ -231,14 +233,12 @@
         })
     }
 
-    /// Marks a request's id as open. Ids are new with every request: one that is open already would disturb the
-    /// request that has it.
-    fn open(&self, arrival: &Arrival) -> Result<OpenId<'_>, Response<Full<Bytes>>> {
+    /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
+    /// disturb the first.
+    fn open(&self, arrival: &Arrival) -> Option<OpenId<'_>> {
         let id: Box<str> = text(&arrival.headers, "x-request-id").unwrap_or_default().into();
-        if !self.ids.borrow_mut().insert(id.clone()) {
-            return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
-        }
-        Ok(OpenId(&self.ids, id))
+        let new = self.ids.borrow_mut().insert(id.clone());
+        new.then(|| OpenId(&self.ids, id))
     }
 
     /// Reads a request whole; the error is the answer to a bad one.
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -6,9 +6,10 @@
 use crate::discovery::{Health, Host};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::body::Body;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use micasail::{Outcome, ServerId};
@@ -34,11 +35,18 @@
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// After a whole answer a connection is ready again at once, or there is something wrong with it.
 const SETTLE: Duration = Duration::from_millis(5);
-
-/// What passes between a connection's task and its user: bytes written so far, and leave to write more.
+/// The longest head of an answer, and the most that hyper buffers.
+const HEAD_MOST: usize = 16 << 10;
+/// All bytes that one answer may bring: its body, what its framing adds, and heads, those of 1xx answers ahead of
+/// it among them. A backend that goes on past that is noise, however well formed.
+const ANSWER_MOST: u64 = 2 * (BODY_MOST + HEAD_MOST) as u64;
+
+/// What passes between a connection's task and its user: bytes written so far, those that may still be read, and
+/// leave to write more.
 #[derive(Default)]
 struct Wire {
     written: Cell<u64>,
+    readable: Cell<u64>,
     shut: Cell<bool>,
 }
 
@@ -67,9 +75,16 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let mut chunk = [0; 4 << 10];
+        let room = chunk.len().min(buf.remaining());
+        let mut read = ReadBuf::new(&mut chunk[..room]);
+        ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
+        let left = self.wire.readable.get().checked_sub(read.filled().len() as u64);
+        self.wire.readable.set(left.ok_or(io::ErrorKind::InvalidData)?);
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -183,6 +198,11 @@
 /// All backends and the connections to them.
 pub struct Upstream {
     remotes: RefCell<HashMap<ServerId, Remote>>,
+    /// The last life that was given; no two processes share one, or a connection to an earlier one could be taken
+    /// for the later one's.
+    lives: Cell<u64>,
+    /// Who was last named at an address.
+    dials: RefCell<HashMap<SocketAddr, ServerId>>,
     held: Rc<Cell<usize>>,
     most: usize,
     connect_timeout: Duration,
@@ -195,6 +215,8 @@
     pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration, fields: Vec<String>) -> Self {
         Upstream {
             remotes: RefCell::default(),
+            lives: Cell::new(0),
+            dials: RefCell::default(),
             held: Rc::default(),
             most,
             connect_timeout,
@@ -203,33 +225,52 @@
         }
     }
 
-    /// Takes in a line of the list. A new address or a new process means new connections; one that drains or
-    /// has left keeps none that are idle.
+    /// Takes in a line of the list. A new address or a new process means new connections; one that drains keeps
+    /// none that are idle, and one that has left is forgotten. What is out goes on.
     pub fn describe(&self, server: ServerId, host: &Host) {
+        if host.health == Health::Removed {
+            return self.forget(server);
+        }
+        if let Some(dial) = host.dial {
+            let last = self.dials.borrow_mut().insert(dial, server);
+            // Whoever was there has gone, told or not: nothing of it may reach the newcomer.
+            if let Some(last) = last.filter(|last| *last != server) {
+                self.remotes.borrow_mut().remove(&last);
+            }
+        }
         let mut remotes = self.remotes.borrow_mut();
-        let remote = remotes.entry(server).or_insert_with(|| Remote {
-            dial: host.dial,
-            born_ms: host.born_ms,
-            life: 0,
-            open: true,
-            idle: Vec::new(),
-        });
-        let moved = host.dial.is_some() && host.dial != remote.dial;
-        if moved || host.born_ms != remote.born_ms {
-            remote.life += 1;
+        let new = || Remote { dial: host.dial, born_ms: host.born_ms, life: 0, open: true, idle: Vec::new() };
+        let remote = remotes.entry(server).or_insert_with(new);
+        let moved = host.dial.filter(|dial| remote.dial != Some(*dial));
+        if remote.life == 0 || moved.is_some() || host.born_ms != remote.born_ms {
+            self.lives.set(self.lives.get() + 1);
+            remote.life = self.lives.get();
             remote.idle.clear();
-            remote.dial = host.dial.or(remote.dial);
             remote.born_ms = host.born_ms;
         }
+        if let Some(left) = moved.and(remote.dial) {
+            self.dials.borrow_mut().remove(&left);
+        }
+        remote.dial = moved.or(remote.dial);
         remote.open = host.health == Health::Up;
         if !remote.open {
             remote.idle.clear();
         }
     }
 
-    /// Forgets the backends that a whole list no longer names; what is out to them goes on.
+    fn forget(&self, server: ServerId) {
+        let dial = self.remotes.borrow_mut().remove(&server).and_then(|remote| remote.dial);
+        let mut dials = self.dials.borrow_mut();
+        if let Some(dial) = dial.filter(|dial| dials.get(dial) == Some(&server)) {
+            dials.remove(&dial);
+        }
+    }
+
+    /// Forgets the backends that a whole list no longer names.
     pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) {
-        self.remotes.borrow_mut().retain(|server, _| named(*server));
+        let gone = |server: &ServerId| !named(*server);
+        let left: Vec<ServerId> = self.remotes.borrow().keys().copied().filter(gone).collect();
+        left.into_iter().for_each(|server| self.forget(server));
     }
 
     /// Closes the idle connections to a backend.
@@ -357,13 +398,34 @@
     }
 
     /// One request and its whole answer over a connection; `None` if that broke on the way.
-    async fn exchange(&self, mut connection: Connection, request: Request<Full<Bytes>>) -> Option<Ended> {
+    async fn exchange(
+        self: &Rc<Self>,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Option<Ended> {
+        connection.wire.readable.set(ANSWER_MOST);
         let response = connection.sender.send_request(request).await.ok()?;
+        let headers = response.headers();
+        // Two lengths are none: hyper would go by one of them, and what it then took for the answer need not be.
+        let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+        let ambiguous = lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING));
+        if ambiguous || response.body().size_hint().lower() > BODY_MOST as u64 {
+            return None;
+        }
         let (outcome, report) = self.judge(&response);
-        let kind = response.headers().get(CONTENT_TYPE).cloned();
+        let kind = headers.get(CONTENT_TYPE).cloned();
         let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
-        if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
+        // A connection that brings more than the answer is closed by hyper instead of becoming ready. The answer
+        // is good all the same and does not wait for that.
+        if connection.sender.is_ready() {
             self.park(connection);
+        } else if !connection.sender.is_closed() {
+            let upstream = self.clone();
+            tokio::task::spawn_local(async move {
+                if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
+                    upstream.park(connection);
+                }
+            });
         }
         let answer = (outcome == Outcome::Success).then_some((kind, body));
         Some(Ended { outcome, report, answer })
@@ -388,7 +450,9 @@
     stream.set_nodelay(true)?;
     let wire = Rc::<Wire>::default();
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
-    let (sender, driven) = handshake(io).await.map_err(io::Error::other)?;
+    let mut builder = Builder::new();
+    builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
+    let (sender, driven) = builder.handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows at the sender and in the bytes written.
         let _ = driven.await;
@@ -403,7 +467,7 @@
     let headers: usize =
         request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
     let query = request.uri().query().map_or(0, |q| q.len() + "?".len());
-    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
+    let body = request.body().size_hint().exact().unwrap_or(0);
     (line + query + headers + "\r\n".len()) as u64 + body
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -825,12 +825,10 @@
                         s.listed = line;
                     }
                 }
-                None => {
-                    self.index.insert(server, self.servers.len());
-                    self.servers.push(Server::new(line, LIMIT_FIRST, now));
-                }
+                None => self.admit(Server::new(line, LIMIT_FIRST, now)),
             }
         }
+        self.forget(now);
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
         self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,7 +1,7 @@
 //! What the decisions keep of requests, attempts and servers: records only, nothing is decided here.
 
 use crate::api::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Where a request may still go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,6 +131,8 @@
     pub(crate) reported: f64,
     pub(crate) reported_at: Option<Time>,
     pub(crate) sent_since: u32,
+    /// When it was first seen to have left the list.
+    pub(crate) left: Option<Time>,
 }
 
 impl Server {
@@ -153,16 +155,22 @@
             reported: 0.0,
             reported_at: None,
             sent_since: 0,
+            left: None,
         }
     }
 }
 
+/// A server that has left is remembered this long, for one that a list leaves out by mistake soon comes back.
+const KEPT: Span = Span(10_000_000);
+
 /// The decisions of one client process about where, when and how often its requests are sent.
 pub struct Balancer {
     pub(crate) settings: Settings,
     pub(crate) rng: fastrand::Rng,
     pub(crate) servers: Vec<Server>,
     pub(crate) index: BTreeMap<ServerId, usize>,
+    /// Places in `servers` whose server has been forgotten; nothing refers to them.
+    pub(crate) free: Vec<usize>,
     pub(crate) live: BTreeMap<RequestId, Live>,
     pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
     /// Newest first within each rank.
@@ -221,6 +229,7 @@
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
             index: BTreeMap::new(),
+            free: Vec::new(),
             live: BTreeMap::new(),
             flights: BTreeMap::new(),
             held: Vec::new(),
@@ -252,6 +261,50 @@
             settings,
         }
     }
+
+    /// Takes in a server that the list names for the first time.
+    pub(crate) fn admit(&mut self, server: Server) {
+        let id = server.listed.server;
+        let place = match self.free.pop() {
+            Some(place) => {
+                self.servers[place] = server;
+                place
+            }
+            None => {
+                self.servers.push(server);
+                self.servers.len() - 1
+            }
+        };
+        self.index.insert(id, place);
+    }
+
+    /// Forgets the servers that left a while ago and have nothing out. A place is free again only when nothing
+    /// refers to it any more, or a newcomer would inherit what was meant for the one before.
+    pub(crate) fn forget(&mut self, now: Time) {
+        for s in &mut self.servers {
+            s.left = (s.listed.status == Status::Gone).then(|| s.left.unwrap_or(now));
+        }
+        let servers = &self.servers;
+        let old = |i: usize| servers[i].left.is_some_and(|at| now.since(at) >= KEPT);
+        let mut gone: Vec<(ServerId, usize)> = self.index.iter().map(|(id, i)| (*id, *i)).collect();
+        gone.retain(|&(_, i)| old(i) && servers[i].in_flight == 0);
+        if gone.is_empty() {
+            return;
+        }
+        let mut held: BTreeSet<usize> = self.asking.iter().flat_map(|a| a.candidates.clone()).collect();
+        held.extend(self.live.values().flat_map(|l| l.attempts.iter().map(|a| a.server)));
+        for (id, i) in gone.into_iter().filter(|(_, i)| !held.contains(i)) {
+            self.index.remove(&id);
+            self.free.push(i);
+            self.memory.retain(|m| *m != i);
+            self.warm_keys.retain(|_, s| *s != i);
+        }
+        let named = || self.index.values().map(|&i| &self.servers[i].listed);
+        let zones: BTreeSet<ZoneId> = named().map(|l| l.zone).collect();
+        let kinds: BTreeSet<KindId> = named().map(|l| l.kind).collect();
+        self.zones.retain(|zone, _| zones.contains(zone));
+        self.kinds.retain(|kind, _| kinds.contains(kind));
+    }
 }
 
 /// Moves a figure towards a new one by its gain, a quarter as fast if that is slower: a crowd must not pass
@@ -260,3 +313,86 @@
     let gain = if new < *figure { gain } else { gain / 4.0 };
     *figure += gain * (new - *figure);
 }
+
+/// The middle one of some figures.
+pub(crate) fn median(figures: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut figures: Vec<f64> = figures.collect();
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(id: u32, status: Status) -> Listed {
+        let (zone, kind) = (ZoneId(id), KindId(id));
+        Listed { status, zone, kind, ..Listed::serving(ServerId(id)) }
+    }
+
+    fn request(balancer: &mut Balancer, now: Time, id: u64) -> ServerId {
+        let mut out = Vec::new();
+        let mut request = Request::new(RequestId(id), ClassId(0), Span::from_ms(900.0));
+        request.key = Some(KeyId(id));
+        balancer.handle(now, Event::Request(request), &mut out);
+        let sent =
+            out.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None });
+        sent.expect("it is sent")
+    }
+
+    fn answer(balancer: &mut Balancer, now: Time, id: u64, closed: bool) {
+        let (request, attempt, elapsed) = (RequestId(id), AttemptNo(0), Span::from_ms(20.0));
+        let outcome = Outcome::Success;
+        let event = Event::Outcome { request, attempt, outcome, elapsed, report: None, closed };
+        balancer.handle(now, event, &mut Vec::new());
+    }
+
+    fn changes(balancer: &mut Balancer, now: Time, lines: Vec<Listed>) {
+        balancer.handle(now, Event::List(ListUpdate::Changes(lines)), &mut Vec::new());
+    }
+
+    /// A fleet whose servers are replaced for good, under ever new ids, zones and kinds.
+    #[test]
+    fn servers_that_have_left_leave_nothing_behind() {
+        let settings = Settings { warm_keys: true, ..Settings::default() };
+        let mut balancer = Balancer::new(settings, 1).expect("settings");
+        let mut now = Time::from_ms(1000.0);
+        changes(&mut balancer, now, vec![listed(0, Status::Serving)]);
+        for id in 1..5000 {
+            now = now + Span::from_ms(1000.0);
+            changes(&mut balancer, now, vec![listed(id, Status::Serving), listed(id - 1, Status::Gone)]);
+            assert_eq!(request(&mut balancer, now, id.into()), ServerId(id));
+            answer(&mut balancer, now + Span::from_ms(20.0), id.into(), true);
+        }
+        let sizes = [
+            balancer.servers.len(),
+            balancer.index.len(),
+            balancer.free.len(),
+            balancer.warm_keys.len(),
+            balancer.zones.len(),
+            balancer.kinds.len(),
+            balancer.live.len(),
+            balancer.flights.len(),
+        ];
+        assert!(sizes.iter().all(|size| *size <= 20), "{sizes:?}");
+    }
+
+    /// An attempt that outlives its server keeps its place; its late outcome is not another server's.
+    #[test]
+    fn a_late_outcome_is_not_counted_for_a_newcomer() {
+        let mut balancer = Balancer::new(Settings::default(), 1).expect("settings");
+        let mut now = Time::from_ms(1000.0);
+        changes(&mut balancer, now, vec![listed(0, Status::Serving)]);
+        assert_eq!(request(&mut balancer, now, 7), ServerId(0));
+        changes(&mut balancer, now, vec![listed(0, Status::Gone)]);
+        for id in 1..30 {
+            now = now + Span::from_ms(5000.0);
+            changes(&mut balancer, now, vec![listed(id, Status::Serving), listed(id - 1, Status::Gone)]);
+        }
+        assert!(balancer.index.contains_key(&ServerId(0)), "an attempt is out there");
+        answer(&mut balancer, now, 7, false);
+        assert!(balancer.servers.iter().all(|s| s.in_flight == 0));
+        let newcomer = &balancer.servers[balancer.index[&ServerId(29)]];
+        assert_eq!((newcomer.samples, newcomer.listed.server), (0, ServerId(29)));
+    }
+}
