Blame backends only for what is theirs; advise clients when to come back; tests for SIGHUP, spoilt answers, reused addresses

Want of a place or an address in this process ended as a failed connect and made the server suspect (upstream.rs, connection): it is NotSent now. A negative or absurd queue in a report read as an empty server (logic.rs, read_report). A refusal says Retry-After: a quarter of the aim, so that a new try can still be in time. busy() counts requests that are still arriving, so that a planned end waits for them.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -85,7 +85,9 @@
         };
         let listen = address("PROXY_LISTEN", file.listen)?;
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
-        let settings = micasail_settings::settings(&file.settings);
+        let mut settings = micasail_settings::settings(&file.settings);
+        // `Retry-After` may stand in any refusal on these sockets; the setting speaks of the simulator's clients.
+        settings.retry_after = true;
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
         if let Some(place) = names.classes.iter().position(String::is_empty) {
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
@@ -59,7 +59,6 @@
 pub struct Server {
     driver: Rc<Driver>,
     draining: watch::Sender<bool>,
-    busy: Cell<usize>,
     most: usize,
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
@@ -73,7 +72,6 @@
         Rc::new(Server {
             driver,
             draining: watch::Sender::new(false),
-            busy: Cell::new(0),
             most: connections,
             held: RefCell::default(),
             freed: Notify::new(),
@@ -128,9 +126,10 @@
         self.draining.send_replace(true);
     }
 
-    /// Whether any request is being read or answered.
+    /// Whether any request is on its way in or has no answer yet.
     pub fn busy(&self) -> bool {
-        self.busy.get() > 0
+        let phase = |held: &Held| held.line.phase().0;
+        self.held.borrow().values().any(|held| matches!(phase(held), Phase::Arriving | Phase::Open))
     }
 
     /// Until when a connection may go on as it is.
@@ -187,8 +186,6 @@
         request: Request<Incoming>,
         line: Rc<Line>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        self.busy.set(self.busy.get() + 1);
-        let _busy = Busy(&self.busy);
         let (mut answer, close) = match self.take(request, &line).await {
             Ok(answer) => (answer, *self.draining.borrow()),
             // Who cannot word a request is not trusted with the rest of the connection.
@@ -307,15 +304,6 @@
     }
 }
 
-/// Counts a request in work.
-struct Busy<'a>(&'a Cell<usize>);
-
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// An id that is open as long as this is.
 struct OpenId<'a>(&'a RefCell<HashSet<Box<str>>>, Box<str>);
 
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -231,25 +231,25 @@
         if host.health == Health::Removed {
             return self.forget(server);
         }
-        if let Some(dial) = host.dial {
+        let mut remotes = self.remotes.borrow_mut();
+        if let Some(dial) = host.dial.filter(|_| host.health == Health::Up) {
             let last = self.dials.borrow_mut().insert(dial, server);
-            // Whoever was there has gone, told or not: nothing of it may reach the newcomer.
-            if let Some(last) = last.filter(|last| *last != server) {
-                self.remotes.borrow_mut().remove(&last);
+            // Whoever was there has gone, told or not: no connection to it may reach for the newcomer.
+            if let Some(last) = last.filter(|l| *l != server).and_then(|l| remotes.get_mut(&l)) {
+                last.life = self.life();
+                last.idle.clear();
             }
         }
-        let mut remotes = self.remotes.borrow_mut();
         let new = || Remote { dial: host.dial, born_ms: host.born_ms, life: 0, open: true, idle: Vec::new() };
         let remote = remotes.entry(server).or_insert_with(new);
         let moved = host.dial.filter(|dial| remote.dial != Some(*dial));
         if remote.life == 0 || moved.is_some() || host.born_ms != remote.born_ms {
-            self.lives.set(self.lives.get() + 1);
-            remote.life = self.lives.get();
+            remote.life = self.life();
             remote.idle.clear();
             remote.born_ms = host.born_ms;
         }
         if let Some(left) = moved.and(remote.dial) {
-            self.dials.borrow_mut().remove(&left);
+            self.vacate(left, server);
         }
         remote.dial = moved.or(remote.dial);
         remote.open = host.health == Health::Up;
@@ -258,14 +258,26 @@
         }
     }
 
-    fn forget(&self, server: ServerId) {
-        let dial = self.remotes.borrow_mut().remove(&server).and_then(|remote| remote.dial);
+    /// A life that no process has had.
+    fn life(&self) -> u64 {
+        self.lives.set(self.lives.get() + 1);
+        self.lives.get()
+    }
+
+    fn vacate(&self, dial: SocketAddr, server: ServerId) {
         let mut dials = self.dials.borrow_mut();
-        if let Some(dial) = dial.filter(|dial| dials.get(dial) == Some(&server)) {
+        if dials.get(&dial) == Some(&server) {
             dials.remove(&dial);
         }
     }
 
+    fn forget(&self, server: ServerId) {
+        let dial = self.remotes.borrow_mut().remove(&server).and_then(|remote| remote.dial);
+        if let Some(dial) = dial {
+            self.vacate(dial, server);
+        }
+    }
+
     /// Forgets the backends that a whole list no longer names.
     pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) {
         let gone = |server: &ServerId| !named(*server);
@@ -287,19 +299,20 @@
         }
     }
 
-    /// The most recently used connection that still stands, or a fresh one.
-    async fn connection(self: &Rc<Self>, server: ServerId) -> Option<Connection> {
+    /// The most recently used connection that still stands, or a fresh one. What this process lacks, a place or an
+    /// address, is no fault of the backend's.
+    async fn connection(self: &Rc<Self>, server: ServerId) -> Result<Connection, Outcome> {
         let (dial, life) = {
             let mut remotes = self.remotes.borrow_mut();
-            let remote = remotes.get_mut(&server)?;
+            let remote = remotes.get_mut(&server).ok_or(Outcome::NotSent)?;
             while let Some(connection) = remote.idle.pop() {
                 if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
-                    return Some(connection);
+                    return Ok(connection);
                 }
             }
-            (remote.dial?, remote.life)
+            (remote.dial.ok_or(Outcome::NotSent)?, remote.life)
         };
-        let place = self.place()?;
+        let place = self.place().ok_or(Outcome::NotSent)?;
         // A task of its own: when its attempt is given up meanwhile, the connection, which has cost the
         // backend work by then, serves the next one.
         let (tell, told) = oneshot::channel();
@@ -319,7 +332,7 @@
                 upstream.park(connection);
             }
         });
-        told.await.ok().flatten()
+        told.await.ok().flatten().ok_or(Outcome::ConnectFailed)
     }
 
     /// A place for one more connection; an idle one of another backend gives way if all are taken.
@@ -352,7 +365,10 @@
         progress: &Progress,
     ) -> Ended {
         let exchange = async {
-            let connection = self.connection(server).await?;
+            let connection = match self.connection(server).await {
+                Ok(connection) => connection,
+                Err(outcome) => return Some(Ended::without_answer(outcome)),
+            };
             if progress.stopped.get() {
                 self.park(connection);
                 return None;
@@ -383,8 +399,10 @@
         let path = if self.fields.is_empty() { "/health" } else { "/status/load" };
         let request = Request::get(path).header("host", "backend").body(Full::default());
         let exchange = async {
-            let (Some(connection), Ok(request)) = (self.connection(server).await, request) else {
-                return Ended::without_answer(Outcome::ConnectFailed);
+            let (connection, request) = match (self.connection(server).await, request) {
+                (Ok(connection), Ok(request)) => (connection, request),
+                (Err(outcome), _) => return Ended::without_answer(outcome),
+                (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
             };
             let ended = self.exchange(connection, request).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -261,3 +261,53 @@
     let after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
     assert!(after > 0.0 && after <= 0.75, "{after}");
 }
+
+/// Spoilt answers: noise, heads without end, lengths that cannot be and an answer that goes on and on. Each is an
+/// attempt that may have run, ends soon, and its connection, which the backend leaves open, is closed.
+#[tokio::test]
+async fn a_spoilt_answer_fails_its_attempt_and_closes_its_connection() {
+    let head = "HTTP/1.1 200 OK\r\n".to_owned();
+    let spoilt: Vec<Vec<u8>> = vec![
+        b"\x80\x81\xff\0 noise".to_vec(),
+        (head.clone() + &"X-Filler: y\r\n".repeat(4000)).into_bytes(),
+        (head.clone() + "X-Long: " + &"z".repeat(40 << 10)).into_bytes(),
+        (head.clone() + "Content-Length: -5\r\n\r\nx").into_bytes(),
+        (head.clone() + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy").into_bytes(),
+        (head.clone() + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+            .into_bytes(),
+        (head.clone() + "Content-Length: 3000000000\r\n\r\n" + &"x".repeat(300 << 10)).into_bytes(),
+        (head
+            + "Transfer-Encoding: chunked\r\n\r\n"
+            + &("400\r\n".to_owned() + &"x".repeat(1024) + "\r\n").repeat(300))
+            .into_bytes(),
+        b"HTTP/1.1 100 Continue\r\n\r\n".repeat(20_000),
+    ];
+    let count = spoilt.len();
+    let mut backend = Backend::start(move |m| Reply::Bytes(spoilt[m.connection].clone())).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    for connection in 0..count {
+        let asked = Instant::now();
+        let answer = agent.client().await.ask(&request("POST", "/pay", "20000m", "b")).await;
+        assert_eq!(answer.status(), 502, "{connection}");
+        assert!(asked.elapsed() < Duration::from_secs(10), "{connection}: {:?}", asked.elapsed());
+        assert_eq!(backend.next().await.connection, connection);
+    }
+    assert!(backend.seen.try_recv().is_err(), "sent twice");
+}
+
+/// 1xx answers ahead are skipped. What comes behind a good answer spoils its connection and not the answer.
+#[tokio::test]
+async fn a_good_answer_with_more_than_belongs_to_it_is_served_and_its_connection_dropped() {
+    let more: [&[u8]; 2] = [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", b"\xff\0noise"];
+    let mut backend = Backend::start(move |m| {
+        let ahead = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n".to_vec();
+        Reply::Bytes([ahead, ok("right"), more[m.connection % 2].to_vec()].concat())
+    })
+    .await;
+    let (_directory, agent) = world(&[&backend]).await;
+    for connection in 0..6 {
+        let answer = agent.client().await.ask(&request("POST", "/pay", "20000m", "b")).await;
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"right".as_slice()));
+        assert_eq!(backend.next().await.connection, connection);
+    }
+}
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -301,11 +301,24 @@
     }
 
     pub async fn term(&self) {
+        self.signal("-TERM").await;
+    }
+
+    pub async fn hang_up(&self) {
+        self.signal("-HUP").await;
+    }
+
+    async fn signal(&self, signal: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().await.expect("kill runs");
+        let sent = Command::new("kill").args([signal, &id]).status().await.expect("kill runs");
         assert!(sent.success());
     }
 
+    /// Replaces the file of its configuration.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+    }
+
     pub async fn end(&mut self) -> ExitStatus {
         soon("the agent's end", self.child.wait()).await.expect("a status")
     }
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -289,3 +289,69 @@
     again.ready().await;
     assert_eq!(again.get("/read").await.status(), 200);
 }
+
+/// SIGHUP has the file read again: the discovery that it names now is asked for its whole list, whatever version
+/// that has, and requests go on undisturbed. `PROXY_DISCOVERY` is the start's and does not mask it.
+#[tokio::test]
+async fn a_new_configuration_moves_to_the_new_discovery() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut old = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("paid")),
+        false => Reply::Bytes(ok("old")),
+    })
+    .await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut first = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut second = Directory::start(Mood::Mute).await;
+    second.list(1, &[host("new", new.address, "up")]);
+    let mut config = config(first.address, &[host("old", old.address, "up")]);
+    config["known"]["seq"] = 50.into();
+    let from = first.address.to_string();
+    let mut agent = Agent::with(config.clone(), |c| {
+        c.env("PROXY_DISCOVERY", from);
+    })
+    .await;
+    first.next_call().await;
+    let mut payer = agent.client().await;
+    payer.send(&request("POST", "/pay", "60000m", "b")).await;
+    old.next().await;
+    // What cannot be read changes nothing, and neither it nor a quick repeat ends the agent.
+    agent.replace("{ half a file");
+    agent.hang_up().await;
+    agent.hang_up().await;
+    assert_eq!(agent.get("/read").await.body, b"old");
+    config["discovery"] = second.address.to_string().into();
+    agent.replace(&config.to_string());
+    for _ in 0..3 {
+        agent.hang_up().await;
+    }
+    assert_eq!(second.next_call().await, "/v1/endpoints", "the whole list");
+    // The watch that follows shows that the list has been taken in.
+    soon("the new watch", async { while !second.next_call().await.contains("after=1&") {} }).await;
+    assert_eq!(agent.get("/read").await.body, b"new");
+    word.notify_one();
+    assert_eq!(payer.answer().await.body, b"paid");
+    agent.hang_up().await;
+    agent.term().await;
+    assert!(agent.end().await.success());
+}
+
+/// A backend's address that is given to a new one: no connection to the old one carries over.
+#[tokio::test]
+async fn an_address_that_is_used_again_means_new_connections() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let agent = Agent::start(directory.address, &[host("s0", backend.address, "up")]).await;
+    directory.next_call().await;
+    for number in 0..4 {
+        assert_eq!(agent.get("/read").await.status(), 200);
+        assert_eq!(backend.next().await.connection, number);
+        let seq = number as u64 + 2;
+        let name = |n: usize| format!("s{n}");
+        let hosts =
+            [host(&name(number + 1), backend.address, "up"), host(&name(number), backend.address, "removed")];
+        directory.mood.send_replace(Mood::List(json!({"seq": seq, "whole": false, "hosts": hosts})));
+        directory.next_call().await;
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,6 +80,8 @@
 const COUNT_MS: f64 = 3000.0;
 /// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
 const SHARE_SLACK: f64 = 1.4;
+/// A refused client is told to come back after this share of the aim: with time left for an answer in it.
+const COME_BACK: f64 = 0.25;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
 /// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
@@ -511,7 +513,6 @@
         let (id, class) = (pick.id, pick.class);
         let cold = self.warmth(&self.servers[server], now) < 1.0;
         let Some(live) = self.live.get_mut(&id) else { return };
-        let timeout_at = live.deadline;
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
         let (zone, cell) = (s.listed.zone, s.listed.cell);
@@ -525,7 +526,7 @@
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let again = attempt > 0;
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, again, counted: false });
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
+        out.push(Action::Send { request: id, server: s.listed.server, timeout_at: live.deadline });
     }
 
     // ---- cold servers -------------------------------------------------------------------------------
@@ -596,9 +597,8 @@
         if live.attempts.iter().any(|a| a.fate == Fate::Out) {
             return;
         }
-        let useful = !self.hopeless(now, live);
         let paid = outcome.never_ran() || self.retries >= 1.0;
-        if self.lawful(live, now).send != Reach::Nowhere && useful && paid {
+        if self.lawful(live, now).send != Reach::Nowhere && !self.hopeless(now, live) && paid {
             if !outcome.never_ran() {
                 self.retries -= 1.0;
             }
@@ -614,7 +614,8 @@
     fn end(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
-            let advice = self.settings.classes[live.request.class.0].aim.min(self.settings.max_retry_after);
+            let aim = self.settings.classes[live.request.class.0].aim;
+            let advice = (aim * COME_BACK).min(self.settings.max_retry_after);
             let retry_after = self.settings.retry_after.then_some(advice);
             out.push(Action::Refuse { request: id, retry_after });
         } else {
@@ -787,9 +788,10 @@
     fn read_report(&mut self, now: Time, server: usize, report: &Report) {
         let place = |field| self.settings.report_fields.iter().position(|f| *f == field);
         let told = place(ReportField::InFlight).or_else(|| place(ReportField::Queue));
-        if let Some(value) = told.and_then(|i| report.get(i)).filter(|value| value.is_finite()) {
+        // What no server can hold is no news: a negative load must not make it look empty.
+        if let Some(&value) = told.and_then(|i| report.get(i)).filter(|v| (0.0..1e4).contains(*v)) {
             let s = &mut self.servers[server];
-            (s.reported, s.reported_at, s.sent_since) = (value.clamp(0.0, 1e6), Some(now), 0);
+            (s.reported, s.reported_at, s.sent_since) = (value, Some(now), 0);
             self.crowd += PACE_GAIN * (s.reported - self.crowd);
         }
     }
