--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -36,6 +36,10 @@
 /// Places run short once this share of them is taken: clients count connections that they have left behind
 /// among those that they may hold.
 const SHORT: f64 = 0.25;
+/// Once this share of the places is taken, each answer is the last on its connection and says so, which no request
+/// can cross: clients that ask once and stay use up what they may hold long before an idle connection is old enough
+/// to be closed.
+const CROWDED: f64 = 0.5;
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
 const MUTE_LEAST: Duration = Duration::from_millis(100);
 /// How often a connection's time is looked at.
@@ -132,9 +136,14 @@
         self.held.borrow().values().any(|held| matches!(phase(held), Phase::Arriving | Phase::Open))
     }
 
+    /// Whether so large a share of the places is taken.
+    fn taken(&self, share: f64) -> bool {
+        self.held.borrow().len() as f64 >= share * self.most as f64
+    }
+
     /// Until when a connection may go on as it is.
     fn until(&self, line: &Line, taken: Instant) -> Instant {
-        let short = self.held.borrow().len() as f64 >= SHORT * self.most as f64;
+        let short = self.taken(SHORT);
         match line.phase() {
             (Phase::Mute, _) => taken + READ_MOST,
             (Phase::Arriving, since) if since.duration_since(taken) < READ_MOST => taken + READ_MOST,
@@ -187,7 +196,7 @@
         line: Rc<Line>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, *self.draining.borrow()),
+            Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED)),
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => (answer, true),
         };
--- a/agent/tests/clients.rs
+++ b/agent/tests/clients.rs
@@ -33,6 +33,26 @@
     }
 }
 
+/// Where clients leave one connection behind after the other, faster than idle ones grow old, an answer closes its
+/// connection and says so; with few connections none does.
+#[tokio::test]
+async fn in_a_crowd_each_answer_is_the_last_of_its_connection() {
+    let (_backend, _directory, agent) = world(80).await;
+    let mut kept = Vec::new();
+    loop {
+        let mut client = agent.client().await;
+        let answer = client.ask(&request("GET", "/read", "20000m", "")).await;
+        assert_eq!(answer.status(), 200);
+        if answer.header("connection") == Some("close") {
+            client.closed().await;
+            break;
+        }
+        kept.push(client);
+        assert!(kept.len() < 80, "more than the agent has descriptors");
+    }
+    assert!(kept.len() >= 5, "few connections are all kept");
+}
+
 /// A connection is not given up for want of room while a request of it is open.
 #[tokio::test]
 async fn a_connection_with_a_request_open_never_gives_way() {
