Three failures in a row make a server suspect; take back the wider limits of cold servers

The random walk with both broke the cold-server bound, without the wider limits it does not; all module tests pass.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,7 @@
 /// Answers needed before a server can be called slow; one costly request is no evidence.
 const SLOW_SAMPLES: u32 = 4;
 /// Failures in a row, with no success between, that make a server suspect.
-const FAILURES: u32 = 2;
+const FAILURES: u32 = 3;
 /// Failed connects to a zone in a row, to any of its servers, that tell of a cut link and not of a dead
 /// server.
 const ZONE_FAILURES: u32 = 2;
@@ -652,7 +652,6 @@
         let aim = self.settings.classes[flight.class].aim.ms();
         let least = 1.0 / f64::from(self.settings.balancers.max(1));
         let (median, own) = (self.median, self.servers[flight.server].in_flight);
-        let warmth = self.warmth(&self.servers[flight.server], now);
         let used = match outcome {
             Outcome::Success => (elapsed.ms() / aim).min(LATE),
             // Called back is not stopped: the work may still stand in the server's queue.
@@ -699,7 +698,7 @@
             s.samples += 1;
             // Slower than the pace forgets, or its lag would drive the limit down too far; an answer past its
             // aim or a full queue is sure evidence and counts at once.
-            let over = (s.pace * warmth / TARGET - 1.0).min(2.0);
+            let over = (s.pace / TARGET - 1.0).min(2.0);
             let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
             s.limit = (s.limit * factor).max(least);
             if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= (0.7 * s.limit).floor() {
@@ -724,7 +723,7 @@
             }
             return;
         }
-        let slow = s.samples >= SLOW_SAMPLES && s.pace * warmth > SLOW * median && s.pace > TARGET;
+        let slow = s.samples >= SLOW_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
         let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
         if s.failures >= FAILURES || slow || late || (self.blind && s.failures > 0) {
             self.suspect(now, flight.server, if slow { "slow" } else { "failing" }, out);
@@ -810,8 +809,6 @@
             ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
         };
         self.ask_pause = ASK_AGAIN;
-        // A newcomer is thought to bear what the others do: while it is cold its warmth scales that.
-        let first = median(self.serving.iter().map(|&i| self.servers[i].limit)).unwrap_or(LIMIT_FIRST);
         if complete {
             for s in &mut self.servers {
                 s.listed.status = Status::Gone;
@@ -825,12 +822,12 @@
                     if line.started.is_some() && line.started != s.listed.started {
                         // A new process: what was learned of the old one says nothing, and it is cold.
                         let (in_flight, last_answer) = (s.in_flight, s.last_answer);
-                        *s = Server { in_flight, last_answer, ..Server::new(line, first, now) };
+                        *s = Server { in_flight, last_answer, ..Server::new(line, LIMIT_FIRST, now) };
                     } else {
                         s.listed = line;
                     }
                 }
-                None => self.admit(Server::new(line, first, now)),
+                None => self.admit(Server::new(line, LIMIT_FIRST, now)),
             }
         }
         self.forget(now);
@@ -874,7 +871,7 @@
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
-            let wait = aim * ((OVERDUE * pace).max(least) / self.warmth(server, now));
+            let wait = aim * ((OVERDUE * pace).max(least));
             let quiet = server.last_answer < flight.sent;
             (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
         };
