Packages move under crates/; the agent becomes a library with a thin main

Cause: the fleet of daemons needs packages of one concern each, and tools that link the agent without starting it. No behaviour changes.

--- a/agent/src/main.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -1,16 +1,10 @@
-//! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
-//! the decisions of `micasail` in between.
+//! One instance's life: its start, its reload, its end.
 
-mod config;
-mod discovery;
-mod driver;
-mod framing;
-mod server;
-mod upstream;
+pub(crate) mod config;
 
+use crate::driver::Driver;
+use crate::front::{self, Server};
 use config::Config;
-use driver::Driver;
-use server::Server;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -24,7 +18,8 @@
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
-fn main() -> ExitCode {
+/// Runs the instance that the environment describes, until it is told to end.
+pub fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
@@ -77,10 +72,10 @@
     }
     let told = Instant::now();
     server.drain();
-    sleep(server::ACCEPT_ON).await;
+    sleep(front::ACCEPT_ON).await;
     accepting.abort();
     // What is in flight has its deadline; past the longest one nothing is owed any more.
-    let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
+    let last = told + front::ACCEPT_ON + Duration::from_micros(longest.0);
     loop {
         sleep(FLUSH).await;
         if !server.busy() || Instant::now() >= last {
--- a/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -3,7 +3,7 @@
 //! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
-use crate::config::Config;
+use crate::daemon::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
--- a/agent/src/server.rs
+++ b/crates/agent/src/front/mod.rs
@@ -1,7 +1,9 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
+pub mod framing;
+
 use crate::driver::{Answer, Arrival, Driver};
-use crate::framing::{Framed, Line, Phase, HEAD_MOST};
+use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
 use crate::upstream::{forwarded, BODY_MOST};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
