rig: stand-in servers, discovery and clients that keep records, and a demo

Need: the tests' stand-ins lived in one file of the agent's tests; a new user had no way to see the agent at work, and no test could set clients' outcomes against servers' records. 'rig demo' runs an agent between them.

--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -1,7 +1,6 @@
 //! What becomes of a request at the backends, and what its client is told.
 
-mod common;
-use common::*;
+use rig::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/agent/tests/clients.rs
+++ b/crates/agent/tests/clients.rs
@@ -1,7 +1,6 @@
 //! Clients that are idle, mute, slow or wrong, and what they may not cost the others.
 
-mod common;
-use common::*;
+use rig::*;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
--- a/crates/agent/tests/service.rs
+++ b/crates/agent/tests/service.rs
@@ -1,7 +1,6 @@
 //! The application's side, the server list, and the agent's own start and end.
 
-mod common;
-use common::*;
+use rig::*;
 use serde_json::json;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/rig/src/backend.rs
@@ -0,0 +1,82 @@
+//! A backend that answers by a test's script.
+
+use crate::http::{read_message, soon, Message};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, Notify};
+
+/// What a scripted backend does with a request.
+pub enum Reply {
+    /// These bytes, and the connection stays.
+    Bytes(Vec<u8>),
+    /// These bytes, and the connection ends.
+    Last(Vec<u8>),
+    /// These bytes once the test gives the word; the connection stays.
+    When(Arc<Notify>, Vec<u8>),
+    /// Silence on an open connection.
+    Mute,
+}
+
+/// A backend that shows the test each request and answers by its script.
+pub struct Backend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Requests as they come.
+    pub seen: mpsc::Receiver<Message>,
+    /// Connections taken so far.
+    pub connections: Arc<AtomicUsize>,
+    /// Connections that their other side has closed.
+    pub closed: mpsc::Receiver<usize>,
+}
+
+impl Backend {
+    /// Starts one; `script` says what becomes of each request.
+    pub async fn start(script: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, seen) = mpsc::channel(1024);
+        let (tell_closed, closed) = mpsc::channel(1024);
+        let connections = Arc::new(AtomicUsize::new(0));
+        let (count, script) = (connections.clone(), Arc::new(script));
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let number = count.fetch_add(1, Ordering::SeqCst);
+                let (tell, tell_closed, script) = (tell.clone(), tell_closed.clone(), script.clone());
+                tokio::spawn(async move {
+                    while let Some(message) = read_message(&mut stream, number).await {
+                        let reply = script(&message);
+                        // A test that counts otherwise need not look at each.
+                        let _ = tell.try_send(message);
+                        match reply {
+                            Reply::Bytes(bytes) => stream.write_all(&bytes).await.unwrap_or(()),
+                            Reply::Last(bytes) => {
+                                stream.write_all(&bytes).await.unwrap_or(());
+                                return;
+                            }
+                            Reply::When(word, bytes) => {
+                                word.notified().await;
+                                stream.write_all(&bytes).await.unwrap_or(());
+                            }
+                            Reply::Mute => {}
+                        }
+                    }
+                    let _ = tell_closed.send(number).await;
+                });
+            }
+        });
+        Backend { address, seen, connections, closed }
+    }
+
+    /// The next request.
+    pub async fn next(&mut self) -> Message {
+        soon("a request at the backend", self.seen.recv()).await.expect("a request")
+    }
+
+    /// Connections taken so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,30 @@
+//! Stand-ins for all that surrounds an agent, on loopback sockets: [`Backend`] answers by a test's script,
+//! [`Server`] has cores, a queue and faults, [`Directory`] hands out the server list, [`Client`] asks one request
+//! at a time and [`Traffic`] many. [`Agent`] is the real program.
+//!
+//! Every stand-in keeps a record, so that a test can set what clients were told against what servers did.
+
+mod backend;
+mod directory;
+mod http;
+mod process;
+mod server;
+mod traffic;
+mod world;
+
+pub use backend::{Backend, Reply};
+pub use directory::{host, Directory, Mood};
+pub use http::{ok, read_message, request, soon, Message, LONG};
+pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
+pub use server::{Plan, Seen, Server};
+pub use traffic::{fates, Class, Fate, Load, Record, Traffic, CLASSES};
+pub use world::World;
+
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// An address where nobody listens.
+pub async fn nobody() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,38 @@
+//! `rig demo` shows an agent at work between stand-ins; `rig measure` measures one.
+
+mod demo;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Stand-ins around the real agent, on loopback.
+#[derive(Parser)]
+#[command(name = "rig", version, max_term_width = 100)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start servers, one agent and steady traffic of three classes; slow one server half way; end with a table.
+    Demo(demo::Options),
+}
+
+fn main() -> ExitCode {
+    // The agent itself, for cargo builds no other package's program to run this one. Its words are its own.
+    if std::env::args_os().nth(1).is_some_and(|word| word == "agent") {
+        return bellcroft::daemon::main();
+    }
+    let args = Args::parse();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("rig: cannot start the runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match args.command {
+        Command::Demo(options) => runtime.block_on(demo::run(&options)),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,187 @@
+//! The real program, and a client that speaks plain bytes.
+
+use crate::http::{read_message, request, soon, Message};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+
+/// Settings for the classes `read`, `save` and `pay`, with long deadlines.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aimMs": 1500, "deadlineMs": 2500, "effect": effect, "group": "all",
+               "dedupWindowMs": 5000, "points": 1})
+    };
+    json!({"balancers": 1, "zone": 0, "zones": ["a", "b"], "kinds": ["m"], "discovery": "on_request",
+           "classes": [class("read", "idempotent"), class("save", "deduplicated"), class("pay", "at_most_once")],
+           "parties": [{"name": "acme", "fraction": 1.0, "allowancePerS": 100.0}],
+           "feedback": {"source": "piggyback", "fields": ["qps", "queue"]},
+           "limits": {"cancel": true, "connectTimeoutMs": 500, "keepaliveMs": 10000, "maxAttempts": 3,
+                      "probes": true, "retryAfter": true, "maxRetryAfterMs": 750, "secondCopies": true},
+           "rules": {"askWithinMs": 10000, "stopSendingWithinMs": 2000}, "periodMs": 1})
+}
+
+/// The real program.
+pub struct Agent {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The process.
+    pub child: Child,
+    file: PathBuf,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A configuration on a port of the kernel's choice.
+pub fn config(directory: SocketAddr, hosts: &[Value]) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": directory.to_string(), "seed": "0f",
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+           "known": {"seq": 1, "whole": true, "hosts": hosts}, "settings": settings()})
+}
+
+/// A file of its own with this text.
+pub fn write_config(text: &str) -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("bellcroft-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, text).expect("a file");
+    file
+}
+
+/// The real program, ready for its arguments. In tests it lies beside them, built by cargo; the rig's own binary plays
+/// it itself, for cargo builds no other package's binary to run one.
+pub fn program() -> std::process::Command {
+    let own = std::env::current_exe().expect("a path");
+    let beside = own.parent().and_then(|dir| dir.parent()).map(|dir| dir.join("bellcroft"));
+    match std::env::var_os("BELLCROFT_PROGRAM").map(PathBuf::from) {
+        Some(program) => std::process::Command::new(program),
+        None if own.file_stem().is_some_and(|name| name == "rig") => {
+            let mut command = std::process::Command::new(own);
+            command.arg("agent");
+            command
+        }
+        None => std::process::Command::new(beside.expect("a folder of the build")),
+    }
+}
+
+/// The real program with a configuration and nothing else of the environment.
+pub fn command(file: &PathBuf) -> Command {
+    let mut command = Command::from(program());
+    command.env_clear().env("PROXY_CONFIG", file).stderr(Stdio::piped()).kill_on_drop(true);
+    command
+}
+
+impl Agent {
+    /// Starts one that knows these servers.
+    pub async fn start(directory: SocketAddr, hosts: &[Value]) -> Self {
+        Self::with(config(directory, hosts), |_| {}).await
+    }
+
+    /// Starts one with a configuration, and a command that the test may adapt.
+    pub async fn with(config: Value, adapt: impl FnOnce(&mut Command)) -> Self {
+        let file = write_config(&config.to_string());
+        let mut command = command(&file);
+        adapt(&mut command);
+        let mut child = command.spawn().expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let address = loop {
+            let line = soon("the agent's start", log.next_line()).await.expect("a log").expect("a line");
+            if let Some((_, address)) = line.split_once("listening on ") {
+                break address.parse().expect("an address");
+            }
+        };
+        // Someone must read on, or a full pipe would stop the agent.
+        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
+        Agent { address, child, file }
+    }
+
+    /// A new connection to it.
+    pub async fn client(&self) -> Client {
+        Client { stream: TcpStream::connect(self.address).await.expect("a connection") }
+    }
+
+    /// Asks for a path on a connection of its own.
+    pub async fn get(&self, path: &str) -> Message {
+        self.client().await.ask(&request("GET", path, "5000m", "")).await
+    }
+
+    /// Waits until it says that it is ready.
+    pub async fn ready(&self) {
+        soon("readiness", async {
+            while self.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status() != 200 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+    }
+
+    /// Sends SIGTERM.
+    pub async fn term(&self) {
+        self.signal("-TERM").await;
+    }
+
+    /// Sends SIGHUP.
+    pub async fn hang_up(&self) {
+        self.signal("-HUP").await;
+    }
+
+    async fn signal(&self, signal: &str) {
+        kill(signal, self.child.id().expect("it runs")).await;
+    }
+
+    /// Replaces the file of its configuration.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+    }
+
+    /// Waits for its end.
+    pub async fn end(&mut self) -> ExitStatus {
+        soon("the agent's end", self.child.wait()).await.expect("a status")
+    }
+}
+
+/// Sends a signal such as `-TERM` to a process that the test has started.
+pub async fn kill(signal: &str, id: u32) {
+    let sent = Command::new("kill").args([signal, &id.to_string()]).status().await.expect("kill runs");
+    assert!(sent.success());
+}
+
+/// The application's side of a connection.
+pub struct Client {
+    /// The connection.
+    pub stream: TcpStream,
+}
+
+impl Client {
+    /// Writes all of it.
+    pub async fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).await.expect("the agent reads");
+    }
+
+    /// Reads one answer.
+    pub async fn answer(&mut self) -> Message {
+        soon("an answer", read_message(&mut self.stream, 0)).await.expect("a whole answer")
+    }
+
+    /// Writes a request and reads its answer.
+    pub async fn ask(&mut self, request: &str) -> Message {
+        self.send(request).await;
+        self.answer().await
+    }
+
+    /// Waits until the other side closes, with nothing said before.
+    pub async fn closed(&mut self) {
+        let mut rest = [0; 1];
+        let read = soon("the connection's end", self.stream.read(&mut rest)).await;
+        assert!(matches!(read, Ok(0) | Err(_)), "more bytes came");
+    }
+}
