The daemon's life and the fleet's supervisor: state, control socket, sd_notify, rolls

Need: each agent is to run as a daemon beside many others; it had no command line, no file of the operator's own and no state. Change: a clap command line; state directory with a flock, status.json by temporary file and rename from a thread of its own, control socket with the peer's uid checked; sd_notify and LISTEN_FDS; reload of both files, all or nothing; fleet run with sockets held by the supervisor, pidfds, adoption over SCM_RIGHTS. eprintln! panics where the log cannot be written and gave way.

--- /dev/null
+++ b/crates/agent/src/cli/mod.rs
@@ -0,0 +1,116 @@
+//! The command line.
+
+mod check;
+mod fleet;
+mod status;
+
+use crate::daemon::{self, Sources, Start};
+use crate::exit;
+use clap::{Args, Parser, Subcommand};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const CODES: &str = "Exit codes:
+  0  it went well
+  1  what was asked for did not come about (a roll that stopped, a reload that was refused)
+  2  a file, an option or the environment is wrong
+  3  already running: another process holds the state directory
+  4  not running: no process does";
+
+/// A client-side load-balancing agent, alone or as a fleet.
+///
+/// Without a command it runs one instance as the environment says (PROXY_CONFIG, PROXY_LISTEN, PROXY_DISCOVERY,
+/// PROXY_NAME), as `run` does without options.
+#[derive(Parser)]
+#[command(name = "bellcroft", version, after_help = CODES, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one instance in the foreground until SIGTERM.
+    Run {
+        #[command(flatten)]
+        files: Files,
+        /// Its state directory, before the operator's file.
+        #[arg(long, value_name = "DIR")]
+        state: Option<PathBuf>,
+    },
+    /// Check files whole and tell all that is wrong with them, a line each.
+    Check(Files),
+    /// Tell what an instance is doing.
+    Status {
+        /// Its state directory.
+        #[arg(long, value_name = "DIR", required_unless_present = "operator")]
+        state: Option<PathBuf>,
+        /// The operator's file that names the state directory.
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// For programs: the status as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Run many instances, or command those that run.
+    #[command(subcommand)]
+    Fleet(fleet::Command),
+}
+
+#[derive(Args)]
+struct Files {
+    /// The operator's file (deploy/agent.toml shows one).
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// The platform's configuration, before PROXY_CONFIG and the operator's file.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+}
+
+impl From<Files> for Sources {
+    fn from(files: Files) -> Self {
+        Sources { operator: files.operator, config: files.config }
+    }
+}
+
+/// Runs the program with these arguments, its own name first.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = match Cli::try_parse_from(args) {
+        Ok(cli) => cli,
+        Err(e) => {
+            // Help and version are answers and no errors; clap knows where each goes.
+            let _ = e.print();
+            return if e.use_stderr() { ExitCode::from(exit::BAD_INPUT) } else { ExitCode::SUCCESS };
+        }
+    };
+    match cli.command {
+        None => daemon::run(Start::default()),
+        Some(Command::Run { files, state }) => daemon::run(Start { sources: files.into(), state }),
+        Some(Command::Check(files)) => check::run(&files.into()),
+        Some(Command::Status { state, operator, json }) => status::run(state, operator, json),
+        Some(Command::Fleet(command)) => fleet::run(command),
+    }
+}
+
+/// Runs one exchange with a control socket to its end.
+fn block_on<T>(work: impl std::future::Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map(|runtime| runtime.block_on(work)).map_err(|e| format!("cannot start the runtime: {e}"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use clap::CommandFactory;
+
+    #[test]
+    fn the_command_line_is_consistent_and_each_command_has_its_help() {
+        let mut command = Cli::command();
+        command.clone().debug_assert();
+        assert!(command.render_long_help().to_string().contains("already running"));
+        for sub in command.get_subcommands() {
+            assert!(sub.get_about().is_some(), "{}", sub.get_name());
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/cli/status.rs
@@ -0,0 +1,117 @@
+//! `bellcroft status`.
+
+use super::block_on;
+use crate::daemon::control::{self, Silent};
+use crate::daemon::state::{self, STATUS};
+use crate::daemon::status::Status;
+use crate::exit;
+use bellcroft_operator::AgentFile;
+use serde_json::json;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+pub fn run(state: Option<PathBuf>, operator: Option<PathBuf>, json: bool) -> ExitCode {
+    let named = match (state, operator) {
+        (Some(state), _) => Some(state),
+        (None, Some(operator)) => match AgentFile::read(&operator) {
+            Ok(file) => file.daemon.state,
+            Err(faults) => {
+                faults.iter().for_each(|fault| eprintln!("{fault}"));
+                return ExitCode::from(exit::BAD_INPUT);
+            }
+        },
+        (None, None) => None,
+    };
+    let Some(dir) = named else {
+        eprintln!("bellcroft: the operator's file names no daemon.state");
+        return ExitCode::from(exit::BAD_INPUT);
+    };
+    let told = match block_on(control::ask(&dir, &json!({"command": "status"}))) {
+        Ok(told) => told,
+        Err(why) => {
+            eprintln!("bellcroft: {why}");
+            return ExitCode::from(exit::NOT_DONE);
+        }
+    };
+    match told {
+        Ok(told) => match serde_json::from_value::<Status>(told.value.clone()) {
+            Ok(status) if !json => {
+                print(&status);
+                ExitCode::SUCCESS
+            }
+            // A program reads also what a newer instance says.
+            Ok(_) => {
+                println!("{}", told.value);
+                ExitCode::SUCCESS
+            }
+            Err(e) => {
+                eprintln!("bellcroft: the status is not understood: {e}");
+                ExitCode::from(exit::NOT_DONE)
+            }
+        },
+        Err(Silent::Failed(why)) if state::held(&dir) => {
+            eprintln!("bellcroft: {}: runs, and does not answer: {why}", dir.display());
+            ExitCode::from(exit::NOT_DONE)
+        }
+        Err(_) => {
+            let last = last(&dir);
+            match (json, &last) {
+                (true, Ok(status)) => println!("{}", json!({"running": false, "last": status})),
+                (true, Err(why)) => println!("{}", json!({"running": false, "last": null, "why": why})),
+                (false, Ok(status)) => println!(
+                    "{}: not running; last seen {} as process {}, {} ago",
+                    status.name,
+                    status.phase.word(),
+                    status.pid,
+                    ago(status.written_ms)
+                ),
+                (false, Err(why)) => println!("{}: not running; {why}", dir.display()),
+            }
+            ExitCode::from(exit::NOT_RUNNING)
+        }
+    }
+}
+
+/// The last status that was written, if it is whole.
+fn last(dir: &Path) -> Result<Status, String> {
+    let file = dir.join(STATUS);
+    let text = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+    serde_json::from_slice(&text).map_err(|e| format!("{}: cut off or not a status: {e}", file.display()))
+}
+
+fn ago(ms: u64) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    format!("{} s", now.saturating_sub(ms) / 1000)
+}
+
+fn print(status: &Status) {
+    println!(
+        "{}: {}, process {}, up {}",
+        status.name,
+        status.phase.word(),
+        status.pid,
+        ago(status.started_ms)
+    );
+    println!("listens on {}; {} client connections", status.listen, status.connections);
+    let servers = status.servers;
+    println!("servers: {} up, {} draining, {} gone", servers.up, servers.draining, servers.gone);
+    println!("configuration: generation {}, digest {}", status.config.generation, status.config.digest);
+    if let Some(why) = &status.config.refused {
+        println!("last reload refused: {why}");
+    }
+    println!(
+        "{:<24} {:>9} {:>9} {:>9} {:>9} {:>9} {:>6}",
+        "class", "taken", "served", "refused", "failed", "left", "open"
+    );
+    for (class, c) in &status.requests {
+        println!(
+            "{class:<24} {:>9} {:>9} {:>9} {:>9} {:>9} {:>6}",
+            c.taken, c.served, c.refused, c.failed, c.left, c.open
+        );
+    }
+    if status.bad_requests > 0 {
+        println!("bad requests: {}", status.bad_requests);
+    }
+    status.problems.iter().for_each(|problem| println!("problem: {problem}"));
+}
--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -1,11 +1,12 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
+use bellcroft_operator::{AgentFile, Daemon};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Descriptors and memory are for small machines; a configuration that is silent about them means these.
 const SOCKETS: usize = 1024;
@@ -14,7 +15,7 @@
 const SOCKETS_MOST: usize = 1 << 20;
 
 /// Everything that one start of the agent goes by.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Config {
     /// The agent's name, for its log.
     pub name: String,
@@ -32,6 +33,10 @@
     pub names: Names,
     /// The server list as the agent last had it.
     pub known: List,
+    /// The operator's word on its state and its end.
+    pub daemon: Daemon,
+    /// A hash of the bytes of its files.
+    pub digest: String,
 }
 
 #[derive(Deserialize)]
@@ -57,52 +62,135 @@
     sockets: Option<usize>,
 }
 
-impl File {
-    fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        serde_json::from_slice(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
+/// A file's bytes, read once, and what stands in them.
+struct Read {
+    path: PathBuf,
+    bytes: Vec<u8>,
+    file: File,
+}
+
+impl Read {
+    fn file(path: &Path) -> Result<Self, String> {
+        let bytes = std::fs::read(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        let file = serde_json::from_slice(&bytes).map_err(|e: serde_json::Error| {
+            format!("{}:{}: no configuration: {e}", path.display(), e.line())
+        })?;
+        Ok(Read { path: path.to_owned(), bytes, file })
     }
 }
 
+/// Where the configuration is named: on the command line, in the environment, in the operator's file.
+#[derive(Debug, Clone, Default)]
+pub struct Sources {
+    /// The operator's file.
+    pub operator: Option<PathBuf>,
+    /// The platform's configuration, by the command line.
+    pub config: Option<PathBuf>,
+}
+
 /// Where the file, which may have been replaced since the start, says that discovery is. `PROXY_DISCOVERY` is the
 /// start's address and does not mask it.
 pub fn discovery(var: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
-    let text = File::read(var)?.discovery.ok_or("the file names no discovery")?;
+    let path = var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?;
+    let text = Read::file(Path::new(&path))?.file.discovery.ok_or("the file names no discovery")?;
     text.parse().map_err(|_| format!("discovery is {text:?}; an address was expected"))
 }
 
 impl Config {
-    /// Reads the configuration of this process; the error is one line for a person.
-    pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        Self::from_file(File::read(&var)?, var)
+    /// Reads the files of this process whole and checks them.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with them, a line each.
+    pub fn load(sources: &Sources, var: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
+        let mut digest = Vec::new();
+        let operator = match &sources.operator {
+            Some(path) => {
+                let file = AgentFile::read(path)
+                    .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+                digest.extend(std::fs::read(path).unwrap_or_default());
+                file
+            }
+            None => AgentFile::default(),
+        };
+        let named = sources.config.clone().or_else(|| var("PROXY_CONFIG").map(PathBuf::from));
+        let Some(path) = named.or_else(|| operator.instance.config.clone()) else {
+            return Err(vec!["PROXY_CONFIG is not set".into()]);
+        };
+        let read = Read::file(&path).map_err(|why| vec![why])?;
+        digest.extend(&read.bytes);
+        let digest = String::from_utf8_lossy(&digest);
+        let digest = format!("{:016x}", micasail_settings::fnv1a(&digest));
+        Self::checked(read, operator, digest, var)
     }
 
-    fn from_file(file: File, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let address = |name: &str, own: Option<String>| {
-            let text = var(name).or(own).ok_or_else(|| format!("{name} is not set"))?;
-            text.parse::<SocketAddr>().map_err(|_| format!("{name} is {text:?}; an address was expected"))
+    fn checked(
+        read: Read,
+        operator: AgentFile,
+        digest: String,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, Vec<String>> {
+        let file = read.file;
+        let mut wrong = Vec::new();
+        // The line of a key, for people: where its name first stands in the file.
+        let text = String::from_utf8_lossy(&read.bytes);
+        let at = |key: &str| match text.find(&format!("\"{key}\"")) {
+            Some(at) => format!("{}:{}", read.path.display(), 1 + text[..at].matches('\n').count()),
+            None => read.path.display().to_string(),
+        };
+        let mut address = |name: &str, key: &str, operator: Option<SocketAddr>, own: Option<String>| {
+            let text = match (var(name), operator) {
+                (Some(text), _) => text,
+                (None, Some(address)) => return Some(address),
+                (None, None) => match own {
+                    Some(text) => text,
+                    None => {
+                        wrong.push(format!("{name} is not set"));
+                        return None;
+                    }
+                },
+            };
+            let address = text.parse::<SocketAddr>().ok();
+            if address.is_none() {
+                wrong.push(format!("{name} ({key}) is {text:?}; an address was expected"));
+            }
+            address
         };
-        let listen = address("PROXY_LISTEN", file.listen)?;
-        let discovery = address("PROXY_DISCOVERY", file.discovery)?;
+        let listen = address("PROXY_LISTEN", "listen", operator.instance.listen, file.listen);
+        let discovery = address("PROXY_DISCOVERY", "discovery", operator.instance.discovery, file.discovery);
         let mut settings = micasail_settings::settings(&file.settings);
         // `Retry-After` may stand in any refusal on these sockets; the setting speaks of the simulator's clients.
         settings.retry_after = true;
-        settings.check().map_err(|e| e.to_string())?;
+        if let Err(e) = settings.check() {
+            wrong.push(format!("{}: settings: {e}", at("settings")));
+        }
         let names = micasail_settings::names(&file.settings);
         if let Some(place) = names.classes.iter().position(String::is_empty) {
-            return Err(format!("settings give class {place} no name"));
+            wrong.push(format!("{}: settings give class {place} no name", at("classes")));
         }
-        if file.limits.sockets.is_some_and(|sockets| sockets < SOCKETS_LEAST) {
-            return Err(format!("limits.sockets is below {SOCKETS_LEAST}; that leaves no room to serve"));
+        if let Some(sockets) = file.limits.sockets.filter(|sockets| *sockets < SOCKETS_LEAST) {
+            let at = at("sockets");
+            wrong.push(format!(
+                "{at}: limits.sockets is {sockets}; below {SOCKETS_LEAST} there is no room to serve"
+            ));
         }
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
-            serde_json::Value::Null => List::default(),
-            value => discovery::parse_list(&value).ok_or("known is no server list")?,
+            serde_json::Value::Null => Some(List::default()),
+            value => discovery::parse_list(&value),
+        };
+        if known.is_none() {
+            wrong.push(format!("{}: known is no server list", at("known")));
+        }
+        let (Some(listen), Some(discovery), Some(known), true) = (listen, discovery, known, wrong.is_empty())
+        else {
+            return Err(wrong);
         };
         Ok(Config {
-            name: var("PROXY_NAME").or(file.name).unwrap_or_else(|| "agent".into()),
+            name: var("PROXY_NAME")
+                .or(operator.instance.name)
+                .or(file.name)
+                .unwrap_or_else(|| "agent".into()),
             listen,
             discovery,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
@@ -111,8 +199,22 @@
             settings,
             names,
             known,
+            daemon: operator.daemon,
+            digest,
         })
     }
+
+    /// What differs between this configuration and a newer one that only a restart can take.
+    pub fn needs_restart(&self, newer: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("limits.sockets", self.sockets == newer.sockets),
+            ("settings", self.settings == newer.settings && self.names == newer.names),
+            ("daemon.state", self.daemon.state == newer.daemon.state),
+        ];
+        same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
+    }
 }
 
 #[cfg(test)]
@@ -121,7 +223,9 @@
 
     fn load(text: &str, listen: &str) -> Result<Config, String> {
         let file = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        Config::from_file(file, |name| (name == "PROXY_LISTEN").then(|| listen.to_owned()))
+        let read = Read { path: "config.json".into(), bytes: text.as_bytes().to_vec(), file };
+        let var = |name: &str| (name == "PROXY_LISTEN").then(|| listen.to_owned());
+        Config::checked(read, AgentFile::default(), String::new(), var).map_err(|wrong| wrong.join("; "))
     }
 
     const SETTINGS: &str = r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}]}"#;
@@ -149,4 +253,24 @@
         let text = format!(r#"{{"discovery":"127.0.0.1:2","known":7,"settings":{SETTINGS}}}"#);
         assert!(load(&text, "127.0.0.1:3").expect_err("no list").contains("known"));
     }
+    #[test]
+    fn all_that_is_wrong_is_told_at_once_each_with_its_line() {
+        let text = "{\"discovery\":\"nowhere\",\n\"limits\":{\n\"sockets\":3},\n\"known\":7,\"settings\":{\"classes\":[]}}";
+        let wrong = load(text, "127.0.0.1:3").expect_err("it is bad");
+        for part in ["PROXY_DISCOVERY", "config.json:3: limits.sockets is 3", "config.json:4: known", "class"]
+        {
+            assert!(wrong.contains(part), "{part}: {wrong}");
+        }
+    }
+
+    #[test]
+    fn what_only_a_restart_can_take_is_named() {
+        let text = |extra: &str| format!(r#"{{"discovery":"127.0.0.1:2",{extra}"settings":{SETTINGS}}}"#);
+        let old = load(&text(""), "127.0.0.1:3").expect("a configuration");
+        let moved = text("").replace("127.0.0.1:2", "127.0.0.1:4");
+        assert!(old.needs_restart(&load(&moved, "127.0.0.1:3").expect("good")).is_empty());
+        let other = text(r#""name":"n","limits":{"sockets":100},"#).replace("200", "300");
+        let other = load(&other, "127.0.0.1:4").expect("good");
+        assert_eq!(old.needs_restart(&other), ["name", "listen", "limits.sockets", "settings"]);
+    }
 }
--- /dev/null
+++ b/crates/agent/src/daemon/state.rs
@@ -0,0 +1,273 @@
+//! An instance's state directory: the lock, the status file, the place of the control socket.
+//!
+//! The directory is the process's own (mode 0700) and the lock is the kernel's (`flock`), so it ends with the process
+//! however that ends. Nothing on the way of a request touches the directory: files are written by a thread of their
+//! own, and what cannot be written is a problem that the status tells, not a reason to stop serving.
+
+use std::fmt;
+use std::fs::{DirBuilder, File, OpenOptions, Permissions, TryLockError};
+use std::io::{self, Read, Write};
+use std::os::unix::fs::{DirBuilderExt, MetadataExt, OpenOptionsExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// The status file's name in a state directory.
+pub const STATUS: &str = "status.json";
+/// The control socket's name.
+pub const CONTROL: &str = "control.sock";
+/// The lock's name.
+const LOCK: &str = "lock";
+/// A Unix socket's path has 107 bytes at most (`sun_path`, unix(7)), and the socket is made under a longer name.
+pub const PATH_MOST: usize = 107 - "/control.sock.new".len();
+
+/// Why a state directory is not this process's.
+#[derive(Debug)]
+pub enum Refused {
+    /// Another process holds it; its id, where its lock file tells.
+    Held(Option<u32>),
+    /// It cannot be used, for this reason.
+    Unusable(String),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Held(Some(id)) => write!(f, "already running as process {id}"),
+            Refused::Held(None) => write!(f, "already running"),
+            Refused::Unusable(why) => f.write_str(why),
+        }
+    }
+}
+
+/// A state directory that this process holds until it ends.
+#[derive(Debug)]
+pub struct StateDir {
+    path: PathBuf,
+    _lock: File,
+}
+
+impl StateDir {
+    /// Takes the directory, and makes it if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused::Held`] if another process has it, in which case nothing has been touched.
+    pub fn take(path: &Path) -> Result<Self, Refused> {
+        let unusable =
+            |what: &str, e: io::Error| Refused::Unusable(format!("{}: {what}: {e}", path.display()));
+        match DirBuilder::new().recursive(true).mode(0o700).create(path) {
+            Ok(()) => {}
+            Err(e) => return Err(unusable("cannot be made", e)),
+        }
+        let about = std::fs::metadata(path).map_err(|e| unusable("cannot be looked at", e))?;
+        let own = rustix::process::geteuid().as_raw();
+        if about.uid() != own {
+            let why = format!("{}: belongs to user {}, not to user {own}", path.display(), about.uid());
+            return Err(Refused::Unusable(why));
+        }
+        // A lock file that is there is enough where nothing new can be written.
+        let file = path.join(LOCK);
+        let open =
+            OpenOptions::new().read(true).write(true).create(true).truncate(false).mode(0o600).open(&file);
+        let lock = open.or_else(|e| File::open(&file).map_err(|_| e)).map_err(|e| unusable("lock", e))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(Refused::Held(holder(path))),
+            Err(TryLockError::Error(e)) => return Err(unusable("lock", e)),
+        }
+        if about.mode() & 0o077 != 0 {
+            std::fs::set_permissions(path, Permissions::from_mode(0o700))
+                .map_err(|e| unusable("others may enter it, and that cannot be changed", e))?;
+        }
+        // For people; nothing is decided by it, for a number outlives its process.
+        let mut text = &lock;
+        let _ = lock.set_len(0).and_then(|()| writeln!(text, "{}", std::process::id()));
+        Ok(StateDir { path: path.to_owned(), _lock: lock })
+    }
+
+    /// Its path.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+/// Whether some process holds this directory.
+pub fn held(path: &Path) -> bool {
+    let Ok(lock) = File::open(path.join(LOCK)) else { return false };
+    matches!(lock.try_lock_shared(), Err(TryLockError::WouldBlock))
+}
+
+/// The process that the lock file names, which need not live any more.
+fn holder(path: &Path) -> Option<u32> {
+    let mut text = String::new();
+    File::open(path.join(LOCK)).ok()?.take(32).read_to_string(&mut text).ok()?;
+    text.trim().parse().ok()
+}
+
+/// Replaces a file whole: a reader finds the old one or the new one, and a crash leaves one of them.
+pub fn replace(file: &Path, text: &[u8]) -> io::Result<()> {
+    let mut name = file.file_name().unwrap_or_default().to_owned();
+    name.push(".new");
+    let fresh = file.with_file_name(name);
+    let write = || {
+        let mut opened =
+            OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&fresh)?;
+        opened.write_all(text)?;
+        drop(opened);
+        std::fs::rename(&fresh, file)
+    };
+    write().inspect_err(|_| {
+        // Half a file is worth nothing, and takes room on a disk that may be full.
+        let _ = std::fs::remove_file(&fresh);
+    })
+}
+
+/// Writes the status file from a thread of its own, so that a slow disk is waited for by nobody else.
+pub struct Writer {
+    texts: Option<SyncSender<Vec<u8>>>,
+    problem: Arc<Mutex<Option<String>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// How long the end waits for the last status to be written.
+const LAST_WRITE: Duration = Duration::from_millis(500);
+
+impl Writer {
+    /// A writer of `dir`'s status file.
+    ///
+    /// # Errors
+    ///
+    /// The system has no thread for it.
+    pub fn start(dir: &Path) -> io::Result<Self> {
+        let (texts, waiting) = sync_channel(1);
+        let problem = Arc::<Mutex<Option<String>>>::default();
+        let (file, found) = (dir.join(STATUS), problem.clone());
+        let thread = std::thread::Builder::new()
+            .name("status".into())
+            .stack_size(128 << 10)
+            .spawn(move || write_all(&file, &waiting, &found))?;
+        Ok(Writer { texts: Some(texts), problem, thread: Some(thread) })
+    }
+
+    /// Has a status written, unless the last one still waits for the disk; false then.
+    pub fn write(&self, text: Vec<u8>) -> bool {
+        let Some(texts) = &self.texts else { return false };
+        !matches!(texts.try_send(text), Err(TrySendError::Full(_)))
+    }
+
+    /// Why the last one could not be written.
+    pub fn problem(&self) -> Option<String> {
+        self.problem.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Has the last status written, and waits for it for a moment.
+    pub async fn finish(mut self, text: Vec<u8>) {
+        let until = tokio::time::Instant::now() + LAST_WRITE;
+        while !self.write(text.clone()) && tokio::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.texts = None;
+        let Some(thread) = self.thread.take() else { return };
+        while !thread.is_finished() && tokio::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+fn write_all(file: &Path, texts: &Receiver<Vec<u8>>, problem: &Mutex<Option<String>>) {
+    while let Ok(text) = texts.recv() {
+        let why = replace(file, &text).err().map(|e| format!("{}: {e}", file.display()));
+        *problem.lock().unwrap_or_else(PoisonError::into_inner) = why;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of the test's own, which ends with it.
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("bellcroft-state-{}-{name}", std::process::id()));
+            std::fs::create_dir_all(&path).expect("a folder");
+            Folder(path)
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn a_directory_is_made_private_and_held_once() {
+        let folder = Folder::new("held");
+        let path = folder.0.join("a/b");
+        let state = StateDir::take(&path).expect("it is free");
+        assert_eq!(std::fs::metadata(&path).expect("it is there").mode() & 0o777, 0o700);
+        assert!(held(&path));
+        let own = std::process::id();
+        assert!(matches!(StateDir::take(&path), Err(Refused::Held(Some(id))) if id == own));
+        drop(state);
+        assert!(!held(&path));
+        // A wider mode is narrowed.
+        std::fs::set_permissions(&path, Permissions::from_mode(0o755)).expect("it is ours");
+        let _state = StateDir::take(&path).expect("it is free again");
+        assert_eq!(std::fs::metadata(&path).expect("it is there").mode() & 0o777, 0o700);
+    }
+
+    #[test]
+    fn what_cannot_be_a_directory_is_unusable_and_says_why() {
+        let folder = Folder::new("unusable");
+        let file = folder.0.join("file");
+        std::fs::write(&file, "x").expect("a file");
+        for path in [file.clone(), file.join("below")] {
+            let why = StateDir::take(&path).expect_err("no directory").to_string();
+            assert!(why.contains("file"), "{why}");
+        }
+    }
+
+    #[test]
+    fn a_file_is_replaced_whole_or_not_at_all() {
+        let folder = Folder::new("replace");
+        let file = folder.0.join("status.json");
+        replace(&file, b"one").expect("it can be written");
+        replace(&file, b"two").expect("it can be replaced");
+        assert_eq!(std::fs::read(&file).expect("it is there"), b"two");
+        // Where the new one cannot be made, the old one stays.
+        std::fs::create_dir(folder.0.join("status.json.new")).expect("a folder in its way");
+        assert!(replace(&file, b"three").is_err());
+        assert_eq!(std::fs::read(&file).expect("it is there"), b"two");
+    }
+
+    #[tokio::test]
+    async fn a_problem_is_told_and_forgotten_once_it_is_over() {
+        let folder = Folder::new("problem");
+        let writer = Writer::start(&folder.0).expect("a thread");
+        let obstacle = folder.0.join("status.json.new");
+        std::fs::create_dir(&obstacle).expect("a folder in its way");
+        let settled = |bad: bool| {
+            let problem = writer.problem();
+            problem.is_some_and(|why| why.contains("status.json")) == bad
+        };
+        for bad in [true, false] {
+            for _ in 0..1000 {
+                writer.write(b"{}".to_vec());
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                if settled(bad) {
+                    break;
+                }
+            }
+            assert!(settled(bad), "{bad}");
+            let _ = std::fs::remove_dir(&obstacle);
+        }
+        writer.finish(b"last".to_vec()).await;
+        assert_eq!(std::fs::read(folder.0.join(STATUS)).expect("it is there"), b"last");
+    }
+}
--- /dev/null
+++ b/crates/agent/src/daemon/status.rs
@@ -0,0 +1,195 @@
+//! What an instance says of itself, in its status file and over its control socket.
+
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// The form of [`Status`]; a reader of a higher one finds keys that it does not know, and the old ones as they were.
+pub const VERSION: u32 = 1;
+
+/// What an instance is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// It has no server to send to yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It has been told to end, and answers what it has taken.
+    Draining,
+    /// It has ended as it was told to.
+    Stopped,
+}
+
+impl Phase {
+    /// One word for it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Phase::Starting => "starting",
+            Phase::Ready => "ready",
+            Phase::Draining => "draining",
+            Phase::Stopped => "stopped",
+        }
+    }
+}
+
+/// An instance's status. Times are Unix milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// [`VERSION`].
+    pub version: u32,
+    /// Its name.
+    pub name: String,
+    /// Its process.
+    pub pid: u32,
+    /// When it started.
+    pub started_ms: u64,
+    /// When this was written.
+    pub written_ms: u64,
+    /// What it is doing.
+    pub phase: Phase,
+    /// Where it takes requests.
+    pub listen: String,
+    /// What it goes by.
+    pub config: ConfigStatus,
+    /// Its requests by class.
+    pub requests: BTreeMap<String, Counts>,
+    /// Requests that were answered with an error before they had a class, or for what was wrong with them.
+    pub bad_requests: u64,
+    /// Servers by what the list says of them.
+    pub servers: Servers,
+    /// Connections of clients.
+    pub connections: usize,
+    /// What it cannot do at present, such as write its status.
+    pub problems: Vec<String>,
+}
+
+/// What an instance goes by.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigStatus {
+    /// A hash (FNV-1a, 64 bits) of the bytes of its files as they were last taken.
+    pub digest: String,
+    /// 1 at the start, one more with each reload that was taken.
+    pub generation: u64,
+    /// What became of the last reload, if there was one that was not taken.
+    pub refused: Option<String>,
+}
+
+/// Requests of a class. At any moment `taken` is the sum of the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// All that have come whole and well-formed.
+    pub taken: u64,
+    /// Answered with a server's answer.
+    pub served: u64,
+    /// Answered 429.
+    pub refused: u64,
+    /// Answered with another error.
+    pub failed: u64,
+    /// Their clients left before there was an answer.
+    pub left: u64,
+    /// Owed their answer.
+    pub open: u64,
+}
+
+/// Servers by what the list says of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Servers {
+    /// They take requests.
+    pub up: usize,
+    /// They finish what they have.
+    pub draining: usize,
+    /// They have left lately.
+    pub gone: usize,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With a server's answer.
+    Served,
+    /// Refused.
+    Refused,
+    /// With another error.
+    Failed,
+    /// Its client had gone.
+    Left,
+}
+
+/// Counts requests by class and outcome.
+#[derive(Debug)]
+pub struct Tally {
+    classes: RefCell<Vec<Counts>>,
+    bad: std::cell::Cell<u64>,
+}
+
+impl Tally {
+    /// A tally of this many classes.
+    pub fn new(classes: usize) -> Self {
+        Tally { classes: RefCell::new(vec![Counts::default(); classes]), bad: std::cell::Cell::new(0) }
+    }
+
+    /// A request of the class has been taken; how it ended is told to what this returns.
+    pub fn taken(&self, class: usize) -> Owed<'_> {
+        let mut classes = self.classes.borrow_mut();
+        classes[class].taken += 1;
+        classes[class].open += 1;
+        Owed { tally: self, class, ended: Ended::Left }
+    }
+
+    /// A request was wrong.
+    pub fn bad(&self) {
+        self.bad.set(self.bad.get() + 1);
+    }
+
+    /// The counts by class, and of the bad ones.
+    pub fn counts(&self) -> (Vec<Counts>, u64) {
+        (self.classes.borrow().clone(), self.bad.get())
+    }
+}
+
+/// A request that has been counted as taken. If this ends with nothing said, its client had left.
+pub struct Owed<'a> {
+    tally: &'a Tally,
+    class: usize,
+    ended: Ended,
+}
+
+impl Owed<'_> {
+    /// How it ended.
+    pub fn ended(mut self, how: Ended) {
+        self.ended = how;
+    }
+}
+
+impl Drop for Owed<'_> {
+    fn drop(&mut self) {
+        let mut classes = self.tally.classes.borrow_mut();
+        let counts = &mut classes[self.class];
+        counts.open -= 1;
+        match self.ended {
+            Ended::Served => counts.served += 1,
+            Ended::Refused => counts.refused += 1,
+            Ended::Failed => counts.failed += 1,
+            Ended::Left => counts.left += 1,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_is_counted_once_whatever_becomes_of_it() {
+        let tally = Tally::new(2);
+        let first = tally.taken(1);
+        let second = tally.taken(1);
+        tally.taken(1).ended(Ended::Refused);
+        assert_eq!(tally.counts().0[1], Counts { taken: 3, open: 2, refused: 1, ..Counts::default() });
+        first.ended(Ended::Served);
+        drop(second);
+        let expected = Counts { taken: 3, served: 1, refused: 1, left: 1, ..Counts::default() };
+        assert_eq!(tally.counts().0, [Counts::default(), expected]);
+    }
+}
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -4,7 +4,9 @@
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
 use crate::daemon::config::Config;
+use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
+use crate::log::say;
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -186,6 +188,26 @@
         !self.state.borrow().up.is_empty()
     }
 
+    /// The servers by what the list says of them.
+    pub fn servers(&self) -> Servers {
+        let state = self.state.borrow();
+        let (all, up, gone) = (state.names.len(), state.up.len(), state.left.len());
+        Servers { up, gone, draining: all.saturating_sub(up + gone) }
+    }
+
+    /// Gives every request that is owed its answer a failure, for the process ends before their deadlines.
+    pub fn give_up_all(self: &Rc<Self>) {
+        {
+            let mut state = self.state.borrow_mut();
+            let open: Vec<RequestId> = state.open.keys().copied().collect();
+            for request in open {
+                state.answer(request, Answer::Failed(StatusCode::GATEWAY_TIMEOUT));
+                state.queue.push_back(Event::ClientGone { request });
+            }
+        }
+        self.pump();
+    }
+
     /// Hands a request to the balancer; its answer comes over the channel.
     pub fn submit(self: &Rc<Self>, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, receiver) = oneshot::channel();
@@ -316,7 +338,7 @@
             Action::FetchList => state.discovery.fetch(self),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
             Action::Tell { .. } => {}
-            Action::Log { text } => eprintln!("{text}"),
+            Action::Log { text } => say(text),
         }
     }
 
@@ -462,7 +484,7 @@
         while self.names.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
-        eprintln!("server {id} is {name}");
+        say(format_args!("server {id} is {name}"));
         self.names.insert(ServerId(id), name.to_owned());
         self.servers.insert(name.to_owned(), ServerId(id));
         ServerId(id)
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod framing;
 
+use crate::daemon::status::{Ended, Tally};
 use crate::driver::{Answer, Arrival, Driver};
 use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
 use crate::upstream::{forwarded, BODY_MOST};
@@ -52,6 +53,8 @@
 const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A connection that has said nothing for this long is not about to: clients connect to ask.
+const FRESH: Duration = Duration::from_millis(300);
 /// After SIGTERM new connections go on coming for a while; each is still taken.
 pub const ACCEPT_ON: Duration = Duration::from_millis(650);
 
@@ -64,7 +67,10 @@
 /// The listening side and the connections it has taken.
 pub struct Server {
     driver: Rc<Driver>,
+    /// What became of the requests.
+    pub tally: Tally,
     draining: watch::Sender<bool>,
+    accepting: watch::Sender<bool>,
     most: usize,
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
@@ -76,8 +82,10 @@
     /// Serves at most `connections` at a time.
     pub fn new(driver: Rc<Driver>, connections: usize) -> Rc<Self> {
         Rc::new(Server {
+            tally: Tally::new(driver.names.classes.len()),
             driver,
             draining: watch::Sender::new(false),
+            accepting: watch::Sender::new(true),
             most: connections,
             held: RefCell::default(),
             freed: Notify::new(),
@@ -85,12 +93,19 @@
         })
     }
 
-    /// Takes connections until it is dropped. Each is taken at once; where there is no place for it, one that
+    /// Takes connections until it is dropped or [`Server::stop_accepting`] is called; one that has been taken by
+    /// then is served. Each is taken at once; where there is no place for it, one that
     /// nobody needs gives way, so that hundreds that say nothing do not shut the others out.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut accepting = self.accepting.subscribe();
         for number in 0.. {
             let stream = loop {
-                match listener.accept().await {
+                let taken = tokio::select! {
+                    biased;
+                    _ = accepting.wait_for(|on| !on) => return,
+                    taken = listener.accept() => taken,
+                };
+                match taken {
                     Ok((stream, _)) => break stream,
                     Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
@@ -132,10 +147,25 @@
         self.draining.send_replace(true);
     }
 
-    /// Whether any request is on its way in or has no answer yet.
+    /// Takes no new connection from now on: another process has the listening socket.
+    pub fn stop_accepting(&self) {
+        self.accepting.send_replace(false);
+    }
+
+    /// Connections of clients at present.
+    pub fn connections(&self) -> usize {
+        self.held.borrow().len()
+    }
+
+    /// Whether any request is on its way in or has no answer yet. One may be on its way over a connection that is
+    /// so fresh that its first byte has not come.
     pub fn busy(&self) -> bool {
-        let phase = |held: &Held| held.line.phase().0;
-        self.held.borrow().values().any(|held| matches!(phase(held), Phase::Arriving | Phase::Open))
+        let busy = |held: &Held| match held.line.phase() {
+            (Phase::Arriving | Phase::Open, _) => true,
+            (Phase::Mute, since) => since.elapsed() < FRESH,
+            (Phase::Idle, _) => false,
+        };
+        self.held.borrow().values().any(busy)
     }
 
     /// Whether so large a share of the places is taken.
@@ -200,7 +230,10 @@
         let (mut answer, close) = match self.take(request, &line).await {
             Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED)),
             // Who cannot word a request is not trusted with the rest of the connection.
-            Err(answer) => (answer, true),
+            Err(answer) => {
+                self.tally.bad();
+                (answer, true)
+            }
         };
         if close {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -231,14 +264,24 @@
             return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
         let deadline = arrival.deadline;
+        let counted = self.tally.taken(arrival.class.0);
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
-        Ok(match timeout_at(deadline + OVERDUE, answer).await {
-            Ok(Ok(answer)) => word(answer),
-            Ok(Err(_)) => plain(StatusCode::BAD_GATEWAY, "no answer was decided"),
-            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-        })
+        let (how, response) = match timeout_at(deadline + OVERDUE, answer).await {
+            Ok(Ok(answer)) => (
+                match answer {
+                    Answer::Served(..) => Ended::Served,
+                    Answer::Refused(_) => Ended::Refused,
+                    Answer::Failed(_) => Ended::Failed,
+                },
+                word(answer),
+            ),
+            Ok(Err(_)) => (Ended::Failed, plain(StatusCode::BAD_GATEWAY, "no answer was decided")),
+            Err(_) => (Ended::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+        };
+        counted.ended(how);
+        Ok(response)
     }
 
     /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,11 +1,16 @@
 //! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
 //! the decisions of `micasail` in between.
 //!
-//! [`daemon`] is one instance's life; `front` (clients) and `upstream` (servers) are the two sides of a request,
-//! which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list.
+//! `daemon` is one instance's life and `fleet` that of many; `front` (clients) and `upstream` (servers) are the two
+//! sides of a request, which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list;
+//! [`cli`] is the way in.
 
-pub mod daemon;
+pub mod cli;
+mod daemon;
 mod discovery;
 mod driver;
+mod exit;
+mod fleet;
 mod front;
+mod log;
 mod upstream;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,5 +1,5 @@
 //! The program `bellcroft`; all that it does is in the library beside it.
 
 fn main() -> std::process::ExitCode {
-    bellcroft::daemon::main()
+    bellcroft::cli::main(std::env::args_os())
 }
--- /dev/null
+++ b/crates/operator/tests/files.rs
@@ -0,0 +1,163 @@
+//! The operator's files: the ones that the project ships, and bad ones.
+
+use bellcroft_operator::{AgentFile, Fault, FleetFile};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// A file of its own, which ends with the test.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new(bytes: &[u8]) -> Self {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let path =
+            std::env::temp_dir().join(format!("bellcroft-operator-{}-{number}.toml", std::process::id()));
+        std::fs::write(&path, bytes).expect("a file");
+        Temporary(path)
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn shipped(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(name)
+}
+
+/// Each line without the file's name.
+fn lines(faults: &[Fault], file: &Path) -> Vec<String> {
+    let name = file.display().to_string();
+    faults.iter().map(|fault| fault.to_string().replacen(&name, "F", 1)).collect()
+}
+
+fn fleet(text: &str) -> Result<FleetFile, Vec<String>> {
+    let file = Temporary::new(text.as_bytes());
+    FleetFile::read(&file.0).map_err(|faults| lines(&faults, &file.0))
+}
+
+/// Every key that a shipped file shows commented out is one that is known, with a value that is right.
+#[test]
+fn the_shipped_files_are_good_also_with_every_comment_taken_out() {
+    AgentFile::read(&shipped("agent.toml")).expect("it is good");
+    let file = FleetFile::read(&shipped("fleet.toml")).expect("it is good");
+    assert_eq!(file.members.len(), 50);
+    for name in ["agent.toml", "fleet.toml"] {
+        let text = std::fs::read_to_string(shipped(name)).expect("it is there");
+        let all: String = text
+            .lines()
+            .map(|line| match line.strip_prefix('#') {
+                Some(rest) if rest.starts_with(|c: char| c.is_ascii_lowercase() || c == '[') => rest,
+                _ => line,
+            })
+            .flat_map(|line| [line, "\n"])
+            .collect();
+        assert!(all.len() < text.len(), "{name} shows no key that is off");
+        let whole = Temporary::new(all.as_bytes());
+        let read = match name {
+            "agent.toml" => AgentFile::read(&whole.0).map(drop),
+            _ => FleetFile::read(&whole.0).map(drop),
+        };
+        assert_eq!(read.map_err(|faults| lines(&faults, &whole.0)), Ok(()), "{name}");
+    }
+}
+
+#[test]
+fn an_empty_agent_file_means_the_standard() {
+    let file = Temporary::new(b"");
+    let read = AgentFile::read(&file.0).expect("it is good");
+    assert_eq!(read, AgentFile::default());
+    assert_eq!(read.daemon.status_every, Duration::from_secs(1));
+}
+
+#[test]
+fn a_bad_agent_file_tells_all_that_is_wrong_with_it() {
+    let text = "[instance]\nname = \"../x\"\nlisten = \"8443\"\ndiscovery = 7\n\n[daemon]\nstate = \"\"\n\
+                status_every = \"1h\"\nstop_whitin = \"1s\"\n\n[demon]\n";
+    let file = Temporary::new(text.as_bytes());
+    let faults = AgentFile::read(&file.0).expect_err("it is bad");
+    let lines = lines(&faults, &file.0);
+    let expected = [
+        "F:2: instance.name: is \"../x\"; at most 64 letters",
+        "F:3: instance.listen: is \"8443\"; an address such as",
+        "F:4: instance.discovery: is 7; an address such as",
+        "F:7: daemon.state: is \"\"; a text that is not empty",
+        "F:8: daemon.status_every: is \"1h\"; a time such as",
+        "F:9: daemon.stop_whitin: is no known key; did you mean stop_within?",
+        "F:11: demon: is no known key; did you mean daemon?",
+    ];
+    assert_eq!(lines.len(), expected.len(), "{lines:#?}");
+    for (line, expected) in lines.iter().zip(expected) {
+        assert!(line.starts_with(expected), "{line}\nfor {expected}");
+    }
+}
+
+#[test]
+fn files_that_cannot_be_read_say_why() {
+    let missing = AgentFile::read(Path::new("/nowhere/agent.toml")).expect_err("it is missing");
+    assert!(missing[0].to_string().starts_with("/nowhere/agent.toml: cannot be read"), "{}", missing[0]);
+    let folder = AgentFile::read(&std::env::temp_dir()).expect_err("it is a folder");
+    assert!(folder[0].what.contains("no plain file"));
+    let binary = Temporary::new(b"[daemon]\n\xff\xfe");
+    let faults = AgentFile::read(&binary.0).expect_err("it is no text");
+    assert_eq!((faults[0].line, faults[0].what.as_str()), (2, "is not UTF-8 text"));
+    let huge = Temporary::new(&vec![b'#'; 2 << 20]);
+    assert!(AgentFile::read(&huge.0).expect_err("it is too long")[0].what.contains("bytes long"));
+    let half = Temporary::new(b"[daemon]\nstate = \"/run/bell");
+    assert_eq!(AgentFile::read(&half.0).expect_err("it is cut off")[0].line, 2);
+}
+
+#[test]
+fn a_template_makes_instances_that_differ() {
+    let text = "[fleet]\nstate = \"s\"\n[template]\ncount = 3\nfirst = 7\nname = \"d-{n}\"\n\
+                listen = \"127.0.0.1:9000\"\nconfig = \"c/{name}-{n}.json\"\n";
+    let file = fleet(text).expect("it is good");
+    let names: Vec<&str> = file.members.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!(names, ["d-7", "d-8", "d-9"]);
+    let ports: Vec<u16> = file.members.iter().map(|m| m.listen.port()).collect();
+    assert_eq!(ports, [9000, 9001, 9002]);
+    assert!(file.members[2].config.ends_with("c/d-9-9.json"));
+    assert!(file.state.is_absolute(), "relative to its file");
+}
+
+#[test]
+fn fleets_that_cannot_be_are_refused() {
+    let instance = |name: &str, listen: &str| {
+        format!("[[instance]]\nname = \"{name}\"\nlisten = \"{listen}\"\nconfig = \"c\"\n")
+    };
+    let head = "[fleet]\nstate = \"s\"\n";
+    let template = |more: &str| format!("{head}[template]\nconfig = \"c\"\n{more}");
+    for (text, part) in [
+        (head.to_owned(), "at least one instance"),
+        (instance("a", "127.0.0.1:1"), "fleet.state: is missing"),
+        (
+            format!("{head}{}{}", instance("a", "127.0.0.1:1"), instance("a", "127.0.0.1:2")),
+            "another instance's too",
+        ),
+        (format!("{head}{}{}", instance("a", "127.0.0.1:1"), instance("b", "127.0.0.1:1")), "is a's"),
+        (template("count = 0\nname = \"a-{n}\"\nlisten = \"127.0.0.1:1\"\n"), "F:5: template.count: is 0"),
+        (template("count = 2\nname = \"a\"\nlisten = \"127.0.0.1:1\"\n"), "with {n} in it"),
+        (template("count = 9\nname = \"a{n}\"\nlisten = \"127.0.0.1:65530\"\n"), "would have port 65538"),
+        (template("name = \"a{n}\"\nlisten = \"127.0.0.1:1\"\n"), "template.count: is missing"),
+        (template("count = 1\nname = \"a/{n}\"\nlisten = \"127.0.0.1:1\"\n"), "makes \"a/0\"|is \"a/{n}\""),
+        (
+            format!("{head}roll_at_once = 0\n{}", instance("a", "127.0.0.1:1")),
+            "F:3: fleet.roll_at_once: is 0",
+        ),
+        (
+            format!("{head}[restart]\nfirst = \"9s\"\nmost = \"1s\"\n{}", instance("a", "127.0.0.1:1")),
+            "F:5: restart.most",
+        ),
+        (
+            format!("{head}[restart]\njitter = 2\n{}", instance("a", "127.0.0.1:1")),
+            "a number from 0.0 to 1.0",
+        ),
+    ] {
+        let wrong = fleet(&text).expect_err(&text).join("\n");
+        assert!(part.split('|').any(|part| wrong.contains(part)), "{part}:\n{wrong}");
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -22,7 +22,7 @@
 fn main() -> ExitCode {
     // The agent itself, for cargo builds no other package's program to run this one. Its words are its own.
     if std::env::args_os().nth(1).is_some_and(|word| word == "agent") {
-        return bellcroft::daemon::main();
+        return bellcroft::cli::main(std::env::args_os().skip(1));
     }
     let args = Args::parse();
     let runtime = match tokio::runtime::Runtime::new() {
