--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -50,8 +50,8 @@
 
 /// Runs an instance until it is told to end.
 pub(crate) fn run(start: Start) -> ExitCode {
-    let loaded = Config::load(&start.sources, variable);
-    let mut config = match loaded {
+    let started_ms = unix_ms();
+    let mut config = match Config::load(&start.sources, variable) {
         Ok(config) => config,
         Err(wrong) => {
             say(format_args!("bellcroft: {}", wrong.join("; ")));
@@ -72,7 +72,7 @@
             Err(Refused::Unusable(why)) => problems.push(why),
         }
     }
-    let serve = async { serve(config, start, state, problems).await };
+    let serve = async { serve(config, start, state, problems, started_ms).await };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let served = match runtime {
         Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, serve),
@@ -118,6 +118,7 @@
     listen: String,
     listener: Option<OwnedFd>,
     started_ms: u64,
+    ready_ms: Cell<Option<u64>>,
     phase: Cell<Phase>,
     generation: Cell<u64>,
     refused: RefCell<Option<String>>,
@@ -155,6 +156,7 @@
             name: config.name.clone(),
             pid: std::process::id(),
             started_ms: self.started_ms,
+            ready_ms: self.ready_ms.get(),
             written_ms: unix_ms(),
             phase: self.phase.get(),
             listen: self.listen.clone(),
@@ -264,6 +266,7 @@
     start: Start,
     state: Option<StateDir>,
     mut problems: Vec<String>,
+    started_ms: u64,
 ) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
@@ -318,7 +321,8 @@
         notify,
         listen: address.to_string(),
         listener: copy,
-        started_ms: unix_ms(),
+        started_ms,
+        ready_ms: Cell::new(None),
         phase: Cell::new(Phase::Starting),
         generation: Cell::new(1),
         refused: RefCell::default(),
@@ -338,6 +342,7 @@
     let mut next_alive = alive_every.map(|every| Instant::now() + every);
     loop {
         if instance.phase.get() == Phase::Starting && instance.driver.ready() {
+            instance.ready_ms.set(Some(unix_ms()));
             instance.enter(Phase::Ready);
             instance.notify.ready("serving");
         }
@@ -399,6 +404,11 @@
         writer.finish(instance.text()).await;
     }
     drop(control);
+    if state.is_some() {
+        // The next process begins to count anew, and its status takes this one's place.
+        let totals = serde_json::to_string(&instance.status().requests).unwrap_or_default();
+        say(format_args!("{name}: totals {totals}"));
+    }
     say(format_args!("{name}: all is answered"));
     // The lock ends with the process, after everything else.
     drop(state);
--- a/crates/agent/src/daemon/state.rs
+++ b/crates/agent/src/daemon/state.rs
@@ -23,6 +23,10 @@
 /// A Unix socket's path has 107 bytes at most (`sun_path`, unix(7)), and the socket is made under a longer name.
 pub const PATH_MOST: usize = 107 - "/control.sock.new".len();
 
+/// A lock that is taken is tried again so often: whoever looks whether it is free holds it for that moment.
+const TRIES: u32 = 10;
+const TRY_AGAIN: Duration = Duration::from_millis(10);
+
 /// Why a state directory is not this process's.
 #[derive(Debug)]
 pub enum Refused {
@@ -73,10 +77,18 @@
         let open =
             OpenOptions::new().read(true).write(true).create(true).truncate(false).mode(0o600).open(&file);
         let lock = open.or_else(|e| File::open(&file).map_err(|_| e)).map_err(|e| unusable("lock", e))?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => return Err(Refused::Held(holder(path))),
-            Err(TryLockError::Error(e)) => return Err(unusable("lock", e)),
+        let mut tries = TRIES;
+        loop {
+            match lock.try_lock() {
+                Ok(()) => break,
+                // It may be no more than a look (`held`), which is over in microseconds.
+                Err(TryLockError::WouldBlock) if tries > 0 => {
+                    tries -= 1;
+                    std::thread::sleep(TRY_AGAIN);
+                }
+                Err(TryLockError::WouldBlock) => return Err(Refused::Held(holder(path))),
+                Err(TryLockError::Error(e)) => return Err(unusable("lock", e)),
+            }
         }
         if about.mode() & 0o077 != 0 {
             std::fs::set_permissions(path, Permissions::from_mode(0o700))
@@ -222,6 +234,24 @@
         assert_eq!(std::fs::metadata(&path).expect("it is there").mode() & 0o777, 0o700);
     }
 
+    #[test]
+    fn a_look_at_the_lock_does_not_keep_its_owner_out() {
+        let folder = Folder::new("look");
+        let path = folder.0.join("state");
+        drop(StateDir::take(&path).expect("it is free"));
+        let over = std::sync::atomic::AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                    held(&path);
+                }
+            });
+            let taken: Vec<bool> = (0..200).map(|_| StateDir::take(&path).is_ok()).collect();
+            over.store(true, std::sync::atomic::Ordering::SeqCst);
+            assert!(taken.iter().all(|taken| *taken));
+        });
+    }
+
     #[test]
     fn what_cannot_be_a_directory_is_unusable_and_says_why() {
         let folder = Folder::new("unusable");
--- a/crates/agent/src/daemon/status.rs
+++ b/crates/agent/src/daemon/status.rs
@@ -44,6 +44,8 @@
     pub pid: u32,
     /// When it started.
     pub started_ms: u64,
+    /// When it first had a server to send to.
+    pub ready_ms: Option<u64>,
     /// When this was written.
     pub written_ms: u64,
     /// What it is doing.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod backend;
 mod directory;
+mod fleet;
+mod folder;
 mod http;
 mod process;
 mod server;
@@ -14,6 +16,8 @@
 
 pub use backend::{Backend, Reply};
 pub use directory::{host, Directory, Mood};
+pub use fleet::{bellcroft, instances, phases, Fleet};
+pub use folder::{Folder, Manager};
 pub use http::{ok, read_message, request, soon, Message, LONG};
 pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
 pub use server::{Plan, Seen, Server};
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! `rig demo` shows an agent at work between stand-ins; `rig measure` measures one.
 
 mod demo;
+mod measure;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -17,6 +18,9 @@
 enum Command {
     /// Start servers, one agent and steady traffic of three classes; slow one server half way; end with a table.
     Demo(demo::Options),
+    /// Measure something and print a table.
+    #[command(subcommand)]
+    Measure(measure::What),
 }
 
 fn main() -> ExitCode {
@@ -25,6 +29,12 @@
         return bellcroft::cli::main(std::env::args_os().skip(1));
     }
     let args = Args::parse();
+    if let Command::Measure(measure::What::Fleet(options)) = &args.command {
+        if let Some(program) = &options.program {
+            // Before there is any other thread.
+            std::env::set_var("BELLCROFT_PROGRAM", program);
+        }
+    }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -34,5 +44,6 @@
     };
     match args.command {
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
+        Command::Measure(measure::What::Fleet(options)) => runtime.block_on(measure::fleet(&options)),
     }
 }
