The supervisor's orders begin with all that an earlier one left running

Change: all running processes stand before the first is told of. A connection that is fresh is a pure question with a test.

--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -160,10 +160,9 @@
     /// Whether any request is on its way in or has no answer yet. One may be on its way over a connection that is
     /// so fresh that its first byte has not come.
     pub fn busy(&self) -> bool {
-        let busy = |held: &Held| match held.line.phase() {
-            (Phase::Arriving | Phase::Open, _) => true,
-            (Phase::Mute, since) => since.elapsed() < FRESH,
-            (Phase::Idle, _) => false,
+        let busy = |held: &Held| {
+            let (phase, since) = held.line.phase();
+            awaited(phase, since.elapsed())
         };
         self.held.borrow().values().any(busy)
     }
@@ -358,6 +357,15 @@
     }
 }
 
+/// Whether a connection that has been in this phase for so long may still owe an answer.
+fn awaited(phase: Phase, for_so_long: Duration) -> bool {
+    match phase {
+        Phase::Arriving | Phase::Open => true,
+        Phase::Mute => for_so_long < FRESH,
+        Phase::Idle => false,
+    }
+}
+
 /// An id that is open as long as this is.
 struct OpenId<'a>(&'a RefCell<HashSet<Box<str>>>, Box<str>);
 
@@ -425,6 +433,14 @@
 mod tests {
     use super::*;
 
+    /// A client that has just connected is about to ask: an end that does not wait for it loses its request.
+    #[test]
+    fn an_end_waits_for_a_connection_that_is_fresh_and_not_for_one_that_is_mute() {
+        let (soon, late) = (Duration::from_millis(50), Duration::from_secs(2));
+        assert!(awaited(Phase::Mute, soon) && !awaited(Phase::Mute, late));
+        assert!(awaited(Phase::Arriving, late) && awaited(Phase::Open, late) && !awaited(Phase::Idle, soon));
+    }
+
     #[test]
     fn waits_have_a_number_and_a_unit() {
         assert_eq!(wait_of("480m"), Some(Duration::from_millis(480)));
--- a/crates/supervise/tests/orders.rs
+++ b/crates/supervise/tests/orders.rs
@@ -257,27 +257,23 @@
         let policy = Policy { roll_at_once: choice.usize(1..4), ..Policy::default() };
         let trouble = choice.u64(0..60);
         let mut machine = Machine::new(seed, instances, policy, trouble);
-        // Some of them run already, as an earlier supervisor left them.
-        for place in 0..instances {
-            if choice.u8(0..4) == 0 {
-                machine.processes[place] = Some(Process {
-                    release: ReleaseId(0),
-                    ready_at: Some(MS * 20),
-                    dies_at: None,
-                    ends_on_term: true,
-                    serves: true,
-                    told_ready: false,
-                    prove_at: None,
-                    served: false,
-                    terminated: None,
-                });
-                // Adoption comes before anything is started.
-                let mut actions = Vec::new();
-                machine.supervisor.handle(Duration::ZERO, Event::Adopted(InstanceId(place)), &mut actions);
-                for action in actions {
-                    machine.carry_out(action);
-                }
-            }
+        // Some of them run already, as an earlier supervisor left them; all of those before the first is told of.
+        let left: Vec<usize> = (0..instances).filter(|_| choice.u8(0..4) == 0).collect();
+        for &place in &left {
+            machine.processes[place] = Some(Process {
+                release: ReleaseId(0),
+                ready_at: Some(MS * 20),
+                dies_at: None,
+                ends_on_term: true,
+                serves: true,
+                told_ready: false,
+                prove_at: None,
+                served: false,
+                terminated: None,
+            });
+        }
+        for place in left {
+            machine.tell(Event::Adopted(InstanceId(place)));
         }
         for _ in 0..choice.usize(1..6) {
             machine.pass(Duration::from_millis(choice.u64(0..15_000)));
