The module obeys limits by request: time-outs, attempts, budgets, bounds, second copies

Need: routes are to set time-outs, attempts and second copies; and a repeat whose connection comes up late could leave after the window in which servers drop repeats. Change: a request may carry Limits; 'lawful', the budgets and the bounds read them, and what carries none gets the standard ones. Action::Send says until when its first byte may go out. Second copies are placed like any attempt, stop first when capacity is short, and what is left out after an answer is called back. The agent does not heed write_by yet.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -187,13 +187,11 @@
                 let opts = opts.unwrap_or(0);
                 let hint = estimate_ms.filter(|ms| opts & 1 != 0 && ms.is_finite() && *ms > 0.0);
                 Some(Event::Request(Request {
-                    id,
-                    class: ClassId(cls),
                     tenant: party.map(TenantId),
                     key: affinity.map(|key| KeyId(fnv1a(&key))),
                     cost_hint: hint.map(Span::from_ms),
                     repeat: opts & 2 != 0,
-                    time_left: Span::from_ms(expires_in_ms),
+                    ..Request::new(id, ClassId(cls), Span::from_ms(expires_in_ms))
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
@@ -246,7 +244,7 @@
         let backend = |server: ServerId, names: &HashMap<ServerId, Rc<str>>| names[&server].to_string();
         let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let backend = backend(server, &self.server_names);
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.out += 1;
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -215,14 +215,13 @@
             let mut state = self.state.borrow_mut();
             let id = RequestId(state.next_request);
             state.next_request += 1;
+            let time_left = self.clock.at(arrival.deadline).since(self.clock.now());
             let request = micasail::Request {
-                id,
-                class: arrival.class,
                 tenant: arrival.tenant,
                 key: arrival.key,
                 cost_hint: arrival.cost_hint,
                 repeat: arrival.repeat,
-                time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
+                ..micasail::Request::new(id, arrival.class, time_left)
             };
             state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
             state.queue.push_back(Event::Request(request));
@@ -310,7 +309,7 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at } => self.send(state, request, server, timeout_at),
+            Action::Send { request, server, timeout_at, .. } => self.send(state, request, server, timeout_at),
             Action::Cancel { request, attempt } => {
                 if let Some(progress) = state.attempts.get(&(request, attempt.0)) {
                     progress.call_off();
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::ops::{Add, Mul, Sub};
+use std::sync::Arc;
 
 /// A moment on the caller's clock, in microseconds since any epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -491,13 +492,122 @@
     pub repeat: bool,
     /// How long the client still waits for this try.
     pub time_left: Span,
+    /// What its route allows; without one, [`Limits::STANDARD`].
+    pub limits: Option<Arc<Limits>>,
+    /// A second copy goes out if there is no answer this long after a send; never without.
+    pub second_copy_after: Option<Span>,
 }
 
 impl Request {
     /// A first try without tenant, key or hint.
     pub fn new(id: RequestId, class: ClassId, time_left: Span) -> Self {
-        Request { id, class, tenant: None, key: None, cost_hint: None, repeat: false, time_left }
+        Request {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            time_left,
+            limits: None,
+            second_copy_after: None,
+        }
+    }
+
+    /// What its route allows.
+    pub fn limits(&self) -> &Limits {
+        static STANDARD: Limits = Limits::STANDARD;
+        self.limits.as_deref().unwrap_or(&STANDARD)
+    }
+}
+
+/// The outcomes of an attempt that another one may follow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RetryOn {
+    /// No connection could be had, or nothing was sent.
+    pub connect: bool,
+    /// The server turned it away unseen.
+    pub rejected: bool,
+    /// The connection broke.
+    pub reset: bool,
+    /// No answer came in time, or the attempt was called back for that.
+    pub timeout: bool,
+    /// The server answered with an error.
+    pub error: bool,
+}
+
+impl RetryOn {
+    /// Any of them.
+    pub const ALL: RetryOn =
+        RetryOn { connect: true, rejected: true, reset: true, timeout: true, error: true };
+    /// None of them.
+    pub const NONE: RetryOn =
+        RetryOn { connect: false, rejected: false, reset: false, timeout: false, error: false };
+
+    /// Whether another attempt may follow this outcome.
+    pub fn allows(self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Success => false,
+            Outcome::ConnectFailed | Outcome::NotSent => self.connect,
+            Outcome::Rejected => self.rejected,
+            Outcome::ConnectionReset => self.reset,
+            Outcome::TimedOut | Outcome::Cancelled => self.timeout,
+            Outcome::ServerError => self.error,
+        }
     }
+
+    /// Whether another attempt may follow one that may have run.
+    pub fn after_it_may_have_run(self) -> bool {
+        self.reset || self.timeout || self.error
+    }
+}
+
+/// Further attempts that requests earn and save up together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Budget {
+    /// Its name, chosen by the caller: small, and the same for all requests that share the budget. 0 is the one of
+    /// requests without a route.
+    pub id: u32,
+    /// What each request earns of a further attempt.
+    pub ratio: f64,
+    /// Further attempts that are saved up at most, and at the start.
+    pub burst: f64,
+    /// Attempts that follow one which never ran are paid for as well.
+    pub strict: bool,
+}
+
+/// What requests may occupy together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound {
+    /// Its name, chosen by the caller as that of a [`Budget`].
+    pub id: u32,
+    /// Attempts that may be out at a time.
+    pub in_flight: u32,
+    /// Requests that may be held back at a time.
+    pub held: u32,
+}
+
+/// What a route allows its requests, within what the settings allow. Time-outs of [`Span`]'s greatest value are none.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// The request has its final answer after this, if its client does not leave it less.
+    pub timeout: Span,
+    /// An attempt times out after this.
+    pub attempt_timeout: Span,
+    /// A request that has been held back for this long is given up.
+    pub queue_timeout: Span,
+    /// Attempts in all.
+    pub attempts: u32,
+    /// What another attempt may follow.
+    pub retry_on: RetryOn,
+    /// Further attempts stay in the zone of the first.
+    pub same_zone: bool,
+    /// What pays for further attempts, second copies among them: every one of these.
+    pub budgets: Vec<Budget>,
+    /// What pays for second copies besides.
+    pub copies: Vec<Budget>,
+    /// What is occupied.
+    pub bounds: Vec<Bound>,
 }
 
 /// How an attempt or a probe ended.
@@ -598,6 +708,10 @@
         server: ServerId,
         /// When the attempt times out.
         timeout_at: Time,
+        /// Its first byte may go out until then; after it nothing of the attempt may be written, and its outcome is
+        /// [`Outcome::NotSent`]. A connection may come up long after the decision, when servers no longer drop a
+        /// repeat, or the server has been told to drain.
+        write_by: Time,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -655,3 +769,9 @@
         text: String,
     },
 }
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits::STANDARD
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,6 +68,8 @@
 /// Each request earns this much of a further attempt, saved up to the burst.
 const RETRY_EARN: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
+/// Second copies go out only at this level or more of the common one.
+const COPY_LEVEL: f64 = 0.9;
 /// How often the balancer looks around when it holds requests, and when it does not.
 const TICK_BUSY: Span = Span(10_000);
 const TICK_IDLE: Span = Span(50_000);
@@ -112,13 +114,40 @@
 
 const TICK: TimerId = TimerId(0);
 const ASKED: TimerId = TimerId(1);
+const COPY: TimerId = TimerId(2);
+
+impl Limits {
+    /// What the rules and the settings allow, with the budget of further attempts that all requests share.
+    pub const STANDARD: Limits = Limits {
+        timeout: Span(u64::MAX),
+        attempt_timeout: Span(u64::MAX),
+        queue_timeout: Span(u64::MAX),
+        attempts: u32::MAX,
+        retry_on: RetryOn::ALL,
+        same_zone: false,
+        budgets: Vec::new(),
+        copies: Vec::new(),
+        bounds: Vec::new(),
+    };
+}
+
+/// What pays where a route names no budget of its own.
+const COMMON: Budget = Budget { id: 0, ratio: RETRY_EARN, burst: RETRY_BURST, strict: false };
+
+fn budgets(limits: &Limits) -> &[Budget] {
+    if limits.budgets.is_empty() {
+        &[COMMON]
+    } else {
+        &limits.budgets
+    }
+}
 
 impl Balancer {
     /// A balancer for these settings; equal seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let mut blank = Balancer::blank(settings, seed);
-        (blank.retries, blank.tell_bytes, blank.ask_pause) = (RETRY_BURST, TELL_SAVED, ASK_AGAIN);
+        (blank.tell_bytes, blank.ask_pause) = (TELL_SAVED, ASK_AGAIN);
         Ok(blank)
     }
 
@@ -147,6 +176,7 @@
             }
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(ASKED) => self.choose_asked(now, out),
+            Event::Timer(COPY) => self.send_copies(now, out),
             Event::Timer(_) => {}
             Event::PeerMessage { payload, .. } => self.hear(now, &payload),
             Event::Probed { server, outcome, report, .. } => {
@@ -184,17 +214,16 @@
             _ => *votes -= 1,
         }
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
-        let deadline = now + request.time_left;
+        let deadline = now + request.time_left.min(request.limits().timeout);
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
         self.count(now, &request);
         let over_share = self.over_share(&request);
-        let live = Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share };
+        let (attempts, held_since) = (Vec::new(), None);
+        let live = Live { request, deadline, wanted_by, attempts, bound: false, over_share, held_since };
         let hopeless = self.hopeless(now, &live);
+        self.earn(live.request.limits());
         self.live.insert(id, live);
-        // Many balancers that each save up a burst would all spend it in the same jam.
         self.tell_bytes = (self.tell_bytes + TELL_EARN).min(TELL_SAVED);
-        let burst = if self.blind { 1.0 } else { RETRY_BURST };
-        self.retries = (self.retries + RETRY_EARN).min(burst);
         if hopeless || !self.admits() {
             self.end(now, id, out);
         } else if !self.place(now, id, out) {
@@ -202,6 +231,38 @@
         }
     }
 
+    /// A request earns its part of a further attempt. Many balancers that each save up a burst would all
+    /// spend it in the same jam.
+    fn earn(&mut self, limits: &Limits) {
+        for budget in budgets(limits).iter().chain(&limits.copies) {
+            let burst = if self.blind { budget.burst.min(1.0) } else { budget.burst };
+            let saved = (self.saved(budget) + budget.ratio).min(burst);
+            self.save(budget, saved);
+        }
+    }
+
+    fn saved(&self, budget: &Budget) -> f64 {
+        self.saved.get(budget.id as usize).copied().flatten().unwrap_or(budget.burst)
+    }
+
+    fn save(&mut self, budget: &Budget, saved: f64) {
+        let place = budget.id as usize;
+        self.saved.resize(self.saved.len().max(place + 1), None);
+        self.saved[place] = Some(saved);
+    }
+
+    /// Whether the budgets bear a further attempt; one that follows an attempt which never ran is `free` where
+    /// no route says otherwise.
+    fn affords(&self, limits: &Limits, free: bool) -> bool {
+        budgets(limits).iter().all(|b| (free && !b.strict) || self.saved(b) >= 1.0)
+    }
+
+    fn pay(&mut self, limits: &Limits, free: bool) {
+        for budget in budgets(limits).iter().filter(|b| !free || b.strict) {
+            self.save(budget, self.saved(budget) - 1.0);
+        }
+    }
+
     /// Where a balancer meets a server once in many seconds, limits per server bind nothing: in a jam of the
     /// fleet it lets in only the part of its requests that the level says, by chance.
     fn admits(&mut self) -> bool {
@@ -260,11 +321,17 @@
 
     /// Keeps a request for later, or ends it if that is hopeless.
     fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        if self.held.len() >= HELD_MOST {
+        let Some(live) = self.live.get(&id) else { return };
+        let shares = |other: &RequestId, bound: &Bound| {
+            self.live.get(other).is_some_and(|o| o.request.limits().bounds.iter().any(|b| b.id == bound.id))
+        };
+        let full = |b: &Bound| self.held.iter().filter(|other| shares(other, b)).count() >= b.held as usize;
+        if self.held.len() >= HELD_MOST || live.request.limits().bounds.iter().any(full) {
             self.end(now, id, out);
             return;
         }
         self.held.insert(0, id);
+        self.live.entry(id).and_modify(|live| live.held_since = live.held_since.or(Some(now)));
         // A tick that is due is never put off: requests held at each tick would starve it and lose requests.
         if self.tick_at > now + TICK_BUSY {
             self.set_tick(now, TICK_BUSY, out);
@@ -276,7 +343,8 @@
         let class = &self.settings.classes[live.request.class.0];
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
-        let full = live.attempts.len() >= self.settings.max_attempts as usize;
+        let limits = live.request.limits();
+        let full = live.attempts.len() >= self.settings.max_attempts.min(limits.attempts) as usize;
         let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
@@ -289,6 +357,10 @@
                 Group::Cell => Reach::Cell(first.cell),
             },
         };
+        let send = match (send, live.attempts.first().filter(|_| limits.same_zone)) {
+            (Reach::Anywhere, Some(first)) => Reach::Zone(first.zone),
+            _ => send,
+        };
         let refuse = match (first, class.effect) {
             (None, _) | (_, Effect::Idempotent) => true,
             (Some(_), Effect::AtMostOnce) => false,
@@ -303,7 +375,8 @@
     fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(live) = self.live.get(&id) else { return true };
         let pick = self.pick_for(now, live);
-        if pick.reach == Reach::Nowhere {
+        let room = |b: &Bound| self.occupied.get(b.id as usize).is_none_or(|n| *n < b.in_flight);
+        if pick.reach == Reach::Nowhere || !live.request.limits().bounds.iter().all(room) {
             return false;
         }
         let candidates = self.candidates(now, &pick);
@@ -327,6 +400,7 @@
             key,
             warm: key.and_then(|k| self.warm_keys.get(&k)).copied(),
             tried: live.attempts.iter().map(|a| a.server).collect(),
+            copy: live.attempts.iter().any(|a| a.fate == Fate::Out),
         }
     }
 
@@ -434,7 +508,7 @@
             let ready = |i: &usize| self.ready(now, *i, ask);
             let open = self.serving.iter().copied().filter(ready);
             let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| ask.tried.contains(i));
-            let open = if fresh.is_empty() { again } else { fresh };
+            let open = if fresh.is_empty() && !ask.copy { again } else { fresh };
             found.extend((0..DRAWS.min(open.len())).map(|_| open[self.rng.usize(0..open.len())]));
         }
         found
@@ -515,6 +589,26 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
+        let limits = live.request.limits();
+        let timeout_at = live.deadline.min(now + limits.attempt_timeout);
+        let mut write_by = timeout_at.min(now + self.settings.drain_grace);
+        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        if let (Some(first), Effect::Deduplicated { window, .. }) =
+            (first, self.settings.classes[class].effect)
+        {
+            write_by = write_by.min(first.sent + window);
+        }
+        for bound in &limits.bounds {
+            let place = bound.id as usize;
+            self.occupied.resize(self.occupied.len().max(place + 1), 0);
+            self.occupied[place] += 1;
+        }
+        if let (false, Some(after)) = (pick.copy, live.request.second_copy_after) {
+            self.copies.insert((now + after, id));
+            out.push(Action::SetTimer { at: now + after, timer: COPY });
+        }
+        live.held_since = None;
+        let limits = live.request.limits.clone();
         let (zone, cell) = (s.listed.zone, s.listed.cell);
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
         s.in_flight += 1;
@@ -525,8 +619,26 @@
         let trial = s.suspicion.is_some();
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let again = attempt > 0;
-        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, again, counted: false });
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at: live.deadline });
+        let flight = Flight { server, class, sent: now, trial, again, counted: false, limits };
+        self.flights.insert((id, attempt), flight);
+        out.push(Action::Send { request: id, server: s.listed.server, timeout_at, write_by });
+    }
+
+    /// Sends the second copies that are due. They are the first to stop when capacity is short: while requests
+    /// are held back or answers come slowly, a copy is one more in the queue.
+    fn send_copies(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.copies.first().filter(|(at, _)| *at <= now) {
+            self.copies.remove(&(at, id));
+            let Some(live) = self.live.get(&id) else { continue };
+            let limits = live.request.limits.clone().unwrap_or_default();
+            let alone = live.attempts.iter().filter(|a| a.fate == Fate::Out).count() == 1;
+            let short = !self.held.is_empty() || self.level < COPY_LEVEL;
+            let paid = self.affords(&limits, false) && limits.copies.iter().all(|b| self.saved(b) >= 1.0);
+            if alone && !short && paid && !self.hopeless(now, live) && self.place(now, id, out) {
+                self.pay(&limits, false);
+                limits.copies.iter().for_each(|b| self.save(b, self.saved(b) - 1.0));
+            }
+        }
     }
 
     // ---- cold servers -------------------------------------------------------------------------------
@@ -564,6 +676,9 @@
     ) {
         let Some(flight) = self.flights.remove(&key) else { return };
         self.servers[flight.server].in_flight -= 1;
+        for bound in flight.limits.iter().flat_map(|limits| &limits.bounds) {
+            self.occupied[bound.id as usize] -= 1;
+        }
         let (outcome, elapsed, report) = ended;
         if let Some(report) = report {
             self.read_report(now, flight.server, &report);
@@ -572,7 +687,11 @@
         self.let_go(flight.server, out);
         let id = key.0;
         if closed {
-            self.live.remove(&id);
+            // What is still out for it works for nobody.
+            let attempts = self.live.remove(&id).map(|live| live.attempts).unwrap_or_default();
+            let others = (0..).zip(&attempts).filter(|(n, a)| *n != key.1 && a.fate == Fate::Out);
+            let called = others.filter(|_| self.settings.cancel);
+            out.extend(called.map(|(n, _)| Action::Cancel { request: id, attempt: AttemptNo(n) }));
         } else if let Some(live) = self.live.get_mut(&id) {
             let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             live.attempts[key.1 as usize].fate = fate;
@@ -597,11 +716,11 @@
         if live.attempts.iter().any(|a| a.fate == Fate::Out) {
             return;
         }
-        let paid = outcome.never_ran() || self.retries >= 1.0;
-        if self.lawful(live, now).send != Reach::Nowhere && !self.hopeless(now, live) && paid {
-            if !outcome.never_ran() {
-                self.retries -= 1.0;
-            }
+        let (limits, free) = (live.request.limits(), outcome.never_ran());
+        let again = limits.retry_on.allows(outcome) && self.affords(limits, free);
+        if again && self.lawful(live, now).send != Reach::Nowhere && !self.hopeless(now, live) {
+            let limits = live.request.limits.clone().unwrap_or_default();
+            self.pay(&limits, free);
             if !self.place(now, id, out) {
                 self.hold(now, id, out);
             }
@@ -637,7 +756,12 @@
             let Some(live) = self.live.get(&id) else { return false };
             let class = live.request.class.0;
             let margin = (WAIT_MARGIN * self.class_now[class]).min(WAIT_MOST);
-            if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
+            let waited = live.held_since.map_or(Span::ZERO, |at| now.since(at));
+            let patience = live.request.limits().queue_timeout;
+            if waited >= patience
+                || self.hopeless(now, live)
+                || now + self.settings.classes[class].aim * margin >= live.wanted_by
+            {
                 self.end(now, id, out);
                 return false;
             }
@@ -886,7 +1010,10 @@
             let Some(live) = self.live.get(&id) else { continue };
             let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
             let last = attempt as usize + 1 == live.attempts.len();
-            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
+            let limits = live.request.limits();
+            let spare = live.attempts.len() < self.settings.max_attempts.min(limits.attempts) as usize
+                && limits.retry_on.timeout
+                && self.affords(limits, false);
             if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
                 out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
             }
--- a/src/records.rs
+++ b/src/records.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Where a request may still go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     /// The server that met its key last.
     pub(crate) warm: Option<usize>,
     pub(crate) tried: Vec<usize>,
+    /// Another attempt is out: this one must go elsewhere.
+    pub(crate) copy: bool,
 }
 
 /// What may still be done with a request.
@@ -86,6 +89,8 @@
     pub(crate) bound: bool,
     /// Its tenant had its share already; worth little if that is so.
     pub(crate) over_share: bool,
+    /// It is held back, since then.
+    pub(crate) held_since: Option<Time>,
 }
 
 /// An attempt that has not ended; it outlives its request if that ends first.
@@ -98,6 +103,8 @@
     pub(crate) again: bool,
     /// It has already counted as late.
     pub(crate) counted: bool,
+    /// The route's word on its request, for what it occupies.
+    pub(crate) limits: Option<Arc<Limits>>,
 }
 
 pub(crate) struct Suspicion {
@@ -214,7 +221,12 @@
     pub(crate) tell_bytes: f64,
     /// What the last reports said on average.
     pub(crate) crowd: f64,
-    pub(crate) retries: f64,
+    /// Further attempts saved up, by the budget's name; none has been touched yet.
+    pub(crate) saved: Vec<Option<f64>>,
+    /// Attempts out, by the bound's name.
+    pub(crate) occupied: Vec<u32>,
+    /// When which request may have a second copy.
+    pub(crate) copies: BTreeSet<(Time, RequestId)>,
     pub(crate) ask_pause: Span,
     pub(crate) ask_at: Option<Time>,
     pub(crate) tick_at: Time,
@@ -254,7 +266,9 @@
             tell_bytes: 0.0,
             kinds: BTreeMap::new(),
             zones: BTreeMap::new(),
-            retries: 0.0,
+            saved: Vec::new(),
+            occupied: Vec::new(),
+            copies: BTreeSet::new(),
             ask_pause: Span::ZERO,
             ask_at: None,
             tick_at: Time(0),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -143,7 +143,7 @@
 
     pub fn action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let Some(line) = self.servers.get(server).cloned() else {
                     return self.fault(now, format!("sent to {server:?}, which no list names"));
                 };
--- a/tests/observer_sees_breaches.rs
+++ b/tests/observer_sees_breaches.rs
@@ -18,7 +18,8 @@
 }
 
 fn send(server: u32, now: Time) -> Action {
-    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at: now + Span::from_ms(1.0) }
+    let timeout_at = now + Span::from_ms(1.0);
+    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at, write_by: timeout_at }
 }
 
 fn ended(outcome: Outcome, attempt: u32) -> Event {
@@ -84,7 +85,10 @@
     let later = now + Span::from_ms(1100.0);
     o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
     let timeout_at = later + Span::from_ms(1.0);
-    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at });
+    o.action(
+        later,
+        &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at, write_by: timeout_at },
+    );
     objects(&o, "draining or gone");
 
     let (mut o, now) = watch(Effect::Idempotent);
@@ -93,7 +97,10 @@
     let later = now + settings_window();
     for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
         o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
-        o.action(now, &Action::Send { request: RequestId(id), server: ServerId(0), timeout_at: now });
+        o.action(
+            now,
+            &Action::Send { request: RequestId(id), server: ServerId(0), timeout_at: now, write_by: now },
+        );
     }
     objects(&o, "cold");
 }
