--- a/crates/agent/src/cli/check.rs
+++ b/crates/agent/src/cli/check.rs
@@ -5,7 +5,7 @@
 use crate::exit;
 use std::process::ExitCode;
 
-pub fn run(sources: &Sources) -> ExitCode {
+pub fn run(sources: &Sources, explain: bool) -> ExitCode {
     let config = match Config::load(sources, variable) {
         Ok(config) => config,
         Err(wrong) => {
@@ -29,6 +29,10 @@
         Some(path) => println!("state: {}, written every {:?}", path.display(), config.daemon.status_every),
         None => println!("state: none is kept"),
     }
+    println!("routes: {}, pools: {}", config.routes.routes.len(), config.routes.pools.len());
     println!("digest: {}", config.digest);
+    if explain {
+        print!("{}", bellcroft_routes::explain(&config.routes, &config.platform()));
+    }
     ExitCode::SUCCESS
 }
--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -40,7 +40,13 @@
         state: Option<PathBuf>,
     },
     /// Check files whole and tell all that is wrong with them, a line each.
-    Check(Files),
+    Check {
+        #[command(flatten)]
+        files: Files,
+        /// Print each route's life as a time line: the latest moment of each step against window and deadline.
+        #[arg(long)]
+        explain: bool,
+    },
     /// Tell what an instance is doing.
     Status {
         /// Its state directory.
@@ -87,7 +93,7 @@
     match cli.command {
         None => daemon::run(Start::default()),
         Some(Command::Run { files, state }) => daemon::run(Start { sources: files.into(), state }),
-        Some(Command::Check(files)) => check::run(&files.into()),
+        Some(Command::Check { files, explain }) => check::run(&files.into(), explain),
         Some(Command::Status { state, operator, json }) => status::run(state, operator, json),
         Some(Command::Fleet(command)) => fleet::run(command),
     }
--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::{self, List};
 use bellcroft_operator::{AgentFile, Daemon};
+use bellcroft_routes::{Platform, Spec};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
@@ -35,6 +36,8 @@
     pub known: List,
     /// The operator's word on its state and its end.
     pub daemon: Daemon,
+    /// The operator's routes; they keep the rules with these settings.
+    pub routes: Spec,
     /// A hash of the bytes of its files.
     pub digest: String,
 }
@@ -121,12 +124,13 @@
         digest.extend(&read.bytes);
         let digest = String::from_utf8_lossy(&digest);
         let digest = format!("{:016x}", micasail_settings::fnv1a(&digest));
-        Self::checked(read, operator, digest, var)
+        let file = sources.operator.as_ref().map_or(String::new(), |file| file.display().to_string());
+        Self::checked(read, (operator, &file), digest, var)
     }
 
     fn checked(
         read: Read,
-        operator: AgentFile,
+        (operator, operator_file): (AgentFile, &str),
         digest: String,
         var: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, Vec<String>> {
@@ -182,6 +186,14 @@
         if known.is_none() {
             wrong.push(format!("{}: known is no server list", at("known")));
         }
+        let facts = Platform {
+            settings: &settings,
+            classes: &names.classes,
+            tenants: &names.tenants,
+            connect_timeout: names.connect_timeout,
+        };
+        let refusals = bellcroft_routes::check(&operator.routes, &facts);
+        wrong.extend(refusals.iter().map(|refusal| format!("{operator_file}:{refusal}")));
         let (Some(listen), Some(discovery), Some(known), true) = (listen, discovery, known, wrong.is_empty())
         else {
             return Err(wrong);
@@ -200,10 +212,21 @@
             names,
             known,
             daemon: operator.daemon,
+            routes: operator.routes,
             digest,
         })
     }
 
+    /// What routes are held against.
+    pub fn platform(&self) -> Platform<'_> {
+        Platform {
+            settings: &self.settings,
+            classes: &self.names.classes,
+            tenants: &self.names.tenants,
+            connect_timeout: self.names.connect_timeout,
+        }
+    }
+
     /// What differs between this configuration and a newer one that only a restart can take.
     pub fn needs_restart(&self, newer: &Config) -> Vec<&'static str> {
         let same = [
@@ -225,7 +248,8 @@
         let file = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let read = Read { path: "config.json".into(), bytes: text.as_bytes().to_vec(), file };
         let var = |name: &str| (name == "PROXY_LISTEN").then(|| listen.to_owned());
-        Config::checked(read, AgentFile::default(), String::new(), var).map_err(|wrong| wrong.join("; "))
+        Config::checked(read, (AgentFile::default(), ""), String::new(), var)
+            .map_err(|wrong| wrong.join("; "))
     }
 
     const SETTINGS: &str = r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}]}"#;
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -221,6 +221,7 @@
             return Err(format!("{} differs, which only a restart can take", fixed.join(", ")));
         }
         let discovery = newer.discovery;
+        self.driver.set_routes(&newer);
         let moved = self.config.replace(newer).discovery != discovery;
         if moved {
             self.driver.relocate(discovery);
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -7,7 +7,8 @@
 use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
 use crate::log::say;
-use crate::upstream::{Ended, Progress, Upstream};
+use crate::upstream::{AttemptLimits, Ended, Progress, Upstream};
+use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
@@ -19,6 +20,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
@@ -82,6 +84,8 @@
     pub repeat: bool,
     /// When its answer must be on its way.
     pub deadline: Instant,
+    /// Its route, as it was when it came.
+    pub route: Option<Arc<Route>>,
 }
 
 /// The one final answer to a request.
@@ -119,6 +123,10 @@
     /// The version of the list; none after discovery has moved, for versions are each service's own.
     seq: Option<u64>,
     discovery: Discovery,
+    routes: Rc<Table>,
+    ids: Ids,
+    /// The answer times of each class.
+    recent: Vec<Recent>,
 }
 
 /// Drives the balancer.
@@ -138,6 +146,9 @@
     /// A driver that has the list that the configuration knows.
     pub fn start(config: Config, connections: usize) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
+        let mut ids = Ids::default();
+        let routes = Rc::new(Table::unchecked(&config.routes, &mut ids));
+        let recent = config.names.classes.iter().map(|_| Recent::default()).collect();
         let effects = config.settings.classes.iter().map(|c| c.effect).collect();
         let upstream = Rc::new(Upstream::new(
             connections,
@@ -162,6 +173,9 @@
             up: HashSet::new(),
             seq: Some(config.known.seq),
             discovery: Discovery::new(config.discovery),
+            routes,
+            ids,
+            recent,
         };
         let driver = Rc::new(Driver {
             clock,
@@ -188,6 +202,21 @@
         !self.state.borrow().up.is_empty()
     }
 
+    /// The first route that matches a request.
+    pub fn route(&self, class: ClassId, tenant: Option<TenantId>, path: &str) -> Option<Arc<Route>> {
+        let routes = self.state.borrow().routes.clone();
+        let tenant = tenant.and_then(|t| self.names.tenants.get(t.0)).map(String::as_str);
+        routes.lookup(&self.names.classes[class.0], tenant, path).cloned()
+    }
+
+    /// Requests that come from now on go by these routes; those that are open keep what they began with. They have
+    /// been checked with the configuration that they are part of.
+    pub fn set_routes(&self, config: &Config) {
+        let mut state = self.state.borrow_mut();
+        let table = Table::unchecked(&config.routes, &mut state.ids);
+        state.routes = Rc::new(table);
+    }
+
     /// The servers by what the list says of them.
     pub fn servers(&self) -> Servers {
         let state = self.state.borrow();
@@ -221,6 +250,12 @@
                 key: arrival.key,
                 cost_hint: arrival.cost_hint,
                 repeat: arrival.repeat,
+                limits: arrival.route.as_ref().map(|route| route.limits.clone()),
+                second_copy_after: arrival.route.as_ref().and_then(|route| match route.second_copy_after {
+                    SecondCopy::Never => None,
+                    SecondCopy::After(after) => Some(after),
+                    SecondCopy::Percentile(p) => state.recent[arrival.class.0].percentile(p),
+                }),
                 ..micasail::Request::new(id, arrival.class, time_left)
             };
             state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
@@ -309,7 +344,9 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at, .. } => self.send(state, request, server, timeout_at),
+            Action::Send { request, server, timeout_at, write_by } => {
+                self.send(state, request, server, (timeout_at, write_by));
+            }
             Action::Cancel { request, attempt } => {
                 if let Some(progress) = state.attempts.get(&(request, attempt.0)) {
                     progress.call_off();
@@ -341,27 +378,45 @@
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout_at: Time) {
+    fn send(
+        self: &Rc<Self>,
+        state: &mut State,
+        request: RequestId,
+        server: ServerId,
+        (timeout_at, write_by): (Time, Time),
+    ) {
         let Some(open) = state.open.get_mut(&request) else { return };
         let attempt = open.sends;
         open.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
         let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
+        let time = |span: Span| Duration::from_micros(span.0);
+        let route = open.parts.route.as_ref();
+        let limits = AttemptLimits {
+            until,
+            write_by: self.clock.instant(write_by),
+            connect: route.and_then(|route| route.connect_timeout).map(time),
+            first_byte: route.and_then(|route| route.first_byte_timeout).map(time),
+        };
+        let class = open.parts.class;
         let progress = Rc::new(Progress::default());
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
-            let ended = driver.upstream.attempt(server, outgoing, until, &progress).await;
-            driver.ended((request, attempt), ended, sent);
+            let ended = driver.upstream.attempt(server, outgoing, &limits, &progress).await;
+            driver.ended((request, attempt), class, ended, sent);
         });
     }
 
     /// An attempt is over: the first that is served answers its request.
-    fn ended(self: &Rc<Self>, key: (RequestId, u32), ended: Ended, sent: Instant) {
+    fn ended(self: &Rc<Self>, key: (RequestId, u32), class: ClassId, ended: Ended, sent: Instant) {
         let elapsed = Span(sent.elapsed().as_micros() as u64);
         {
             let mut state = self.state.borrow_mut();
+            if ended.outcome == Outcome::Success {
+                state.recent[class.0].add(elapsed);
+            }
             state.attempts.remove(&key);
             if let Some((kind, body)) = ended.answer {
                 state.answer(key.0, Answer::Served(kind, body));
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -314,6 +314,7 @@
         if tenant.is_none() && !names.tenants.is_empty() {
             return Err(bad("X-Tenant-Id names no tenant"));
         }
+        let route = self.driver.route(ClassId(class), tenant, path);
         let wait = text(&head.headers, "x-timeout").and_then(wait_of);
         let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
         let effect = self.driver.effects[class];
@@ -349,6 +350,7 @@
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
             deadline: Instant::now() + (wait - room),
+            route,
             headers: forwarded(&head.headers),
             method: head.method,
             uri: head.uri,
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -48,6 +48,8 @@
     written: Cell<u64>,
     readable: Cell<u64>,
     shut: Cell<bool>,
+    /// What begins at this count of bytes must begin by then, or not at all.
+    begin: Cell<Option<(u64, Instant)>>,
 }
 
 /// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
@@ -64,7 +66,9 @@
 
     /// Nothing goes out for a request that has its answer, not even what is queued already.
     fn leave(&self) -> io::Result<()> {
-        if self.wire.shut.get() {
+        // However late the connection came up, or this task was run: past its time a request is not begun.
+        let late = |(from, by): (u64, Instant)| self.wire.written.get() == from && Instant::now() > by;
+        if self.wire.shut.get() || self.wire.begin.get().is_some_and(late) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         Ok(())
@@ -143,6 +147,18 @@
     }
 }
 
+/// Until when an attempt may do what.
+pub struct AttemptLimits {
+    /// It ends by then.
+    pub until: Instant,
+    /// Its first byte leaves by then, or none does.
+    pub write_by: Instant,
+    /// From its begin to an open connection, if its route is stricter than the platform.
+    pub connect: Option<Duration>,
+    /// From its hand-over to an open connection to the end of the answer's head.
+    pub first_byte: Option<Duration>,
+}
+
 /// How an exchange ended.
 pub struct Ended {
     /// The outcome in the balancer's terms.
@@ -361,11 +377,16 @@
         self: &Rc<Self>,
         server: ServerId,
         request: Request<Full<Bytes>>,
-        until: Instant,
+        limits: &AttemptLimits,
         progress: &Progress,
     ) -> Ended {
         let exchange = async {
-            let connection = match self.connection(server).await {
+            let connecting = self.connection(server);
+            let connection = match limits.connect {
+                Some(most) => timeout(most, connecting).await.unwrap_or(Err(Outcome::ConnectFailed)),
+                None => connecting.await,
+            };
+            let connection = match connection {
                 Ok(connection) => connection,
                 Err(outcome) => return Some(Ended::without_answer(outcome)),
             };
@@ -373,14 +394,27 @@
                 self.park(connection);
                 return None;
             }
-            let whole = connection.wire.written.get() + length(&request);
-            *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
-            self.exchange(connection, request).await
+            if Instant::now() > limits.write_by {
+                self.park(connection);
+                return Some(Ended::without_answer(Outcome::NotSent));
+            }
+            let written = connection.wire.written.get();
+            connection.wire.begin.set(Some((written, limits.write_by)));
+            *progress.wire.borrow_mut() = Some((connection.wire.clone(), written + length(&request)));
+            let wire = connection.wire.clone();
+            let ended = self.exchange(connection, request, limits.first_byte).await;
+            let begun = wire.written.get() > written;
+            if ended.is_none() && !begun && Instant::now() > limits.write_by {
+                return Some(Ended::without_answer(Outcome::NotSent));
+            }
+            ended
         };
+        let until = limits.until;
         let ended = tokio::select! {
             biased;
             () = progress.stop.notified() => Some(Outcome::Cancelled),
             ended = timeout_at(until, exchange) => match ended {
+                Ok(Some(Ended { outcome: Outcome::TimedOut, .. })) => Some(Outcome::TimedOut),
                 Ok(Some(ended)) => return ended,
                 Ok(None) => None,
                 Err(_) => Some(Outcome::TimedOut),
@@ -404,7 +438,8 @@
                 (Err(outcome), _) => return Ended::without_answer(outcome),
                 (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
             };
-            let ended = self.exchange(connection, request).await;
+            connection.wire.begin.set(None);
+            let ended = self.exchange(connection, request, None).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
                 ended.report =
@@ -420,9 +455,18 @@
         self: &Rc<Self>,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        first_byte: Option<Duration>,
     ) -> Option<Ended> {
         connection.wire.readable.set(ANSWER_MOST);
-        let response = connection.sender.send_request(request).await.ok()?;
+        let response = connection.sender.send_request(request);
+        let response = match first_byte {
+            Some(most) => match timeout(most, response).await {
+                Ok(response) => response,
+                Err(_) => return Some(Ended::without_answer(Outcome::TimedOut)),
+            },
+            None => response.await,
+        };
+        let response = response.ok()?;
         let headers = response.headers();
         // Two lengths are none: hyper would go by one of them, and what it then took for the answer need not be.
         let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -1,5 +1,7 @@
 //! `agent.toml`: what an operator says of one instance.
 
+use bellcroft_routes::Spec;
+
 use crate::reader::{read, Fault, Section};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,6 +14,8 @@
     pub instance: Instance,
     /// How it lives.
     pub daemon: Daemon,
+    /// Its routes, as they are written; the platform's settings say whether they can be.
+    pub routes: Spec,
 }
 
 /// `[instance]`: each value stands behind the environment's, and before the platform's configuration.
@@ -71,7 +75,7 @@
                 .unwrap_or(standard.status_every),
             stop_within: section.time("stop_within", Duration::from_millis(100)..=Duration::from_secs(600)),
         };
-        AgentFile { instance, daemon }
+        AgentFile { instance, daemon, routes: crate::routes::schema(top) }
     }
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod fleet;
 mod reader;
+mod routes;
 
 pub use agent::{AgentFile, Daemon, Instance};
 pub use fleet::{FleetFile, Member};
--- a/crates/operator/src/reader.rs
+++ b/crates/operator/src/reader.rs
@@ -1,6 +1,6 @@
 //! Reading TOML section by section, with every fault kept.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -62,7 +62,9 @@
 /// As [`read`], of a text that is at hand.
 pub(crate) fn parse<T>(file: &Path, text: &str, schema: impl FnOnce(&Section) -> T) -> Result<T, Vec<Fault>> {
     let (table, errors) = DeTable::parse_recoverable(text);
-    let source = Source { file, text, faults: RefCell::default() };
+    let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
+    let starts = std::iter::once(0).chain(ends).collect();
+    let source = Source { file, starts, faults: RefCell::default() };
     for error in errors {
         source.fault(error.span().map_or(0, |span| span.start), "", error.message().to_owned());
     }
@@ -85,14 +87,18 @@
 
 struct Source<'i> {
     file: &'i Path,
-    text: &'i str,
+    /// Where each line begins.
+    starts: Vec<usize>,
     faults: RefCell<Vec<(usize, Fault)>>,
 }
 
 impl Source<'_> {
+    fn line(&self, at: usize) -> usize {
+        self.starts.partition_point(|start| *start <= at).max(1)
+    }
+
     fn fault(&self, at: usize, key: &str, what: String) {
-        let before = self.text.as_bytes().iter().take(at);
-        let line = 1 + before.filter(|b| **b == b'\n').count();
+        let line = self.line(at);
         let fault = Fault { file: self.file.to_owned(), line, key: key.to_owned(), what };
         self.faults.borrow_mut().push((at, fault));
     }
@@ -106,11 +112,13 @@
     table: Option<&'i DeTable<'i>>,
     at: usize,
     asked: RefCell<Vec<&'static str>>,
+    /// Its keys are names of the operator's own.
+    named: Cell<bool>,
 }
 
 impl<'i> Section<'i> {
     fn new(source: &'i Source<'i>, path: String, table: Option<&'i DeTable<'i>>, at: usize) -> Self {
-        Section { source, path, table, at, asked: RefCell::default() }
+        Section { source, path, table, at, asked: RefCell::default(), named: Cell::new(false) }
     }
 
     /// The file itself or its section is there.
@@ -215,12 +223,7 @@
     /// A share within 0 to 1.
     pub fn share(&self, key: &'static str) -> Option<f64> {
         self.value(key, "a number from 0.0 to 1.0", |value| {
-            let number: f64 = match value {
-                DeValue::Integer(number) => number.as_str().parse().ok()?,
-                DeValue::Float(number) => number.as_str().parse().ok()?,
-                _ => return None,
-            };
-            (0.0..=1.0).contains(&number).then_some(number)
+            number(value).filter(|number| (0.0..=1.0).contains(number))
         })
     }
 
@@ -255,6 +258,56 @@
         sections
     }
 
+    /// The sections of this one, whose names are the operator's own.
+    pub fn children(&self) -> Vec<(String, Section<'i>)> {
+        self.named.set(true);
+        let mut children = Vec::new();
+        for (name, value) in self.table.into_iter().flat_map(|table| table.iter()) {
+            let name = name.get_ref().to_string();
+            match value.get_ref() {
+                DeValue::Table(table) => {
+                    let section =
+                        Section::new(self.source, self.name(&name), Some(table), value.span().start);
+                    children.push((name, section));
+                }
+                _ => self.fault(&name, "is no section"),
+            }
+        }
+        children
+    }
+
+    /// The line of a key, or of the section where the key is not there.
+    pub fn line(&self, key: &str) -> usize {
+        self.source.line(self.find(key).map_or(self.at, |value| value.span().start))
+    }
+
+    /// The line that the section begins in.
+    pub fn begins(&self) -> usize {
+        self.source.line(self.at)
+    }
+
+    /// A number within bounds.
+    pub fn number(&self, key: &'static str, within: RangeInclusive<f64>) -> Option<f64> {
+        let right = format!("a number from {} to {}", within.start(), within.end());
+        self.value(key, &right, |value| number(value).filter(|number| within.contains(number)))
+    }
+
+    /// A list of words out of `known`; the places there of those that it names.
+    pub fn words(&self, key: &'static str, known: &[&str]) -> Option<Vec<usize>> {
+        let right = format!("a list out of {known:?}");
+        self.value(key, &right, |value| {
+            let DeValue::Array(list) = value else { return None };
+            let place =
+                |item: &Spanned<DeValue>| known.iter().position(|k| Some(*k) == item.get_ref().as_str());
+            list.iter().map(place).collect()
+        })
+    }
+
+    /// A value that `read` makes out of a text; `right` says what it should be.
+    pub fn read<T>(&self, key: &'static str, right: &str, read: impl FnOnce(&str) -> Option<T>) -> Option<T> {
+        self.value(key, right, |value| read(value.as_str()?))
+    }
+
     /// A value that must be there.
     pub fn required<T>(&self, key: &'static str, value: Option<T>, right: &str) -> Option<T> {
         if value.is_none() && self.find(key).is_none() {
@@ -267,7 +320,7 @@
 impl Drop for Section<'_> {
     fn drop(&mut self) {
         let asked = self.asked.borrow();
-        let Some(table) = self.table else { return };
+        let Some(table) = self.table.filter(|_| !self.named.get()) else { return };
         for (name, _) in table.iter().filter(|(name, _)| !asked.contains(&name.get_ref().as_ref())) {
             let near = asked.iter().min_by_key(|known| distance(known, name.get_ref()));
             let near = near.filter(|known| distance(known, name.get_ref()) <= 2);
@@ -280,6 +333,14 @@
     }
 }
 
+fn number(value: &DeValue) -> Option<f64> {
+    match value {
+        DeValue::Integer(number) => number.as_str().parse().ok(),
+        DeValue::Float(number) => number.as_str().parse().ok(),
+        _ => None,
+    }
+}
+
 /// How many letters set two words apart (Levenshtein).
 fn distance(a: &str, b: &str) -> usize {
     let b: Vec<char> = b.chars().collect();
--- /dev/null
+++ b/crates/operator/src/routes.rs
@@ -0,0 +1,128 @@
+//! `[[route]]` and `[pool.NAME]`.
+
+use crate::agent::name;
+use crate::reader::Section;
+use bellcroft_routes::{BudgetSpec, Lines, Match, PoolSpec, RouteSpec, SecondCopy, Spec, Within};
+use micasail::{RetryOn, Span};
+use std::time::Duration;
+
+/// Time-outs lie within these.
+const LEAST: Duration = Duration::from_millis(1);
+const MOST: Duration = Duration::from_secs(600);
+/// Counts of requests lie within this.
+const COUNT_MOST: u64 = 1_000_000;
+
+pub(crate) fn schema(top: &Section) -> Spec {
+    let routes = top.sections("route").iter().map(route).collect();
+    let pools = top.section("pool");
+    let pools = pools.children().into_iter().map(|(name, section)| pool(name, &section)).collect();
+    Spec { routes, pools }
+}
+
+fn lines(section: &Section, keys: &[&'static str]) -> Lines {
+    Lines { section: section.begins(), keys: keys.iter().map(|key| (*key, section.line(key))).collect() }
+}
+
+fn time(section: &Section, key: &'static str) -> Option<Span> {
+    section.time(key, LEAST..=MOST).map(span)
+}
+
+fn span(time: Duration) -> Span {
+    Span(time.as_micros() as u64)
+}
+
+fn count(section: &Section, key: &'static str) -> Option<u32> {
+    section.count(key, 1..=COUNT_MOST).map(|count| count as u32)
+}
+
+fn budget(section: &Section, key: &'static str) -> Option<BudgetSpec> {
+    let section = section.section(key);
+    let ratio = section.share("ratio");
+    let burst = section.number("burst", 1.0..=1e6);
+    if !section.present() {
+        return None;
+    }
+    let ratio = section.required("ratio", ratio, "the further attempts that each request earns");
+    let burst = section.required("burst", burst, "the further attempts that are saved up at most");
+    Some(BudgetSpec { ratio: ratio?, burst: burst? })
+}
+
+fn route(section: &Section) -> RouteSpec {
+    let own = name(section);
+    let own = section.required("name", own, "a name");
+    let matches = section.section("match");
+    let matches =
+        Match { class: matches.text("class"), tenant: matches.text("tenant"), path: matches.text("path") };
+    let words = ["connect", "rejected", "reset", "timeout", "error"];
+    let retry_on = section.words("retry_on", &words).map(|named| {
+        let has = |place: usize| named.contains(&place);
+        RetryOn { connect: has(0), rejected: has(1), reset: has(2), timeout: has(3), error: has(4) }
+    });
+    let retry_within = section.read("retry_within", "\"any\" or \"zone\"", |word| match word {
+        "any" => Some(Within::Any),
+        "zone" => Some(Within::Zone),
+        _ => None,
+    });
+    let right =
+        "\"never\", a percentile such as \"p95\" (p50 to p99.9), or a time such as \"200ms\" from 1ms to 10m";
+    let second_copy_after = section.read("second_copy_after", right, second_copy).unwrap_or_default();
+    RouteSpec {
+        name: own.unwrap_or_default(),
+        matches,
+        timeout: time(section, "timeout"),
+        attempt_timeout: time(section, "attempt_timeout"),
+        connect_timeout: time(section, "connect_timeout"),
+        first_byte_timeout: time(section, "first_byte_timeout"),
+        queue_timeout: time(section, "queue_timeout"),
+        attempts: section.count("attempts", 1..=100).map(|count| count as u32),
+        retry_on,
+        retry_within,
+        second_copy_after,
+        second_copies_most: section.share("second_copies_most"),
+        retry_budget: budget(section, "retry_budget"),
+        max_in_flight: count(section, "max_in_flight"),
+        max_held: count(section, "max_held"),
+        pool: section.text("pool"),
+        lines: lines(
+            section,
+            &[
+                "name",
+                "match",
+                "timeout",
+                "attempt_timeout",
+                "connect_timeout",
+                "first_byte_timeout",
+                "queue_timeout",
+                "attempts",
+                "retry_on",
+                "retry_within",
+                "second_copy_after",
+                "second_copies_most",
+                "pool",
+            ],
+        ),
+    }
+}
+
+fn second_copy(word: &str) -> Option<SecondCopy> {
+    if word == "never" {
+        return Some(SecondCopy::Never);
+    }
+    if let Some(percentile) = word.strip_prefix('p') {
+        let percentile: f64 = percentile.parse().ok()?;
+        return (50.0..=99.9).contains(&percentile).then_some(SecondCopy::Percentile(percentile));
+    }
+    let after = humantime::parse_duration(word).ok()?;
+    (LEAST..=MOST).contains(&after).then_some(SecondCopy::After(span(after)))
+}
+
+fn pool(name: String, section: &Section) -> PoolSpec {
+    PoolSpec {
+        name,
+        retry_budget: budget(section, "retry_budget"),
+        second_copies_most: section.share("second_copies_most"),
+        max_in_flight: count(section, "max_in_flight"),
+        max_held: count(section, "max_held"),
+        lines: lines(section, &["retry_budget", "second_copies_most", "max_in_flight", "max_held"]),
+    }
+}
--- /dev/null
+++ b/crates/routes/src/lib.rs
@@ -0,0 +1,34 @@
+//! Routes: which requests get which time-outs, attempts, second copies and budgets, without I/O.
+//!
+//! A [`Spec`] is what an operator wrote. [`check`] proves that it keeps the four rules with the platform's settings,
+//! or says line by line what could break one; [`Table::compile`] makes of a good one what the agent looks up for each
+//! request. [`Recent`] knows the percentiles of a class's last answers.
+//!
+//! The proof is of times. For each route it computes the latest moment at which a byte of the last attempt could reach
+//! a server ([`Life`]), and holds it against the window in which servers drop repeats, the grace of a drain and the
+//! client's deadline. The same limits are obeyed at run time by `micasail` (which decides) and by the agent (which
+//! writes nothing after `write_by`); the proof does not rest on that, nor that on the proof.
+
+mod check;
+mod explain;
+mod life;
+mod recent;
+mod spec;
+mod table;
+
+pub use check::{check, check_only, Checks, Platform, Refusal};
+pub use explain::explain;
+pub use life::{Life, Step, STEP, WAY};
+pub use recent::Recent;
+pub use spec::{BudgetSpec, Lines, Match, PoolSpec, RouteSpec, SecondCopy, Spec, Within};
+pub use table::{Ids, Route, Table};
+
+/// A time in the words of the files: `7.5s`, `250ms`.
+pub(crate) fn words(span: micasail::Span) -> String {
+    let ms = span.ms();
+    if ms >= 1000.0 {
+        format!("{}s", (ms / 10.0).round() / 100.0)
+    } else {
+        format!("{}ms", ms.round())
+    }
+}
--- /dev/null
+++ b/crates/routes/src/table.rs
@@ -0,0 +1,298 @@
+//! What the agent looks up for each request.
+
+use crate::check::{check, Platform, Refusal};
+use crate::spec::{BudgetSpec, Match, RouteSpec, SecondCopy, Spec, Within};
+use micasail::{Bound, Budget, Limits, RetryOn, Span};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Names of budgets and bounds that a process has given out; they stay with a route's or a pool's name over reloads,
+/// so that a reload neither fills a budget up nor forgets what is out.
+#[derive(Debug, Clone, Default)]
+pub struct Ids {
+    given: HashMap<String, u32>,
+}
+
+impl Ids {
+    fn of(&mut self, name: String) -> u32 {
+        // 0 is the budget of requests without a route.
+        let next = self.given.len() as u32 + 1;
+        *self.given.entry(name).or_insert(next)
+    }
+}
+
+/// What a request's route gives it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// What the decisions go by.
+    pub limits: Arc<Limits>,
+    /// From the decision to send an attempt to an open connection.
+    pub connect_timeout: Option<Span>,
+    /// From the request's hand-over to an open connection to the end of the answer's head.
+    pub first_byte_timeout: Option<Span>,
+    /// When a second copy goes out.
+    pub second_copy_after: SecondCopy,
+}
+
+/// All routes of a file.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    routes: Vec<Arc<Route>>,
+    index: Index,
+}
+
+impl Table {
+    /// Checks a file's routes and makes the table of them.
+    ///
+    /// # Errors
+    ///
+    /// All that [`check`] refuses.
+    pub fn compile(spec: &Spec, platform: &Platform, ids: &mut Ids) -> Result<Self, Vec<Refusal>> {
+        let refusals = check(spec, platform);
+        if !refusals.is_empty() {
+            return Err(refusals);
+        }
+        Ok(Self::unchecked(spec, ids))
+    }
+
+    /// The table of routes that may break a rule, for tests that show so.
+    pub fn unchecked(spec: &Spec, ids: &mut Ids) -> Self {
+        let mut index = Index::default();
+        let mut routes = Vec::with_capacity(spec.routes.len());
+        for (place, route) in spec.routes.iter().enumerate() {
+            index.insert(&route.matches, place);
+            routes.push(Arc::new(made(route, spec, ids)));
+        }
+        Table { routes, index }
+    }
+
+    /// How many routes there are.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// There is none.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// The first route that matches a request.
+    pub fn lookup(&self, class: &str, tenant: Option<&str>, path: &str) -> Option<&Arc<Route>> {
+        if self.routes.is_empty() {
+            return None;
+        }
+        self.index.first(class, tenant, path).map(|place| &self.routes[place])
+    }
+}
+
+fn made(route: &RouteSpec, spec: &Spec, ids: &mut Ids) -> Route {
+    let pool = route.pool.as_ref().and_then(|name| spec.pools.iter().find(|pool| pool.name == *name));
+    let standard = Limits::STANDARD;
+    let mut limits = Limits {
+        timeout: route.timeout.unwrap_or(standard.timeout),
+        attempt_timeout: route.attempt_timeout.unwrap_or(standard.attempt_timeout),
+        queue_timeout: route.queue_timeout.unwrap_or(standard.queue_timeout),
+        attempts: route.attempts.unwrap_or(standard.attempts),
+        retry_on: route.retry_on.unwrap_or(RetryOn::ALL),
+        same_zone: route.retry_within == Some(Within::Zone),
+        ..standard
+    };
+    let mut owners = vec![(
+        format!("route {}", route.name),
+        route.retry_budget,
+        route.second_copies_most,
+        route.max_in_flight,
+        route.max_held,
+    )];
+    if let Some(p) = pool {
+        owners.push((
+            format!("pool {}", p.name),
+            p.retry_budget,
+            p.second_copies_most,
+            p.max_in_flight,
+            p.max_held,
+        ));
+    }
+    for (owner, retries, copies, in_flight, held) in owners {
+        if let Some(BudgetSpec { ratio, burst }) = retries {
+            limits.budgets.push(Budget {
+                id: ids.of(format!("{owner} retries")),
+                ratio,
+                burst,
+                strict: true,
+            });
+        }
+        if let Some(ratio) = copies {
+            // One is saved up, or a share below a half could never begin.
+            let id = ids.of(format!("{owner} copies"));
+            limits.copies.push(Budget { id, ratio, burst: 1.0, strict: true });
+        }
+        if in_flight.is_some() || held.is_some() {
+            let (in_flight, held) = (in_flight.unwrap_or(u32::MAX), held.unwrap_or(u32::MAX));
+            limits.bounds.push(Bound { id: ids.of(format!("{owner} bounds")), in_flight, held });
+        }
+    }
+    Route {
+        name: route.name.clone(),
+        limits: Arc::new(limits),
+        connect_timeout: route.connect_timeout,
+        first_byte_timeout: route.first_byte_timeout,
+        second_copy_after: route.second_copy_after,
+    }
+}
+
+/// Finds the first of many matches without looking at each: by class and tenant, then by each length that a path's
+/// prefix has in the file.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Index {
+    /// For each class and tenant (or any): the first place of each prefix.
+    prefixes: HashMap<(Option<String>, Option<String>), Prefixes>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Prefixes {
+    lengths: BTreeSet<usize>,
+    first: HashMap<String, usize>,
+}
+
+impl Prefixes {
+    /// The first place whose prefix this path begins with.
+    fn first(&self, path: &str) -> Option<usize> {
+        let heads = self.lengths.iter().map_while(|length| path.as_bytes().get(..*length));
+        let places = heads.filter_map(|head| self.first.get(std::str::from_utf8(head).ok()?));
+        places.min().copied()
+    }
+}
+
+impl Index {
+    pub(crate) fn insert(&mut self, matches: &Match, place: usize) {
+        let prefixes = self.prefixes.entry((matches.class.clone(), matches.tenant.clone())).or_default();
+        let path = matches.path.clone().unwrap_or_default();
+        prefixes.lengths.insert(path.len());
+        prefixes.first.entry(path).or_insert(place);
+    }
+
+    fn first(&self, class: &str, tenant: Option<&str>, path: &str) -> Option<usize> {
+        let mut found = None;
+        for class in [Some(class), None] {
+            for tenant in [tenant, None] {
+                let key = (class.map(str::to_owned), tenant.map(str::to_owned));
+                let place = self.prefixes.get(&key).and_then(|prefixes| prefixes.first(path));
+                found = match (found, place) {
+                    (Some(a), Some(b)) => Some(usize::min(a, b)),
+                    (a, b) => a.or(b),
+                };
+                if tenant.is_none() {
+                    break;
+                }
+            }
+        }
+        found
+    }
+
+    /// The first place that matches everything that `matches` does.
+    pub(crate) fn covers(&self, matches: &Match) -> Option<usize> {
+        let path = matches.path.as_deref().unwrap_or_default();
+        let mut found: Option<usize> = None;
+        for class in [matches.class.clone(), None] {
+            for tenant in [matches.tenant.clone(), None] {
+                let place = self.prefixes.get(&(class.clone(), tenant)).and_then(|p| p.first(path));
+                found = found.into_iter().chain(place).min();
+            }
+        }
+        found
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(routes: &[(Option<&str>, Option<&str>, Option<&str>)]) -> Spec {
+        let route =
+            |(n, (class, tenant, path)): (usize, &(Option<&str>, Option<&str>, Option<&str>))| RouteSpec {
+                name: n.to_string(),
+                matches: Match {
+                    class: class.map(str::to_owned),
+                    tenant: tenant.map(str::to_owned),
+                    path: path.map(str::to_owned),
+                },
+                ..RouteSpec::default()
+            };
+        Spec { routes: routes.iter().enumerate().map(route).collect(), pools: Vec::new() }
+    }
+
+    #[test]
+    fn the_first_that_matches_is_the_route() {
+        let table = Table::unchecked(
+            &spec(&[
+                (Some("log"), Some("acme"), None),
+                (Some("log"), None, Some("/log/urgent")),
+                (None, Some("acme"), None),
+                (None, None, Some("/read/é")),
+                (Some("log"), None, None),
+            ]),
+            &mut Ids::default(),
+        );
+        for (class, tenant, path, name) in [
+            ("log", Some("acme"), "/log/urgent", Some("0")),
+            ("log", Some("other"), "/log/urgent/1", Some("1")),
+            ("log", None, "/log/urgen", Some("4")),
+            ("read", Some("acme"), "/read/é", Some("2")),
+            ("read", None, "/read/é/x", Some("3")),
+            ("read", None, "/read/e", None),
+        ] {
+            let found = table.lookup(class, tenant, path).map(|route| route.name.as_str());
+            assert_eq!(found, name, "{class} {tenant:?} {path}");
+        }
+    }
+
+    /// The index against a plain walk through the list.
+    #[test]
+    fn the_index_finds_what_a_walk_through_all_would() {
+        let mut random = fastrand::Rng::with_seed(7);
+        let words = ["", "/", "/a", "/a/b", "/a/b/c", "/b", "/é"];
+        for _ in 0..300 {
+            let pick = |random: &mut fastrand::Rng, words: &[&'static str]| {
+                Some(words[random.usize(0..words.len())]).filter(|_| random.bool())
+            };
+            let routes: Vec<_> = (0..random.usize(0..12))
+                .map(|_| {
+                    let path = pick(&mut random, &words);
+                    (pick(&mut random, &["a", "b"]), pick(&mut random, &["t", "u"]), path)
+                })
+                .collect();
+            let table = Table::unchecked(&spec(&routes), &mut Ids::default());
+            for _ in 0..20 {
+                let class = ["a", "b", "c"][random.usize(0..3)];
+                let tenant = [Some("t"), Some("u"), None][random.usize(0..3)];
+                let path = ["/a", "/a/b/c/d", "/é/x", "/c", ""][random.usize(0..5)];
+                let walk = routes.iter().position(|(c, t, p)| {
+                    c.is_none_or(|c| c == class)
+                        && t.is_none_or(|t| Some(t) == tenant)
+                        && p.is_none_or(|p| path.starts_with(p))
+                });
+                let found = table.lookup(class, tenant, path).map(|route| route.name.clone());
+                assert_eq!(found, walk.map(|n| n.to_string()), "{routes:?} {class} {tenant:?} {path}");
+            }
+        }
+    }
+
+    #[test]
+    fn budgets_keep_their_names_over_reloads() {
+        let mut ids = Ids::default();
+        let mut spec = spec(&[(None, None, None)]);
+        let budget = Some(BudgetSpec { ratio: 0.1, burst: 3.0 });
+        spec.routes[0].retry_budget = budget;
+        spec.routes[0].max_held = Some(4);
+        let id = |table: &Table| table.routes[0].limits.budgets[0].id;
+        let first = id(&Table::unchecked(&spec, &mut ids));
+        assert_ne!(first, 0);
+        let mut other = spec.clone();
+        other.routes[0].name = "other".into();
+        assert_ne!(id(&Table::unchecked(&other, &mut ids)), first);
+        assert_eq!(id(&Table::unchecked(&spec, &mut ids)), first);
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -251,8 +251,8 @@
         self.saved[place] = Some(saved);
     }
 
-    /// Whether the budgets bear a further attempt; one that follows an attempt which never ran is `free` where
-    /// no route says otherwise.
+    /// Whether the budgets bear a further attempt. One that follows an attempt which never ran is `free`, but
+    /// where a route says otherwise.
     fn affords(&self, limits: &Limits, free: bool) -> bool {
         budgets(limits).iter().all(|b| (free && !b.strict) || self.saved(b) >= 1.0)
     }
@@ -624,8 +624,8 @@
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at, write_by });
     }
 
-    /// Sends the second copies that are due. They are the first to stop when capacity is short: while requests
-    /// are held back or answers come slowly, a copy is one more in the queue.
+    /// Sends the second copies that are due. They are the first to stop when capacity is short: while
+    /// requests are held back or answers come slowly, a copy is one more in the queue.
     fn send_copies(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some(&(at, id)) = self.copies.first().filter(|(at, _)| *at <= now) {
             self.copies.remove(&(at, id));
