--- a/crates/rig/src/backend.rs
+++ b/crates/rig/src/backend.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 
 /// What a scripted backend does with a request.
 pub enum Reply {
@@ -30,6 +30,8 @@
     pub connections: Arc<AtomicUsize>,
     /// Connections that their other side has closed.
     pub closed: mpsc::Receiver<usize>,
+    /// Set to true, it closes all connections that it has, answered or not.
+    pub closes: watch::Sender<bool>,
 }
 
 impl Backend {
@@ -40,12 +42,15 @@
         let (tell, seen) = mpsc::channel(1024);
         let (tell_closed, closed) = mpsc::channel(1024);
         let connections = Arc::new(AtomicUsize::new(0));
+        let closes = watch::Sender::new(false);
+        let closing = closes.clone();
         let (count, script) = (connections.clone(), Arc::new(script));
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 let number = count.fetch_add(1, Ordering::SeqCst);
                 let (tell, tell_closed, script) = (tell.clone(), tell_closed.clone(), script.clone());
-                tokio::spawn(async move {
+                let mut closing = closing.subscribe();
+                let serving = async move {
                     while let Some(message) = read_message(&mut stream, number).await {
                         let reply = script(&message);
                         // A test that counts otherwise need not look at each.
@@ -64,10 +69,16 @@
                         }
                     }
                     let _ = tell_closed.send(number).await;
+                };
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serving => {}
+                        _ = closing.wait_for(|on| *on) => {}
+                    }
                 });
             }
         });
-        Backend { address, seen, connections, closed }
+        Backend { address, seen, connections, closed, closes }
     }
 
     /// The next request.
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -210,20 +210,30 @@
 mod tests {
     use super::*;
 
-    fn spec(routes: &[(Option<&str>, Option<&str>, Option<&str>)]) -> Spec {
-        let route =
-            |(n, (class, tenant, path)): (usize, &(Option<&str>, Option<&str>, Option<&str>))| RouteSpec {
-                name: n.to_string(),
-                matches: Match {
-                    class: class.map(str::to_owned),
-                    tenant: tenant.map(str::to_owned),
-                    path: path.map(str::to_owned),
-                },
-                ..RouteSpec::default()
-            };
+    /// Class, tenant, path.
+    type Matched<'a> = (Option<&'a str>, Option<&'a str>, Option<&'a str>);
+
+    fn spec(routes: &[Matched]) -> Spec {
+        let route = |(n, (class, tenant, path)): (usize, &Matched)| RouteSpec {
+            name: n.to_string(),
+            matches: Match {
+                class: class.map(str::to_owned),
+                tenant: tenant.map(str::to_owned),
+                path: path.map(str::to_owned),
+            },
+            ..RouteSpec::default()
+        };
         Spec { routes: routes.iter().enumerate().map(route).collect(), pools: Vec::new() }
     }
 
+    /// A route that sets nothing is no route: the digest of actions is the same with a file of defaults.
+    #[test]
+    fn a_route_that_sets_nothing_has_the_standard_limits() {
+        let table = Table::unchecked(&spec(&[(Some("log"), None, None)]), &mut Ids::default());
+        assert_eq!(*table.routes[0].limits, Limits::STANDARD);
+        assert_eq!(table.routes[0].second_copy_after, SecondCopy::Never);
+    }
+
     #[test]
     fn the_first_that_matches_is_the_route() {
         let table = Table::unchecked(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,7 +28,7 @@
 
 /// Watches events and actions and notes every breach of a rule, without knowing how decisions are made.
 pub struct Observer {
-    settings: Settings,
+    pub settings: Settings,
     requests: BTreeMap<RequestId, Seen>,
     servers: BTreeMap<ServerId, Listed>,
     leaving: BTreeMap<ServerId, Time>,
