--- a/crates/operator/tests/routes.rs
+++ b/crates/operator/tests/routes.rs
@@ -99,6 +99,37 @@
     }
 }
 
+/// The example files keep the rules of the booking service's classes.
+#[test]
+fn the_example_files_are_good() {
+    let class = |effect, deadline| Class {
+        effect,
+        aim: Span::from_ms(250.0),
+        deadline: Span::from_ms(deadline),
+        ..Class::default()
+    };
+    let keyed = |group, ms| Effect::Deduplicated { group, window: Span::from_ms(ms) };
+    let settings = Settings {
+        classes: vec![
+            class(Effect::Idempotent, 1500.0),
+            class(keyed(Group::All, 7500.0), 2500.0),
+            class(keyed(Group::Zone, 1000.0), 2500.0),
+        ],
+        second_copies: true,
+        drain_grace: Span::from_ms(2000.0),
+        ..Settings::default()
+    };
+    let classes = ["read-schedule", "log-session", "assign-session"].map(str::to_owned);
+    let connect_timeout = Span::from_ms(500.0);
+    let platform = Platform { settings: &settings, classes: &classes, tenants: &[], connect_timeout };
+    for name in ["routes-budgets.toml", "routes-copies.toml"] {
+        let file = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy/examples").join(name);
+        let file = AgentFile::read(&file).expect("it is good");
+        assert_eq!(check(&file.routes, &platform), [], "{name}");
+        assert!(!file.routes.routes.is_empty());
+    }
+}
+
 /// Files out of a grammar, most of them nearly valid: reading and checking one never panics, and what is accepted
 /// can be made a table.
 #[test]
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod measure;
+mod measure_routes;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -44,6 +45,7 @@
     };
     match args.command {
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
+        Command::Measure(measure::What::Routes(options)) => runtime.block_on(measure_routes::run(&options)),
         Command::Measure(measure::What::Fleet(options)) => runtime.block_on(measure::fleet(&options)),
     }
 }
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -10,6 +10,8 @@
 pub enum What {
     /// Memory, CPU and starts of a fleet of idle instances, and a rolling restart under traffic.
     Fleet(FleetOptions),
+    /// Troubles with and without the example routes, and the cost of a look-up.
+    Routes(crate::measure_routes::Options),
 }
 
 #[derive(clap::Args)]
@@ -162,7 +164,7 @@
 }
 
 /// Replaces what stands between a page's markers.
-fn write_into(page: &Path, marker: &str, table: &str) -> Result<(), String> {
+pub fn write_into(page: &Path, marker: &str, table: &str) -> Result<(), String> {
     let (open, close) = (format!("<!-- {marker} -->\n"), format!("<!-- end {marker} -->"));
     let text = std::fs::read_to_string(page).map_err(|e| format!("{}: {e}", page.display()))?;
     let (Some(from), Some(to)) = (text.find(&open), text.find(&close)) else {
