--- /dev/null
+++ b/crates/telemetry/src/observer.rs
@@ -0,0 +1,322 @@
+//! Watches the four rules in service, by what left and came back on sockets.
+//!
+//! It knows the rules and the platform's settings, and nothing of how decisions are made: a module that errs is seen
+//! here and not in its own counts. Each rule has a count of breaches and the smallest margin by which it was kept.
+
+use micasail::{Class, Effect, Group, Settings, Span, Time};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// What sockets and clocks may add to each limit; the platform's own measure (50 ms).
+const SLACK: Span = Span(50_000);
+/// Requests that are over are kept for their late bytes, this many at most.
+const OVER_MOST: usize = 2_000;
+/// Sends to a cold server that chance explains, in requests.
+const COLD_CHANCE: f64 = 5.0;
+
+/// A rule.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One final answer in time to each request, and nothing goes out for it afterwards.
+    Answer,
+    /// No effect twice, and no refusal of what may have run.
+    Effect,
+    /// Nothing new to a draining or gone server after the grace.
+    Drain,
+    /// A cold server is not pushed over.
+    Cold,
+}
+
+impl Rule {
+    /// All of them, in their order.
+    pub const ALL: [Rule; 4] = [Rule::Answer, Rule::Effect, Rule::Drain, Rule::Cold];
+
+    /// One word for it, as a label.
+    pub fn word(self) -> &'static str {
+        match self {
+            Rule::Answer => "answer",
+            Rule::Effect => "effect",
+            Rule::Drain => "drain",
+            Rule::Cold => "cold",
+        }
+    }
+}
+
+/// How a rule has been kept.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Margin {
+    /// Breaches.
+    pub breaches: u64,
+    /// The smallest time that was left to the limit, in seconds; for cold servers, the smallest share of the budget.
+    pub least: Option<f64>,
+}
+
+/// What the observer must know beside the settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Facts {
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The grace of a drain.
+    pub drain_grace: Span,
+    /// The share of its capacity that a cold server starts with.
+    pub cold_share: f64,
+    /// When it is warm.
+    pub warm_after: Span,
+    /// The multiple of its capacity that pushes a cold server over ...
+    pub overload_factor: f64,
+    /// ... within this time.
+    pub fall_after: Span,
+}
+
+impl From<&Settings> for Facts {
+    fn from(s: &Settings) -> Self {
+        Facts {
+            classes: s.classes.clone(),
+            drain_grace: s.drain_grace,
+            cold_share: s.cold_share,
+            warm_after: s.warm_after,
+            overload_factor: s.overload_factor,
+            fall_after: s.fall_after,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Sent {
+    at: Time,
+    zone: u32,
+    cell: u32,
+    /// Known not to have run.
+    never_ran: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    class: usize,
+    deadline: Time,
+    sent: BTreeMap<u32, Sent>,
+    over: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Server {
+    zone: u32,
+    cell: u32,
+    /// When it was told to drain or to have gone.
+    leaving: Option<Time>,
+    started: Option<Time>,
+}
+
+/// Watches the four rules.
+#[derive(Debug)]
+pub struct Observer {
+    facts: Facts,
+    requests: HashMap<u64, Request>,
+    /// Those that are owed an answer, by the time that it is due.
+    due: BTreeSet<(Time, u64)>,
+    over: VecDeque<u64>,
+    servers: HashMap<u32, Server>,
+    /// First bytes of the last window.
+    recent: VecDeque<(Time, u32)>,
+    margins: [Margin; 4],
+}
+
+impl Observer {
+    /// An observer that has seen nothing.
+    pub fn new(facts: Facts) -> Self {
+        Observer {
+            facts,
+            requests: HashMap::new(),
+            due: BTreeSet::new(),
+            over: VecDeque::new(),
+            servers: HashMap::new(),
+            recent: VecDeque::new(),
+            margins: [Margin::default(); 4],
+        }
+    }
+
+    /// How a rule has been kept so far.
+    pub fn margin(&self, rule: Rule) -> Margin {
+        self.margins[rule as usize]
+    }
+
+    /// Requests that it keeps at present.
+    pub fn kept(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn breach(&mut self, rule: Rule) {
+        self.margins[rule as usize].breaches += 1;
+    }
+
+    /// So much of a limit was left; below nothing it is a breach.
+    fn left(&mut self, rule: Rule, left: f64, slack: f64) {
+        let margin = &mut self.margins[rule as usize];
+        margin.least = Some(margin.least.map_or(left, |least| least.min(left)));
+        if left < -slack {
+            margin.breaches += 1;
+        }
+    }
+
+    /// Seconds from `now` to `limit`, below zero past it.
+    fn seconds(now: Time, limit: Time) -> f64 {
+        limit.since(now).ms() / 1e3 - now.since(limit).ms() / 1e3
+    }
+
+    /// The list says this of a server.
+    pub fn told(
+        &mut self,
+        now: Time,
+        server: u32,
+        (zone, cell): (u32, u32),
+        up: bool,
+        started: Option<Time>,
+    ) {
+        let known = self.servers.entry(server).or_insert(Server { zone, cell, leaving: None, started });
+        if known.started != started {
+            // A new process: what its predecessor was sent weighs nothing on it.
+            self.recent.retain(|(_, other)| *other != server);
+        }
+        let leaving = if up { None } else { known.leaving.or(Some(now)) };
+        *known = Server { zone, cell, leaving, started };
+    }
+
+    /// A request has come whole; its client waits until then.
+    pub fn taken(&mut self, id: u64, class: usize, deadline: Time) {
+        let request = Request { class, deadline, sent: BTreeMap::new(), over: false };
+        self.due.insert((deadline, id));
+        if let Some(before) = self.requests.insert(id, request) {
+            self.due.retain(|due| *due != (before.deadline, id) || before.deadline == deadline);
+            // Two of one name can't be told apart: whoever lets them in can't answer both.
+            self.breach(Rule::Answer);
+        }
+    }
+
+    /// The first byte of an attempt has left for a server.
+    pub fn first_byte(&mut self, now: Time, id: u64, attempt: u32, server: u32) {
+        let grace = self.facts.drain_grace;
+        let known = self.servers.get(&server).cloned();
+        match known.as_ref().map(|s| s.leaving) {
+            // Nobody ever named it.
+            None => self.breach(Rule::Drain),
+            Some(None) => {}
+            Some(Some(told)) => self.left(Rule::Drain, Self::seconds(now, told + grace), SLACK.ms() / 1e3),
+        }
+        let (zone, cell) = known.map_or((u32::MAX, u32::MAX), |s| (s.zone, s.cell));
+        self.cold(now, server);
+        let Some(request) = self.requests.get_mut(&id) else { return self.breach(Rule::Answer) };
+        let over = request.over;
+        let first = request.sent.values().filter(|s| !s.never_ran).min_by_key(|s| s.at);
+        let first = first.map(|s| (s.at, s.zone, s.cell));
+        let effect = self.facts.classes[request.class].effect;
+        request.sent.insert(attempt, Sent { at: now, zone, cell, never_ran: false });
+        if over {
+            self.breach(Rule::Answer);
+        }
+        let Some((at, first_zone, first_cell)) = first else { return };
+        match effect {
+            Effect::Idempotent => {}
+            Effect::AtMostOnce => self.breach(Rule::Effect),
+            Effect::Deduplicated { group, window } => {
+                self.left(Rule::Effect, Self::seconds(now, at + window), SLACK.ms() / 1e3);
+                let within = match group {
+                    Group::All => true,
+                    Group::Zone => zone == first_zone,
+                    Group::Cell => cell == first_cell,
+                };
+                if !within {
+                    self.breach(Rule::Effect);
+                }
+            }
+        }
+    }
+
+    /// An attempt is over; `never_ran` if its server said so, or no byte of it had left.
+    pub fn ended(&mut self, id: u64, attempt: u32, never_ran: bool) {
+        if let Some(sent) = self.requests.get_mut(&id).and_then(|r| r.sent.get_mut(&attempt)) {
+            sent.never_ran = never_ran;
+        }
+    }
+
+    /// A final answer's last byte has left for the client; `refused` for a 429 or 503.
+    pub fn answered(&mut self, now: Time, id: u64, refused: bool) {
+        let Some(request) = self.requests.get_mut(&id) else { return self.breach(Rule::Answer) };
+        let (twice, deadline) = (std::mem::replace(&mut request.over, true), request.deadline);
+        let ran = request.sent.values().any(|s| !s.never_ran);
+        let harmless = match self.facts.classes[request.class].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { group: Group::All, .. } => true,
+            Effect::AtMostOnce | Effect::Deduplicated { .. } => !ran,
+        };
+        if twice {
+            return self.breach(Rule::Answer);
+        }
+        self.left(Rule::Answer, Self::seconds(now, deadline), SLACK.ms() / 1e3);
+        if refused && !harmless {
+            self.breach(Rule::Effect);
+        }
+        self.retire(id);
+    }
+
+    /// The client has left, or its connection broke by its doing: nothing is owed, and nothing new may go out.
+    pub fn gone(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            if !std::mem::replace(&mut request.over, true) {
+                self.retire(id);
+            }
+        }
+    }
+
+    fn retire(&mut self, id: u64) {
+        if let Some(request) = self.requests.get(&id) {
+            self.due.remove(&(request.deadline, id));
+        }
+        self.over.push_back(id);
+        while self.over.len() > OVER_MOST {
+            if let Some(old) = self.over.pop_front() {
+                self.requests.remove(&old);
+            }
+        }
+    }
+
+    /// Looks for requests whose answer is overdue; each is one breach, and then it is over.
+    pub fn look(&mut self, now: Time) {
+        while let Some(&(_, id)) = self.due.first().filter(|(due, _)| now > *due + SLACK) {
+            self.breach(Rule::Answer);
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.over = true;
+            }
+            self.retire(id);
+        }
+    }
+
+    fn warmth(&self, server: &Server, now: Time) -> f64 {
+        server.started.map_or(1.0, |started| {
+            let grown = (now.since(started).ms() / self.facts.warm_after.ms().max(1.0)).min(1.0);
+            self.facts.cold_share + (1.0 - self.facts.cold_share) * grown
+        })
+    }
+
+    /// Holds what a cold server was sent within a window against its share of what warm ones were: this process's part
+    /// of the budget, since it sees no other's.
+    fn cold(&mut self, now: Time, server: u32) {
+        self.recent.push_back((now, server));
+        while self.recent.front().is_some_and(|(at, _)| *at + self.facts.fall_after < now) {
+            self.recent.pop_front();
+        }
+        let Some(own) = self.servers.get(&server) else { return };
+        let own = self.warmth(own, now);
+        if own >= 1.0 {
+            return;
+        }
+        let warm = |s: &Server| s.leaving.is_none() && self.warmth(s, now) >= 1.0;
+        let warm_servers = self.servers.values().filter(|s| warm(s)).count();
+        if warm_servers == 0 {
+            return;
+        }
+        let to_warm = self.recent.iter().filter(|(_, s)| self.servers.get(s).is_some_and(warm)).count();
+        let to_cold = self.recent.iter().filter(|(_, s)| *s == server).count();
+        let fair = to_warm as f64 / warm_servers as f64;
+        let budget = COLD_CHANCE + self.facts.overload_factor * own * fair;
+        self.left(Rule::Cold, 1.0 - to_cold as f64 / budget, 0.0);
+    }
+}
