operator: one check of names for instances and templates

Cause: the same check stood twice, and a template's name could begin with a dot where an instance's could not.

--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -82,10 +82,15 @@
 /// A name that can stand in a path and in a log.
 pub(crate) fn name(section: &Section) -> Option<String> {
     let name = section.text("name")?;
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if name.len() <= 64 && name.chars().all(plain) && !name.starts_with('.') {
+    if plain(&name) {
         return Some(name);
     }
     section.fault("name", format!("is {name:?}; at most 64 letters, digits, '-', '_' and '.' were expected"));
     None
 }
+
+/// Whether a name can stand in a path and in a log.
+pub(crate) fn plain(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    name.len() <= 64 && name.chars().all(plain) && !name.starts_with('.')
+}
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -1,6 +1,6 @@
 //! `fleet.toml`: which instances there are, and how they are kept.
 
-use crate::agent::name;
+use crate::agent::{name, plain};
 use crate::reader::{read, Fault, Section};
 use bellcroft_supervise::{Policy, Restart};
 use std::collections::HashMap;
@@ -181,8 +181,7 @@
         Member { listen, config: fill(&config), operator: operator.as_ref().map(fill), name }
     });
     let made: Vec<Member> = made.collect();
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if let Some(bad) = made.iter().find(|m| m.name.len() > 64 || !m.name.chars().all(plain)) {
+    if let Some(bad) = made.iter().find(|member| !plain(&member.name)) {
         let name = &bad.name;
         section.fault(
             "name",
