The supervisor's observer holds the back-off against its upper bound too

Need: pauses are to stay within bounds, and the observer knew the lower one only. Change: an instance that waits must be started again within the longest pause and the starts of the others; the longest pause is drawn short enough to be reached.

--- a/crates/supervise/tests/orders.rs
+++ b/crates/supervise/tests/orders.rs
@@ -31,6 +31,8 @@
     deaths: Vec<u32>,
     served_since: Vec<Option<Time>>,
     not_before: Vec<Time>,
+    /// When each instance that has no process must have one again, unless it has failed.
+    not_after: Vec<Time>,
     last_start: Option<Time>,
     stop_told: Option<Time>,
     finished: bool,
@@ -46,7 +48,7 @@
 impl Machine {
     fn new(seed: u64, instances: usize, policy: Policy, trouble: u64) -> Self {
         let supervisor = Supervisor::new(policy.clone(), instances, seed, Duration::ZERO);
-        Machine {
+        let mut machine = Machine {
             policy,
             random: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
@@ -55,6 +57,7 @@
             deaths: vec![0; instances],
             served_since: vec![None; instances],
             not_before: vec![Duration::ZERO; instances],
+            not_after: vec![Duration::ZERO; instances],
             last_start: None,
             stop_told: None,
             finished: false,
@@ -63,7 +66,15 @@
             refused: 0,
             trouble,
             bad_release: None,
-        }
+        };
+        let latest = machine.latest();
+        machine.not_after.fill(latest);
+        machine
+    }
+
+    /// The longest pause from now on, and the starts of all others before it.
+    fn latest(&self) -> Time {
+        self.now + self.policy.restart.most + self.policy.start_every * self.processes.len() as u32 + MS * 20
     }
 
     fn chance(&mut self, of_hundred: u64) -> bool {
@@ -176,6 +187,7 @@
             self.deaths[place] = 0;
         }
         self.served_since[place] = None;
+        self.not_after[place] = self.latest();
         if tell {
             self.tell(Event::Exited(InstanceId(place), how.into()));
         }
@@ -187,8 +199,15 @@
         while self.now < until && !self.finished {
             self.now += MS * 5;
             for place in 0..self.processes.len() {
-                let Some(process) = self.processes[place].clone() else { continue };
                 let id = InstanceId(place);
+                let Some(process) = self.processes[place].clone() else {
+                    let waits = matches!(self.supervisor.phase(id), Phase::Waiting { .. });
+                    assert!(
+                        !waits || self.now <= self.not_after[place],
+                        "instance {place} is not started again"
+                    );
+                    continue;
+                };
                 let ends =
                     process.terminated.is_some_and(|at| process.ends_on_term && self.now >= at + MS * 40);
                 if ends || process.dies_at.is_some_and(|at| self.now >= at) {
@@ -229,6 +248,9 @@
     }
 
     fn roll(&mut self, release: ReleaseId) {
+        // What has failed is tried once more.
+        let latest = self.latest();
+        self.not_after.iter_mut().for_each(|at| *at = latest.max(*at));
         if self.supervisor.roll().is_none() {
             self.rolled_to = Some(release);
         }
@@ -254,7 +276,8 @@
     for seed in 0..2000 {
         let mut choice = fastrand::Rng::with_seed(seed);
         let instances = choice.usize(1..8);
-        let policy = Policy { roll_at_once: choice.usize(1..4), ..Policy::default() };
+        let restart = Restart { most: MS * choice.u32(500..2500), ..Restart::default() };
+        let policy = Policy { roll_at_once: choice.usize(1..4), restart, ..Policy::default() };
         let trouble = choice.u64(0..60);
         let mut machine = Machine::new(seed, instances, policy, trouble);
         // Some of them run already, as an earlier supervisor left them; all of those before the first is told of.
