Read once more: one walk of the route index, files read once, one runtime, one percentile

Cause: reading the whole change found twins and work in the wrong place: the index had two walks, and one of them allocated for each look-up on the way of a request; the operator's file was read a second time for its digest, which could be of other bytes than were checked; runtime, platform facts, a process's pidfd copy, p99 and wanted share stood twice; the drain check ran once for each class and a dedup hid it; the keys of a route were listed again for their lines. Change: one piece serves both in each case; members of a fleet are checked beside their own section, where a faulty one before could shift the line told.

--- a/crates/agent/src/cli/fleet.rs
+++ b/crates/agent/src/cli/fleet.rs
@@ -1,9 +1,8 @@
 //! `bellcroft fleet`.
 
-use super::block_on;
 use crate::daemon::control::{self, Silent};
 use crate::daemon::state;
-use crate::exit;
+use crate::exit::{self, block_on};
 use bellcroft_operator::FleetFile;
 use clap::{Args, Subcommand};
 use serde_json::{json, Value};
--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -99,12 +99,6 @@
     }
 }
 
-/// Runs one exchange with a control socket to its end.
-fn block_on<T>(work: impl std::future::Future<Output = T>) -> Result<T, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map(|runtime| runtime.block_on(work)).map_err(|e| format!("cannot start the runtime: {e}"))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/agent/src/cli/status.rs
+++ b/crates/agent/src/cli/status.rs
@@ -1,10 +1,9 @@
 //! `bellcroft status`.
 
-use super::block_on;
 use crate::daemon::control::{self, Silent};
 use crate::daemon::state::{self, STATUS};
 use crate::daemon::status::Status;
-use crate::exit;
+use crate::exit::{self, block_on};
 use bellcroft_operator::AgentFile;
 use serde_json::json;
 use std::path::{Path, PathBuf};
--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -1,7 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
-use bellcroft_operator::{AgentFile, Daemon};
+use bellcroft_operator::{AgentFile, Daemon, Fault};
 use bellcroft_routes::{Platform, Spec};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
@@ -109,10 +109,11 @@
         let mut digest = Vec::new();
         let operator = match &sources.operator {
             Some(path) => {
-                let file = AgentFile::read(path)
-                    .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>())?;
-                digest.extend(std::fs::read(path).unwrap_or_default());
-                file
+                // Once: what is checked and what the digest is of are the same bytes.
+                let lines = |faults: Vec<Fault>| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+                let text = bellcroft_operator::load(path).map_err(lines)?;
+                digest.extend(text.as_bytes());
+                AgentFile::parse(path, &text).map_err(lines)?
             }
             None => AgentFile::default(),
         };
@@ -186,13 +187,7 @@
         if known.is_none() {
             wrong.push(format!("{}: known is no server list", at("known")));
         }
-        let facts = Platform {
-            settings: &settings,
-            classes: &names.classes,
-            tenants: &names.tenants,
-            connect_timeout: names.connect_timeout,
-        };
-        let refusals = bellcroft_routes::check(&operator.routes, &facts);
+        let refusals = bellcroft_routes::check(&operator.routes, &platform(&settings, &names));
         wrong.extend(refusals.iter().map(|refusal| format!("{operator_file}:{refusal}")));
         let (Some(listen), Some(discovery), Some(known), true) = (listen, discovery, known, wrong.is_empty())
         else {
@@ -219,12 +214,7 @@
 
     /// What routes are held against.
     pub fn platform(&self) -> Platform<'_> {
-        Platform {
-            settings: &self.settings,
-            classes: &self.names.classes,
-            tenants: &self.names.tenants,
-            connect_timeout: self.names.connect_timeout,
-        }
+        platform(&self.settings, &self.names)
     }
 
     /// What differs between this configuration and a newer one that only a restart can take.
@@ -240,6 +230,15 @@
     }
 }
 
+fn platform<'a>(settings: &'a Settings, names: &'a Names) -> Platform<'a> {
+    Platform {
+        settings,
+        classes: &names.classes,
+        tenants: &names.tenants,
+        connect_timeout: names.connect_timeout,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -72,19 +72,7 @@
             Err(Refused::Unusable(why)) => problems.push(why),
         }
     }
-    let serve = async { serve(config, start, state, problems, started_ms).await };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = match runtime {
-        Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, serve),
-        Err(e) => Err(format!("cannot start the runtime: {e}")),
-    };
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            say(format_args!("bellcroft: {why}"));
-            ExitCode::from(exit::BAD_INPUT)
-        }
-    }
+    exit::run(serve(config, start, state, problems, started_ms))
 }
 
 /// The socket that a service manager or a supervisor has handed over (sd_listen_fds(3)), if one has.
--- a/crates/agent/src/fleet/mod.rs
+++ b/crates/agent/src/fleet/mod.rs
@@ -99,18 +99,7 @@
             return ExitCode::from(if held { exit::ALREADY_RUNNING } else { exit::BAD_INPUT });
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let run = match runtime {
-        Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, supervise(fleet, &state)),
-        Err(e) => Err(format!("cannot start the runtime: {e}")),
-    };
-    match run {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            say(format_args!("bellcroft: {why}"));
-            ExitCode::from(exit::BAD_INPUT)
-        }
-    }
+    exit::run(supervise(fleet, &state))
 }
 
 /// The state directory of an instance of the fleet.
@@ -396,9 +385,9 @@
     }
 
     fn start(&mut self, id: InstanceId, release: ReleaseId) -> Option<Event> {
-        let program = [self.programs[release.0].clone()];
+        let program = &self.programs[release.0];
         let slot = &mut self.slots[id.0];
-        let (process, mut child) = match process::start(&slot.member, &program, &slot.dir, &slot.listener) {
+        let (process, mut child) = match process::start(&slot.member, program, &slot.dir, &slot.listener) {
             Ok(started) => started,
             Err(e) => return Some(Event::NotStarted(id, e.to_string())),
         };
@@ -445,9 +434,9 @@
     fn watch_adopted(&mut self, id: InstanceId) {
         let slot = &self.slots[id.0];
         let (news, life) = (self.news.clone(), slot.life);
-        if let Some(Ok(handle)) = slot.process.as_ref().map(Process::handle) {
+        if let Some(Ok(process)) = slot.process.as_ref().map(Process::try_clone) {
             tokio::task::spawn_local(async move {
-                process::ended(handle).await;
+                process.ended().await;
                 let how = "it ended; how is not known, for an earlier supervisor had started it";
                 let _ = news.send(News::Of(id, life, Event::Exited(id, how.into())));
             });
@@ -467,9 +456,8 @@
         if !handover {
             return process.signal(Signal::TERM);
         }
-        let (dir, pid) = (slot.dir.clone(), process.pid);
-        let Ok(handle) = process.handle() else { return process.signal(Signal::TERM) };
-        let process = Process::again(pid, handle);
+        let Ok(process) = process.try_clone() else { return process.signal(Signal::TERM) };
+        let dir = slot.dir.clone();
         tokio::task::spawn_local(async move {
             let drain = json!({"command": "drain", "handover": true});
             if control::ask(&dir, &drain).await.is_err() {
--- a/crates/agent/src/fleet/process.rs
+++ b/crates/agent/src/fleet/process.rs
@@ -14,7 +14,7 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::fs::OpenOptionsExt;
 use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::net::unix::pipe::Receiver;
@@ -36,8 +36,8 @@
 
 impl Process {
     /// The same process by another copy of its pidfd.
-    pub fn again(pid: u32, handle: OwnedFd) -> Self {
-        Process { pid, handle }
+    pub fn try_clone(&self) -> io::Result<Self> {
+        Ok(Process { pid: self.pid, handle: self.handle.try_clone()? })
     }
 
     /// Sends a signal to this process and to no other.
@@ -46,9 +46,12 @@
         let _ = pidfd_send_signal(&self.handle, signal);
     }
 
-    /// A copy that can be waited for.
-    pub fn handle(&self) -> io::Result<OwnedFd> {
-        self.handle.try_clone()
+    /// Waits for its end, if it is not this one's child: its pidfd becomes readable.
+    pub async fn ended(self) {
+        // The runtime's only safe way to wait for a descriptor of another kind; nothing is ever read from it.
+        if let Ok(handle) = Receiver::from_owned_fd_unchecked(self.handle) {
+            let _ = handle.readable().await;
+        }
     }
 }
 
@@ -57,18 +60,10 @@
     Ok(pidfd_open(pid, PidfdFlags::empty())?)
 }
 
-/// Waits for the end of a process that is not this one's child: its pidfd becomes readable.
-pub async fn ended(handle: OwnedFd) {
-    // The runtime's only safe way to wait for a descriptor of another kind; nothing is ever read from it.
-    if let Ok(handle) = Receiver::from_owned_fd_unchecked(handle) {
-        let _ = handle.readable().await;
-    }
-}
-
 /// Starts a process of the instance with its listening socket.
 pub fn start(
     member: &Member,
-    program: &[PathBuf],
+    program: &Path,
     dir: &Path,
     listener: &TcpListener,
 ) -> io::Result<(Process, tokio::process::Child)> {
@@ -81,13 +76,7 @@
     // `LISTEN_PID` must be the process's own number, which only the process itself knows before it begins: the shell
     // sets it and becomes the program.
     let mut command = std::process::Command::new("/bin/sh");
-    command
-        .arg("-c")
-        .arg("LISTEN_PID=$$ exec \"$0\" \"$@\"")
-        .args(program)
-        .arg("run")
-        .arg("--state")
-        .arg(dir);
+    command.arg("-c").arg("LISTEN_PID=$$ exec \"$0\" \"$@\"").arg(program).arg("run").arg("--state").arg(dir);
     if let Some(operator) = &member.operator {
         command.arg("--operator").arg(operator);
     }
--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -2,7 +2,7 @@
 
 use bellcroft_routes::Spec;
 
-use crate::reader::{read, Fault, Section};
+use crate::reader::{load, parse, Fault, Section};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -55,7 +55,16 @@
     ///
     /// All that is wrong with it.
     pub fn read(file: &Path) -> Result<Self, Vec<Fault>> {
-        read(file, Self::schema)
+        Self::parse(file, &load(file)?)
+    }
+
+    /// Checks a file's text that is at hand.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, Vec<Fault>> {
+        parse(file, text, Self::schema)
     }
 
     fn schema(top: &Section) -> Self {
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -1,9 +1,9 @@
 //! `fleet.toml`: which instances there are, and how they are kept.
 
 use crate::agent::{name, plain};
-use crate::reader::{read, Fault, Section};
+use crate::reader::{load, parse, Fault, Section};
 use bellcroft_supervise::{Policy, Restart};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -44,7 +44,7 @@
     ///
     /// All that is wrong with it.
     pub fn read(file: &Path) -> Result<Self, Vec<Fault>> {
-        read(file, Self::schema)
+        parse(file, &load(file)?, Self::schema)
     }
 
     fn schema(top: &Section) -> Self {
@@ -92,16 +92,15 @@
             let config = section.required("config", config, "the platform's configuration");
             let operator = section.path("operator");
             if let (Some(name), Some(listen), Some(config)) = (own, listen, config) {
-                members.push(Member { name, listen, config, operator });
+                let member = Member { name, listen, config, operator };
+                taken.check(&member, section);
+                members.push(member);
             }
         }
-        for (member, section) in members.iter().zip(&listed) {
-            taken.check(member, section, "name", "listen");
-        }
         if template.present() {
             let made = from_template(&template);
             for member in &made {
-                if !taken.check(member, &template, "name", "listen") {
+                if !taken.check(member, &template) {
                     break;
                 }
             }
@@ -120,23 +119,23 @@
 /// Names and addresses that instances have.
 #[derive(Default)]
 struct Taken {
-    names: HashMap<String, ()>,
+    names: HashSet<String>,
     addresses: HashMap<SocketAddr, String>,
 }
 
 impl Taken {
     /// Notes a member whose name or address another one has; false if it does.
-    fn check(&mut self, member: &Member, section: &Section, name: &str, listen: &str) -> bool {
+    fn check(&mut self, member: &Member, section: &Section) -> bool {
         let mut free = true;
-        if self.names.insert(member.name.clone(), ()).is_some() {
-            section.fault(name, format!("{:?} is another instance's too; each needs its own", member.name));
+        if !self.names.insert(member.name.clone()) {
+            section.fault("name", format!("{:?} is another instance's too; each needs its own", member.name));
             free = false;
         }
         if member.listen.port() == 0 {
             return free;
         }
         if let Some(other) = self.addresses.insert(member.listen, member.name.clone()) {
-            section.fault(listen, format!("{} is {other}'s; each needs its own", member.listen));
+            section.fault("listen", format!("{} is {other}'s; each needs its own", member.listen));
             free = false;
         }
         free
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use agent::{AgentFile, Daemon, Instance};
 pub use fleet::{FleetFile, Member};
-pub use reader::{read, Fault, Section};
+pub use reader::{load, parse, Fault, Section};
--- a/crates/operator/src/reader.rs
+++ b/crates/operator/src/reader.rs
@@ -1,6 +1,7 @@
 //! Reading TOML section by section, with every fault kept.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -40,9 +41,12 @@
 
 impl std::error::Error for Fault {}
 
-/// Reads a file and hands its top section to `schema`; the error is all that is wrong with it, in the order of its
-/// lines. What `schema` makes counts only if nothing is wrong.
-pub fn read<T>(file: &Path, schema: impl FnOnce(&Section) -> T) -> Result<T, Vec<Fault>> {
+/// Reads a file's text.
+///
+/// # Errors
+///
+/// It cannot be read, is too long, or is no text.
+pub fn load(file: &Path) -> Result<String, Vec<Fault>> {
     let whole = |what: String| vec![Fault { file: file.to_owned(), line: 0, key: String::new(), what }];
     let size = std::fs::metadata(file).map_err(|e| whole(format!("cannot be read: {e}")))?;
     if !size.is_file() {
@@ -52,15 +56,15 @@
         return Err(whole(format!("is {} bytes long; at most {FILE_MOST} are read", size.len())));
     }
     let bytes = std::fs::read(file).map_err(|e| whole(format!("cannot be read: {e}")))?;
-    let text = String::from_utf8(bytes).map_err(|e| {
+    String::from_utf8(bytes).map_err(|e| {
         let line = 1 + e.as_bytes()[..e.utf8_error().valid_up_to()].iter().filter(|b| **b == b'\n').count();
         vec![Fault { file: file.to_owned(), line, key: String::new(), what: "is not UTF-8 text".into() }]
-    })?;
-    parse(file, &text, schema)
+    })
 }
 
-/// As [`read`], of a text that is at hand.
-pub(crate) fn parse<T>(file: &Path, text: &str, schema: impl FnOnce(&Section) -> T) -> Result<T, Vec<Fault>> {
+/// Hands the top section of a file's text to `schema`; the error is all that is wrong with it, in the order of its
+/// lines. What `schema` makes counts only if nothing is wrong.
+pub fn parse<T>(file: &Path, text: &str, schema: impl FnOnce(&Section) -> T) -> Result<T, Vec<Fault>> {
     let (table, errors) = DeTable::parse_recoverable(text);
     let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
     let starts = std::iter::once(0).chain(ends).collect();
@@ -276,9 +280,10 @@
         children
     }
 
-    /// The line of a key, or of the section where the key is not there.
-    pub fn line(&self, key: &str) -> usize {
-        self.source.line(self.find(key).map_or(self.at, |value| value.span().start))
+    /// The lines of the keys that have been asked for and are there.
+    pub fn lines(&self) -> BTreeMap<&'static str, usize> {
+        let line = |key: &&'static str| Some((*key, self.source.line(self.find(key)?.span().start)));
+        self.asked.borrow().iter().filter_map(line).collect()
     }
 
     /// The line that the section begins in.
--- a/crates/operator/src/routes.rs
+++ b/crates/operator/src/routes.rs
@@ -19,8 +19,9 @@
     Spec { routes, pools }
 }
 
-fn lines(section: &Section, keys: &[&'static str]) -> Lines {
-    Lines { section: section.begins(), keys: keys.iter().map(|key| (*key, section.line(key))).collect() }
+/// The lines of all keys that have been asked for so far.
+fn lines(section: &Section) -> Lines {
+    Lines { section: section.begins(), keys: section.lines() }
 }
 
 fn time(section: &Section, key: &'static str) -> Option<Span> {
@@ -83,24 +84,7 @@
         max_in_flight: count(section, "max_in_flight"),
         max_held: count(section, "max_held"),
         pool: section.text("pool"),
-        lines: lines(
-            section,
-            &[
-                "name",
-                "match",
-                "timeout",
-                "attempt_timeout",
-                "connect_timeout",
-                "first_byte_timeout",
-                "queue_timeout",
-                "attempts",
-                "retry_on",
-                "retry_within",
-                "second_copy_after",
-                "second_copies_most",
-                "pool",
-            ],
-        ),
+        lines: lines(section),
     }
 }
 
@@ -123,6 +107,6 @@
         second_copies_most: section.share("second_copies_most"),
         max_in_flight: count(section, "max_in_flight"),
         max_held: count(section, "max_held"),
-        lines: lines(section, &["retry_budget", "second_copies_most", "max_in_flight", "max_held"]),
+        lines: lines(section),
     }
 }
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -1,6 +1,6 @@
 //! The demo: a small fleet of servers, one agent, steady traffic, and one server that slows down half way.
 
-use rig::{fates, Agent, Fate, Load, Plan, Record, Traffic, World, CLASSES};
+use rig::{p99, wanted_share, Agent, Fate, Load, Plan, Record, Traffic, World, CLASSES};
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -92,16 +92,11 @@
     }
 }
 
-fn wanted(records: &[&Record]) -> Option<f64> {
-    let good = records.iter().filter(|r| r.in_wanted_time()).count();
-    (!records.is_empty()).then(|| good as f64 / records.len() as f64)
-}
-
 fn print_line(second: u64, records: &[Record], servers: &[usize]) {
     print!("{second:>4}  {:>6}", records.len());
     for class in 0..CLASSES.len() {
         let own: Vec<&Record> = records.iter().filter(|r| r.class == class).collect();
-        let share = wanted(&own).map_or("-".into(), |share| format!("{:.1}%", share * 100.0));
+        let share = wanted_share(&own).map_or("-".into(), |share| format!("{:.1}%", share * 100.0));
         print!("  {share:>14}");
     }
     let part = servers.iter().sum::<usize>() as f64 / servers.len() as f64;
@@ -118,14 +113,10 @@
         "class", "requests", "served", "refused", "failed", "lost", "in time", "p99 ms"
     );
     for (place, class) in CLASSES.iter().enumerate() {
-        let own: Vec<Record> = records.iter().filter(|r| r.class == place).cloned().collect();
-        let counts = fates(&own);
-        let count = |fate: Fate| counts.get(&fate).copied().unwrap_or(0);
-        let lost = count(Fate::Lost) + count(Fate::Unanswered) + count(Fate::NoConnection);
-        let mut times: Vec<Duration> = own.iter().map(|r| r.took).collect();
-        times.sort();
-        let p99 = times.get((times.len() * 99 / 100).min(times.len().saturating_sub(1)));
-        let share = wanted(&own.iter().collect::<Vec<_>>()).unwrap_or(0.0) * 100.0;
+        let own: Vec<&Record> = records.iter().filter(|r| r.class == place).collect();
+        let count = |fate: Fate| own.iter().filter(|r| r.fate == fate).count();
+        let lost = own.iter().filter(|r| !r.fate.is_answer()).count();
+        let share = wanted_share(&own).unwrap_or(0.0) * 100.0;
         println!(
             "{:<16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8.1}% {:>9.1}",
             class.name,
@@ -135,7 +126,7 @@
             count(Fate::Failed),
             lost,
             share,
-            p99.map_or(0.0, |t| t.as_secs_f64() * 1e3)
+            p99(&own).map_or(0.0, |t| t.as_secs_f64() * 1e3)
         );
     }
     println!("{:.0} requests a second on the whole", records.len() as f64 / ran.as_secs_f64());
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -21,7 +21,7 @@
 pub use http::{ok, read_message, request, soon, Message, LONG};
 pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
 pub use server::{Plan, Seen, Server};
-pub use traffic::{fates, Class, Fate, Load, Record, Traffic, CLASSES};
+pub use traffic::{fates, p99, wanted_share, Class, Fate, Load, Record, Traffic, CLASSES};
 pub use world::World;
 
 use std::net::SocketAddr;
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -1,6 +1,6 @@
 //! `rig measure`: figures for the pages, as ratios within one run where they depend on the machine.
 
-use rig::{Fate, Fleet, Load, Plan, Record, Traffic, World};
+use rig::{Fleet, Load, Plan, Record, Traffic, World};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -115,9 +115,7 @@
         row("late in the same time without it", &calm, Record::late),
         row("past their wanted time during it", &during, |r| !r.in_wanted_time()),
         row("past their wanted time without it", &calm, |r| !r.in_wanted_time()),
-        row("lost, unanswered or not connected during it", &during, |r| {
-            matches!(r.fate, Fate::Lost | Fate::Unanswered | Fate::NoConnection)
-        }),
+        row("lost, unanswered or not connected during it", &during, |r| !r.fate.is_answer()),
         ("breaches of the rules in both runs".into(), breaches.to_string()),
     ];
     let mut table = String::from("| what | measured |\n| --- | --- |\n");
--- a/crates/rig/src/measure_routes.rs
+++ b/crates/rig/src/measure_routes.rs
@@ -3,7 +3,7 @@
 
 use crate::measure::write_into;
 use bellcroft_routes::{Ids, Match, RouteSpec, Spec, Table};
-use rig::{Agent, Folder, Load, Plan, Record, Server, Traffic, World, CLASSES};
+use rig::{p99, wanted_share, Agent, Folder, Load, Plan, Record, Server, Traffic, World, CLASSES};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -95,16 +95,14 @@
     let all = traffic.finish().await;
     let further = (world.seen().len() - copies).saturating_sub(all.len() - from);
     let records = &all[from..];
-    let good = records.iter().filter(|r| r.in_wanted_time()).count() as f64 / records.len().max(1) as f64;
-    let p99 = |class: usize| {
-        let mut times: Vec<Duration> = records.iter().filter(|r| r.class == class).map(took).collect();
-        times.sort();
-        let at = (times.len() * 99 / 100).min(times.len().saturating_sub(1));
-        times.get(at).map_or("-".to_owned(), |t| format!("{:.0} ms", t.as_secs_f64() * 1e3))
+    let good = wanted_share(&records.iter().collect::<Vec<_>>()).unwrap_or(0.0);
+    let of_class = |class: usize| {
+        let own: Vec<&Record> = records.iter().filter(|r| r.class == class).collect();
+        p99(&own).map_or("-".to_owned(), |t| format!("{:.0} ms", t.as_secs_f64() * 1e3))
     };
     let broken = world.audit(&all);
     broken.iter().take(3).for_each(|b| eprintln!("breach: {b}"));
-    let times: Vec<String> = (0..CLASSES.len()).map(p99).collect();
+    let times: Vec<String> = (0..CLASSES.len()).map(of_class).collect();
     let line = format!(
         "{} | {further} ({:.1}%) | {:.1}% | {} | {}",
         records.len(),
@@ -116,10 +114,6 @@
     (line, broken.len())
 }
 
-fn took(record: &Record) -> Duration {
-    record.took
-}
-
 /// Nanoseconds of a look-up among so many routes, the last of which matches.
 fn lookup(routes: usize) -> f64 {
     let route = |n: usize| RouteSpec {
--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -103,6 +103,13 @@
     pub crossed: bool,
 }
 
+impl Fate {
+    /// The client had an answer, whatever it said.
+    pub fn is_answer(self) -> bool {
+        matches!(self, Fate::Served | Fate::Refused | Fate::Failed)
+    }
+}
+
 impl Record {
     /// It was served within its class's wanted time.
     pub fn in_wanted_time(&self) -> bool {
@@ -207,6 +214,19 @@
     }
 }
 
+/// The share of requests that were served within their wanted time; none of none.
+pub fn wanted_share(records: &[&Record]) -> Option<f64> {
+    let good = records.iter().filter(|r| r.in_wanted_time()).count();
+    (!records.is_empty()).then(|| good as f64 / records.len() as f64)
+}
+
+/// The time that 99 of 100 requests had their outcome within; none of none.
+pub fn p99(records: &[&Record]) -> Option<Duration> {
+    let mut times: Vec<Duration> = records.iter().map(|r| r.took).collect();
+    times.sort();
+    times.get((times.len() * 99 / 100).min(times.len().saturating_sub(1))).copied()
+}
+
 /// Counts fates.
 pub fn fates(records: &[Record]) -> BTreeMap<Fate, usize> {
     let mut counts = BTreeMap::new();
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -5,7 +5,6 @@
 use crate::traffic::{Fate, Record, CLASSES};
 use serde_json::{json, Value};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// The zones that servers stand in, in turn.
@@ -92,11 +91,6 @@
         self.servers.iter().enumerate().flat_map(of).collect()
     }
 
-    /// The address of each server.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.servers.iter().map(|server| server.address).collect()
-    }
-
     /// Sets the clients' outcomes against the servers' records; each line of the answer is a breach.
     ///
     /// Knows the rules and nothing of the agent: one outcome to each request, an answer only where a server gave
@@ -163,7 +157,7 @@
             }
             // An answer ends a request: nothing of it may begin to leave afterwards. A connection that broke is none:
             // what a killed agent had sent may still be on its way to a server.
-            if !matches!(record.fate, Fate::Served | Fate::Refused | Fate::Failed) {
+            if !record.fate.is_answer() {
                 continue;
             }
             let ended = record.sent + record.took;
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -1,7 +1,7 @@
 //! Whether routes keep the four rules.
 
 use crate::life::{round_down, Life, STEP, WAY};
-use crate::spec::{PoolSpec, RouteSpec, SecondCopy, Spec, Within};
+use crate::spec::{Match, PoolSpec, RouteSpec, SecondCopy, Spec, Within};
 use crate::table::Index;
 use crate::words;
 use micasail::{Class, Effect, Group, Settings, Span};
@@ -64,17 +64,23 @@
     let mut checker = Checker { platform, checks, refusals: Vec::new() };
     checker.names(spec);
     for route in &spec.routes {
-        checker.matches(route);
-        checker.times(route);
-        checker.copies(route);
-        for class in classes_of(route, platform) {
+        let classes = classes_of(route, platform);
+        checker.matches(route, &classes);
+        let longest = classes.iter().map(|class| platform.settings.classes[*class].deadline).max();
+        if let Some(longest) = longest {
+            checker.times(route, longest);
+            if checks.drain {
+                checker.drain(route);
+            }
+        }
+        checker.copies(route, longest.unwrap_or_default());
+        for class in classes {
             checker.rules(route, class);
         }
     }
     checker.unreachable(spec);
     checker.pools(spec);
     checker.refusals.sort_by_key(|refusal| refusal.line);
-    checker.refusals.dedup();
     checker.refusals
 }
 
@@ -134,7 +140,7 @@
         }
     }
 
-    fn matches(&mut self, route: &RouteSpec) {
+    fn matches(&mut self, route: &RouteSpec, of: &[usize]) {
         let (classes, tenants) = (self.platform.classes, self.platform.tenants);
         if let Some(class) = route.matches.class.as_ref().filter(|class| !classes.contains(class)) {
             let known = classes.join(", ");
@@ -150,7 +156,7 @@
                 format!("path = {path:?} begins with no '/'; no request's path does"),
             );
         }
-        if classes_of(route, self.platform).is_empty() {
+        if of.is_empty() {
             let path = route.matches.path.as_deref().unwrap_or_default();
             let why = format!(
                 "it can never match: a path's first part is its class, and {path:?} begins with none"
@@ -160,10 +166,7 @@
     }
 
     /// Times that take no effect are mistakes: whoever wrote them thinks that they do.
-    fn times(&mut self, route: &RouteSpec) {
-        let classes = classes_of(route, self.platform);
-        let deadline = |class: &usize| self.platform.settings.classes[*class].deadline;
-        let Some(longest) = classes.iter().map(deadline).max() else { return };
+    fn times(&mut self, route: &RouteSpec, longest: Span) {
         let timeout = route.timeout.unwrap_or(longest);
         let attempt = route.attempt_timeout.unwrap_or(timeout);
         let platform = self.platform.connect_timeout;
@@ -188,7 +191,7 @@
         }
     }
 
-    fn copies(&mut self, route: &RouteSpec) {
+    fn copies(&mut self, route: &RouteSpec, longest: Span) {
         let key = "second_copy_after";
         if route.second_copy_after == SecondCopy::Never {
             if route.second_copies_most.is_some() {
@@ -206,9 +209,6 @@
                 "a second copy is an attempt, and attempts = 1; at least 2, or second_copy_after = \"never\"";
             self.route(route, key, why.into());
         }
-        let classes = classes_of(route, self.platform);
-        let deadline = |class: &usize| self.platform.settings.classes[*class].deadline;
-        let longest = classes.iter().map(deadline).max().unwrap_or_default();
         let attempt = route.attempt_timeout.or(route.timeout).unwrap_or(longest);
         if let SecondCopy::After(after) = route.second_copy_after {
             if after >= attempt {
@@ -226,9 +226,6 @@
         let class = &self.platform.settings.classes[class];
         let repeats = route.retry_on.is_none_or(|on| on.after_it_may_have_run());
         let copies = route.second_copy_after != SecondCopy::Never;
-        if self.checks.drain {
-            self.drain(route);
-        }
         match class.effect {
             Effect::Idempotent => {}
             Effect::AtMostOnce => {
@@ -329,7 +326,10 @@
     fn unreachable(&mut self, spec: &Spec) {
         let mut index = Index::default();
         for (place, route) in spec.routes.iter().enumerate() {
-            if let Some(before) = index.covers(&route.matches) {
+            let Match { class, tenant, path } = &route.matches;
+            let (class, tenant, path) =
+                (class.as_deref(), tenant.as_deref(), path.as_deref().unwrap_or_default());
+            if let Some(before) = index.first(class, tenant, path) {
                 let before = &spec.routes[before];
                 let why = format!(
                     "it can never match: route {:?} in line {} matches all that it does and stands before it",
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -83,7 +83,7 @@
         if self.routes.is_empty() {
             return None;
         }
-        self.index.first(class, tenant, path).map(|place| &self.routes[place])
+        self.index.first(Some(class), tenant, path).map(|place| &self.routes[place])
     }
 }
 
@@ -147,10 +147,17 @@
 /// prefix has in the file.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Index {
-    /// For each class and tenant (or any): the first place of each prefix.
-    prefixes: HashMap<(Option<String>, Option<String>), Prefixes>,
+    classes: HashMap<String, Tenants>,
+    any_class: Tenants,
 }
 
+#[derive(Debug, Clone, Default)]
+struct Tenants {
+    tenants: HashMap<String, Prefixes>,
+    any_tenant: Prefixes,
+}
+
+/// The first place of each prefix.
 #[derive(Debug, Clone, Default)]
 struct Prefixes {
     lengths: BTreeSet<usize>,
@@ -168,41 +175,28 @@
 
 impl Index {
     pub(crate) fn insert(&mut self, matches: &Match, place: usize) {
-        let prefixes = self.prefixes.entry((matches.class.clone(), matches.tenant.clone())).or_default();
+        let tenants = match &matches.class {
+            Some(class) => self.classes.entry(class.clone()).or_default(),
+            None => &mut self.any_class,
+        };
+        let prefixes = match &matches.tenant {
+            Some(tenant) => tenants.tenants.entry(tenant.clone()).or_default(),
+            None => &mut tenants.any_tenant,
+        };
         let path = matches.path.clone().unwrap_or_default();
         prefixes.lengths.insert(path.len());
         prefixes.first.entry(path).or_insert(place);
     }
 
-    fn first(&self, class: &str, tenant: Option<&str>, path: &str) -> Option<usize> {
-        let mut found = None;
-        for class in [Some(class), None] {
-            for tenant in [tenant, None] {
-                let key = (class.map(str::to_owned), tenant.map(str::to_owned));
-                let place = self.prefixes.get(&key).and_then(|prefixes| prefixes.first(path));
-                found = match (found, place) {
-                    (Some(a), Some(b)) => Some(usize::min(a, b)),
-                    (a, b) => a.or(b),
-                };
-                if tenant.is_none() {
-                    break;
-                }
-            }
-        }
-        found
-    }
-
-    /// The first place that matches everything that `matches` does.
-    pub(crate) fn covers(&self, matches: &Match) -> Option<usize> {
-        let path = matches.path.as_deref().unwrap_or_default();
-        let mut found: Option<usize> = None;
-        for class in [matches.class.clone(), None] {
-            for tenant in [matches.tenant.clone(), None] {
-                let place = self.prefixes.get(&(class.clone(), tenant)).and_then(|p| p.first(path));
-                found = found.into_iter().chain(place).min();
-            }
-        }
-        found
+    /// The first place that matches a request, or everything that another match does.
+    pub(crate) fn first(&self, class: Option<&str>, tenant: Option<&str>, path: &str) -> Option<usize> {
+        let of_class = class.and_then(|class| self.classes.get(class));
+        let tenants = [of_class, Some(&self.any_class)].into_iter().flatten();
+        let prefixes = tenants.flat_map(|tenants| {
+            let of_tenant = tenant.and_then(|tenant| tenants.tenants.get(tenant));
+            [of_tenant, Some(&tenants.any_tenant)].into_iter().flatten()
+        });
+        prefixes.filter_map(|prefixes| prefixes.first(path)).min()
     }
 }
 
