Agent: [remote_write] sends its counts, and the observer is fed by its sockets

Need: operators want their own alert rules to notice a broken rule or a cut building.

Change: the operator's file has [remote_write], checked as every section; without it nothing is counted and nothing is sent, as in the platform's run. The observer hears of an attempt's first byte where the kernel has taken it, and of a final answer once its last byte has been taken. A reload moves to another receiver, token or labels while a request is out; what only a restart can take is named. A stop ends the series and flushes for flush_within at most.

--- a/crates/agent/src/cli/check.rs
+++ b/crates/agent/src/cli/check.rs
@@ -30,6 +30,10 @@
         None => println!("state: none is kept"),
     }
     println!("routes: {}, pools: {}", config.routes.routes.len(), config.routes.pools.len());
+    match &config.remote_write {
+        Some(remote) => println!("remote write: {} every {:?}", remote.url, remote.interval),
+        None => println!("remote write: off"),
+    }
     println!("digest: {}", config.digest);
     if explain {
         print!("{}", bellcroft_routes::explain(&config.routes, &config.platform()));
--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -1,7 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
-use bellcroft_operator::{AgentFile, Daemon, Fault};
+use bellcroft_operator::{AgentFile, Daemon, Fault, RemoteWrite};
 use bellcroft_routes::{Platform, Spec};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
@@ -38,6 +38,8 @@
     pub daemon: Daemon,
     /// The operator's routes; they keep the rules with these settings.
     pub routes: Spec,
+    /// Where its counts go, if anywhere.
+    pub remote_write: Option<RemoteWrite>,
     /// A hash of the bytes of its files.
     pub digest: String,
 }
@@ -208,10 +210,15 @@
             known,
             daemon: operator.daemon,
             routes: operator.routes,
+            remote_write: operator.remote_write,
             digest,
         })
     }
 
+    fn server_names(&self) -> Option<usize> {
+        self.remote_write.as_ref().map(|remote| remote.server_names)
+    }
+
     /// What routes are held against.
     pub fn platform(&self) -> Platform<'_> {
         platform(&self.settings, &self.names)
@@ -225,6 +232,9 @@
             ("limits.sockets", self.sockets == newer.sockets),
             ("settings", self.settings == newer.settings && self.names == newer.names),
             ("daemon.state", self.daemon.state == newer.daemon.state),
+            // The observer must have seen a request from its begin, and a server's name from its first line.
+            ("remote_write (on or off)", self.remote_write.is_some() == newer.remote_write.is_some()),
+            ("remote_write.server_names", self.server_names() == newer.server_names()),
         ];
         same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -10,6 +10,8 @@
 use crate::exit;
 use crate::front::{self, Server};
 use crate::log::say;
+use crate::telemetry;
+use bellcroft_telemetry::{families, Owner, Remote};
 use config::Config;
 pub(crate) use config::Sources;
 use notify::Notify;
@@ -117,6 +119,8 @@
     /// It was told over its control socket to end; true if another process takes over its listening socket.
     told_to_end: Cell<Option<bool>>,
     told: tokio::sync::Notify,
+    /// Sends what is counted, if anybody wants it.
+    remote: RefCell<Option<Remote>>,
 }
 
 fn unix_ms() -> u64 {
@@ -175,6 +179,21 @@
         }
     }
 
+    /// Sets the gauges that others keep, before each sample.
+    fn gauges(&self, clients: usize) {
+        let Some(telemetry) = &self.driver.telemetry else { return };
+        let set = |family: &families::Family, labels: &[&str], value: usize| {
+            telemetry.registry.gauge(family, labels).set(value as f64);
+        };
+        let (held, most) = self.driver.connections();
+        set(&families::CONNECTIONS, &["client"], self.server.connections());
+        set(&families::CONNECTIONS, &["server"], held);
+        set(&families::CONNECTIONS_MOST, &["client"], clients);
+        set(&families::CONNECTIONS_MOST, &["server"], most);
+        set(&families::READY, &[], usize::from(self.phase.get() == Phase::Ready));
+        set(&families::GENERATION, &[], self.generation.get() as usize);
+    }
+
     /// Reads the files again and takes all that is new in them, or nothing. Without an operator's file it is the
     /// platform's reload, which is about discovery alone.
     fn reload(&self) -> Result<(), String> {
@@ -185,7 +204,12 @@
                 self.generation.set(self.generation.get() + 1);
                 say(format_args!("{}: discovery is at {}", self.name(), self.config.borrow().discovery));
             }
-            Err(why) => say(format_args!("{}: reload: {why}; all stays as it was", self.name())),
+            Err(why) => {
+                say(format_args!("{}: reload: {why}; all stays as it was", self.name()));
+                if let Some(telemetry) = &self.driver.telemetry {
+                    telemetry.registry.counter(&families::RELOADS_REFUSED, &[]).inc();
+                }
+            }
         }
         *self.refused.borrow_mut() = taken.clone().err();
         if self.phase.get() == Phase::Ready {
@@ -210,6 +234,12 @@
         }
         let discovery = newer.discovery;
         self.driver.set_routes(&newer);
+        if let Some(telemetry) = &self.driver.telemetry {
+            telemetry::budgets(telemetry, &newer);
+        }
+        if let Some((remote, config)) = self.remote.borrow().as_ref().zip(telemetry::remote(&newer)) {
+            remote.change(config);
+        }
         let moved = self.config.replace(newer).discovery != discovery;
         if moved {
             self.driver.relocate(discovery);
@@ -264,7 +294,9 @@
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let (notify, problem) = Notify::find(|name| std::env::var_os(name));
     problems.extend(problem);
-    let driver = Driver::start(config.clone(), sockets - clients).map_err(|e| e.to_string())?;
+    let counted = telemetry::instance(&config, started_ms);
+    let driver =
+        Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), clients);
     let copy = state.as_ref().and_then(|_| {
@@ -298,6 +330,7 @@
         say(format_args!("{name}: {problem}; serving goes on"));
     }
     let status_every = config.daemon.status_every;
+    let (remote, seed) = (telemetry::remote(&config), config.seed);
     let instance = Rc::new(Instance {
         config: RefCell::new(config),
         start,
@@ -315,7 +348,20 @@
         writer: RefCell::new(writer),
         told_to_end: Cell::new(None),
         told: tokio::sync::Notify::new(),
+        remote: RefCell::default(),
     });
+    if let Some((remote, counted)) = remote.zip(counted) {
+        let (clock, refreshed) = (instance.driver.clock, instance.clone());
+        let owner = Owner {
+            instance: counted,
+            now: Box::new(move || clock.now()),
+            refresh: Box::new(move || refreshed.gauges(clients)),
+            log: Box::new(move |text| say(format_args!("{name}: {text}"))),
+            seed,
+        };
+        *instance.remote.borrow_mut() = Some(Remote::start(remote, owner));
+    }
+    let name = instance.name();
     *handler.borrow_mut() = Some(instance.clone());
     instance.write();
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
@@ -384,6 +430,14 @@
         }
     }
     sleep(FLUSH).await;
+    // The last counts are of all that was answered, so they leave last.
+    let remote = instance.remote.borrow_mut().take();
+    if let Some(remote) = remote {
+        let counts = remote.stop().await;
+        if counts.dropped_at_end > 0 {
+            say(format_args!("{name}: remote write: {} samples were left at the end", counts.dropped_at_end));
+        }
+    }
     instance.phase.set(Phase::Stopped);
     let writer = instance.writer.borrow_mut().take();
     if let Some(writer) = writer {
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -7,8 +7,10 @@
 use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
 use crate::log::say;
+use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
 use crate::upstream::{AttemptLimits, Ended, Progress, Upstream};
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
+use bellcroft_telemetry::{Instance, Line};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
@@ -84,6 +86,10 @@
     pub repeat: bool,
     /// When its answer must be on its way.
     pub deadline: Instant,
+    /// When it had come whole.
+    pub whole: Instant,
+    /// Until when its client waits.
+    pub client_waits: Instant,
     /// Its route, as it was when it came.
     pub route: Option<Arc<Route>>,
 }
@@ -138,13 +144,19 @@
     /// What each class would do twice, by its number.
     pub effects: Vec<Effect>,
     upstream: Rc<Upstream>,
+    /// What is counted, if anybody wants it.
+    pub telemetry: Option<Rc<Instance>>,
     state: RefCell<State>,
     wake: Notify,
 }
 
 impl Driver {
     /// A driver that has the list that the configuration knows.
-    pub fn start(config: Config, connections: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn start(
+        config: Config,
+        connections: usize,
+        telemetry: Option<Rc<Instance>>,
+    ) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
         let mut ids = Ids::default();
         let routes = Rc::new(Table::unchecked(&config.routes, &mut ids));
@@ -182,6 +194,7 @@
             names: config.names,
             effects,
             upstream,
+            telemetry,
             state: RefCell::new(state),
             wake: Notify::new(),
         });
@@ -237,10 +250,18 @@
         self.pump();
     }
 
-    /// Hands a request to the balancer; its answer comes over the channel.
-    pub fn submit(self: &Rc<Self>, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
+    /// Connections to servers, and how many there may be.
+    pub fn connections(&self) -> (usize, usize) {
+        self.upstream.connections()
+    }
+
+    /// Hands a request to the balancer; its answer comes over the channel. Whoever writes that answer tells the third.
+    pub fn submit(
+        self: &Rc<Self>,
+        arrival: Arrival,
+    ) -> (RequestId, oneshot::Receiver<Answer>, Option<Owing>) {
         let (answer, receiver) = oneshot::channel();
-        let id = {
+        let (id, owing) = {
             let mut state = self.state.borrow_mut();
             let id = RequestId(state.next_request);
             state.next_request += 1;
@@ -258,12 +279,18 @@
                 }),
                 ..micasail::Request::new(id, arrival.class, time_left)
             };
+            let owing = self.telemetry.clone().map(|telemetry| {
+                let (class, route) = (arrival.class.0, route_of(&arrival));
+                let until = self.clock.at(arrival.client_waits);
+                telemetry.taken(id.0, class, arrival.tenant.map(|t| t.0), route, until);
+                Owing::new(telemetry, self.clock, id, class, arrival.whole)
+            });
             state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
             state.queue.push_back(Event::Request(request));
-            id
+            (id, owing)
         };
         self.pump();
-        (id, receiver)
+        (id, receiver, owing)
     }
 
     /// The client no longer waits, or must not wait longer. Attempts that are out whole go on, and their
@@ -280,6 +307,9 @@
 
     /// News of discovery; `None` for a call that failed.
     pub fn listed(self: &Rc<Self>, list: Option<List>) {
+        if let Some(telemetry) = &self.telemetry {
+            telemetry.list_call(self.clock.now(), list.is_some());
+        }
         {
             let mut state = self.state.borrow_mut();
             let update = match list {
@@ -400,18 +430,32 @@
             first_byte: route.and_then(|route| route.first_byte_timeout).map(time),
         };
         let class = open.parts.class;
-        let progress = Rc::new(Progress::default());
+        let first = self.telemetry.clone().map(|telemetry| {
+            let another_out = (0..attempt).any(|other| state.attempts.contains_key(&(request, other)));
+            telemetry.attempt(server.0, route_of(&open.parts), attempt, another_out);
+            FirstByte { instance: telemetry, clock: self.clock, request, attempt, server }
+        });
+        let progress = Rc::new(Progress::new(first));
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = driver.upstream.attempt(server, outgoing, &limits, &progress).await;
-            driver.ended((request, attempt), class, ended, sent);
+            driver.ended((request, attempt), (class, server), ended, sent);
         });
     }
 
     /// An attempt is over: the first that is served answers its request.
-    fn ended(self: &Rc<Self>, key: (RequestId, u32), class: ClassId, ended: Ended, sent: Instant) {
+    fn ended(
+        self: &Rc<Self>,
+        key: (RequestId, u32),
+        (class, server): (ClassId, ServerId),
+        ended: Ended,
+        sent: Instant,
+    ) {
         let elapsed = Span(sent.elapsed().as_micros() as u64);
+        if let Some(telemetry) = &self.telemetry {
+            telemetry.ended((key.0 .0, key.1), class.0, server.0, ended.outcome, elapsed);
+        }
         {
             let mut state = self.state.borrow_mut();
             if ended.outcome == Outcome::Success {
@@ -443,6 +487,9 @@
             let sent = Instant::now();
             let Ended { outcome, report, .. } = driver.upstream.probe(server).await;
             let elapsed = Span(sent.elapsed().as_micros() as u64);
+            if let Some(telemetry) = &driver.telemetry {
+                telemetry.probed(outcome);
+            }
             driver.state.borrow_mut().queue.push_back(Event::Probed { server, outcome, elapsed, report });
             driver.pump();
         });
@@ -482,11 +529,36 @@
             let named: HashSet<ServerId> = lines.iter().map(|l| l.server).collect();
             self.upstream.keep_only(|server| named.contains(&server));
         }
-        state.forget(list.whole, &lines);
+        let forgotten = state.forget(list.whole, &lines);
+        if let Some(telemetry) = &self.telemetry {
+            self.count_list(telemetry, state, list.whole, &lines);
+            forgotten.into_iter().for_each(|server| telemetry.forget(server.0));
+        }
         lines
     }
 }
 
+impl Driver {
+    /// Tells the observer what the list says; of a whole one also what it no longer says.
+    fn count_list(&self, telemetry: &Instance, state: &State, whole: bool, lines: &[Listed]) {
+        let now = self.clock.now();
+        let line = |server: ServerId, zone, cell, status, started| {
+            let (up, here) = (status == Status::Serving, status != Status::Gone);
+            let name = state.names.get(&server).map_or("", String::as_str);
+            telemetry.listed(now, Line { server: server.0, name, zone, cell, up, here, started });
+        };
+        for l in lines {
+            line(l.server, l.zone.0, l.cell.0, l.status, l.started);
+        }
+        if whole {
+            let named: HashSet<ServerId> = lines.iter().map(|l| l.server).collect();
+            for server in state.left.keys().filter(|server| !named.contains(server)) {
+                telemetry.left(now, server.0);
+            }
+        }
+    }
+}
+
 impl State {
     /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
     fn answer(&mut self, id: RequestId, answer: Answer) {
@@ -505,7 +577,7 @@
     }
 
     /// Forgets the names of servers that left long ago; `lines` are the latest news of the list.
-    fn forget(&mut self, whole: bool, lines: &[Listed]) {
+    fn forget(&mut self, whole: bool, lines: &[Listed]) -> Vec<ServerId> {
         let now = Instant::now();
         let gone = |l: &&Listed| l.status == Status::Gone;
         for line in lines {
@@ -520,12 +592,13 @@
         self.left.extend(lines.iter().filter(gone).map(|l| (l.server, now)));
         let old = |at: &Instant| now.duration_since(*at) >= NAMES_KEPT;
         let old: Vec<ServerId> = self.left.iter().filter(|(_, at)| old(at)).map(|(s, _)| *s).collect();
-        for server in old {
-            self.left.remove(&server);
-            if let Some(name) = self.names.remove(&server) {
+        for server in &old {
+            self.left.remove(server);
+            if let Some(name) = self.names.remove(server) {
                 self.servers.remove(&name);
             }
         }
+        old
     }
 
     /// A server's number is a hash of its name, the same at every agent. Should two names meet in one number,
@@ -545,6 +618,11 @@
     }
 }
 
+/// The name of a request's route.
+fn route_of(arrival: &Arrival) -> &str {
+    arrival.route.as_ref().map_or(NO_ROUTE, |route| &route.name)
+}
+
 /// A name's place in the settings; one that they lack gets a number of its own past them, so that no two zones
 /// pass for one.
 fn place(names: &[String], name: &str) -> u32 {
--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -5,6 +5,7 @@
 //! an idle connection and one with a request on its way look alike. This wrapper passes on one whole head,
 //! then the bytes that its length gives and nothing behind them until the request has its answer.
 
+use crate::telemetry::Owing;
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -42,6 +43,8 @@
     ambiguous: Cell<bool>,
     answered: Cell<bool>,
     waker: RefCell<Option<Waker>>,
+    /// The answer whose last byte has not left.
+    owing: Cell<Option<Owing>>,
 }
 
 impl Line {
@@ -52,6 +55,7 @@
             ambiguous: Cell::new(false),
             answered: Cell::new(false),
             waker: RefCell::new(None),
+            owing: Cell::new(None),
         })
     }
 
@@ -76,6 +80,20 @@
         self.enter(Phase::Open);
     }
 
+    /// The present request's answer is the next that is written.
+    pub fn owe(&self, owing: Owing) {
+        self.owing.set(Some(owing));
+    }
+
+    /// So much of what was to be written has been; an answer is out with the last byte that there was.
+    fn wrote(&self, written: usize, of: usize) {
+        if written == of {
+            if let Some(owing) = self.owing.take() {
+                owing.left();
+            }
+        }
+    }
+
     /// The present request has its answer; the next one may be read.
     pub fn answered(&self) {
         self.enter(Phase::Idle);
@@ -240,7 +258,9 @@
 
 impl Write for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        let n = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        self.line.wrote(n, buf.len());
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -260,7 +280,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+        let n = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        self.line.wrote(n, bufs.iter().map(|b| b.len()).sum());
+        Poll::Ready(Ok(n))
     }
 }
 
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -6,6 +6,7 @@
 use crate::driver::{Answer, Arrival, Driver};
 use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
 use crate::upstream::{forwarded, BODY_MOST};
+use bellcroft_telemetry::Over;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -231,6 +232,9 @@
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => {
                 self.tally.bad();
+                if let Some(telemetry) = &self.driver.telemetry {
+                    telemetry.bad();
+                }
                 (answer, true)
             }
         };
@@ -264,7 +268,7 @@
         };
         let deadline = arrival.deadline;
         let counted = self.tally.taken(arrival.class.0);
-        let (id, answer) = self.driver.submit(arrival);
+        let (id, answer, owing) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
         let (how, response) = match timeout_at(deadline + OVERDUE, answer).await {
@@ -280,6 +284,15 @@
             Err(_) => (Ended::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
         };
         counted.ended(how);
+        if let Some(mut owing) = owing {
+            owing.decided(match how {
+                Ended::Served => Over::Served,
+                Ended::Refused => Over::Refused,
+                Ended::Failed => Over::Failed,
+                Ended::Left => Over::Left,
+            });
+            line.owe(owing);
+        }
         Ok(response)
     }
 
@@ -340,6 +353,7 @@
             Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
         let room = ANSWER_ROOM.min(wait / 4);
+        let whole = Instant::now();
         let query = head.uri.query().unwrap_or_default();
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
         let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
@@ -349,7 +363,9 @@
             key: key.map(|key| KeyId(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
-            deadline: Instant::now() + (wait - room),
+            deadline: whole + (wait - room),
+            whole,
+            client_waits: whole + wait,
             route,
             headers: forwarded(&head.headers),
             method: head.method,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,7 +2,7 @@
 //! the decisions of `micasail` in between.
 //!
 //! `daemon` is one instance's life and `fleet` that of many; `front` (clients) and `upstream` (servers) are the two
-//! sides of a request, which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list;
+//! sides of a request, which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list; `telemetry` counts;
 //! [`cli`] is the way in.
 
 pub mod cli;
@@ -13,4 +13,5 @@
 mod fleet;
 mod front;
 mod log;
+mod telemetry;
 mod upstream;
--- /dev/null
+++ b/crates/agent/src/telemetry.rs
@@ -0,0 +1,135 @@
+//! Where the agent's sockets meet its counts: what is sampled, and the marks that tell the observer what has left.
+
+use crate::daemon::config::Config;
+use crate::driver::Clock;
+use bellcroft_operator::RemoteWrite;
+use bellcroft_routes::SecondCopy;
+use bellcroft_telemetry::{About, Allowed, Instance, Over, Policy, Version};
+use micasail::{RequestId, ServerId, Span};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// What a request without a route is counted under.
+pub const NO_ROUTE: &str = "none";
+/// Further attempts that a request without a budget of its own earns; the decisions' own figure.
+const COMMON_RATIO: f64 = 0.1;
+
+/// The series of an instance whose operator wants them sent.
+pub fn instance(config: &Config, started_ms: u64) -> Option<Rc<Instance>> {
+    let remote = config.remote_write.as_ref()?;
+    let instance = Instance::new(&About {
+        settings: &config.settings,
+        classes: &config.names.classes,
+        tenants: &config.names.tenants,
+        zones: &config.names.zones,
+        version: env!("CARGO_PKG_VERSION"),
+        started: started_ms as f64 / 1e3,
+        external: &labels(remote, &config.name),
+        server_names: remote.server_names,
+    });
+    budgets(&instance, config);
+    Some(Rc::new(instance))
+}
+
+/// What the routes allow, as gauges beside what they spend.
+pub fn budgets(instance: &Instance, config: &Config) {
+    let mut allowed = vec![Allowed { route: NO_ROUTE, retries: COMMON_RATIO, copies: None }];
+    for route in &config.routes.routes {
+        let pool = route.pool.as_ref().and_then(|name| config.routes.pools.iter().find(|p| p.name == *name));
+        let budgets = [route.retry_budget, pool.and_then(|pool| pool.retry_budget)];
+        // Every one of them pays, so the smallest is what is allowed.
+        let retries = budgets.into_iter().flatten().map(|b| b.ratio).reduce(f64::min);
+        let shares = [route.second_copies_most, pool.and_then(|pool| pool.second_copies_most)];
+        let copies = shares.into_iter().flatten().reduce(f64::min);
+        allowed.push(Allowed {
+            route: &route.name,
+            retries: retries.unwrap_or(COMMON_RATIO),
+            copies: copies.filter(|_| route.second_copy_after != SecondCopy::Never),
+        });
+    }
+    instance.allowed(&allowed);
+}
+
+fn labels(remote: &RemoteWrite, name: &str) -> Vec<(String, String)> {
+    let own = [("job", "bellcroft"), ("instance", name)].map(|(n, v)| (n.to_owned(), v.to_owned()));
+    let said = |name: &str| remote.labels.iter().any(|(n, _)| n == name);
+    own.into_iter().filter(|(n, _)| !said(n)).chain(remote.labels.iter().cloned()).collect()
+}
+
+/// What the task that sends goes by.
+pub fn remote(config: &Config) -> Option<bellcroft_telemetry::Config> {
+    let remote = config.remote_write.as_ref()?;
+    Some(bellcroft_telemetry::Config {
+        url: remote.url.clone(),
+        token: remote.token.clone(),
+        interval: remote.interval,
+        timeout: remote.timeout,
+        policy: Policy {
+            version: if remote.version_2 { Version::V2 } else { Version::V1 },
+            queue_bytes: remote.queue_bytes,
+            backoff_first: remote.retry.0,
+            backoff_most: remote.retry.1,
+            flush_within: remote.flush_within,
+            ..Policy::default()
+        },
+        labels: labels(remote, &config.name),
+    })
+}
+
+/// A request that is not over yet. Dropped before its answer has left, it was left by its client.
+pub struct Owing {
+    instance: Rc<Instance>,
+    clock: Clock,
+    id: RequestId,
+    class: usize,
+    from: Instant,
+    over: Over,
+    out: bool,
+}
+
+impl Owing {
+    /// A request that came whole at `from`.
+    pub fn new(instance: Rc<Instance>, clock: Clock, id: RequestId, class: usize, from: Instant) -> Self {
+        Owing { instance, clock, id, class, from, over: Over::Left, out: false }
+    }
+
+    /// Its answer is decided and on its way to the socket.
+    pub fn decided(&mut self, over: Over) {
+        self.over = over;
+    }
+
+    /// The last byte of its answer has been taken by the kernel.
+    pub fn left(mut self) {
+        self.out = true;
+    }
+}
+
+impl Drop for Owing {
+    fn drop(&mut self) {
+        let over = if self.out { self.over } else { Over::Left };
+        let now = Instant::now();
+        let took = Span(now.saturating_duration_since(self.from).as_micros() as u64);
+        self.instance.over(self.clock.at(now), self.id.0, self.class, over, took);
+    }
+}
+
+/// An attempt whose first byte has not left.
+pub struct FirstByte {
+    /// Who is told.
+    pub instance: Rc<Instance>,
+    /// The decisions' clock.
+    pub clock: Clock,
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: u32,
+    /// The server.
+    pub server: ServerId,
+}
+
+impl FirstByte {
+    /// It has.
+    pub fn left(self) {
+        self.instance.first_byte(self.clock.now(), self.request.0, self.attempt, self.server.0);
+    }
+}
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
 use crate::discovery::{Health, Host};
+use crate::telemetry::FirstByte;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
@@ -50,6 +51,8 @@
     shut: Cell<bool>,
     /// What begins at this count of bytes must begin by then, or not at all.
     begin: Cell<Option<(u64, Instant)>>,
+    /// Who is told when the next byte leaves.
+    first: Cell<Option<FirstByte>>,
 }
 
 /// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
@@ -61,6 +64,9 @@
 impl Counted {
     fn wrote(&self, n: usize) -> usize {
         self.wire.written.set(self.wire.written.get() + n as u64);
+        if let Some(first) = self.wire.first.take().filter(|_| n > 0) {
+            first.left();
+        }
         n
     }
 
@@ -129,9 +135,16 @@
     wire: RefCell<Option<(Rc<Wire>, u64)>>,
     stopped: Cell<bool>,
     stop: Notify,
+    /// Who is told of its first byte.
+    first: Cell<Option<FirstByte>>,
 }
 
 impl Progress {
+    /// An attempt that has not begun.
+    pub fn new(first: Option<FirstByte>) -> Self {
+        Progress { first: Cell::new(first), ..Progress::default() }
+    }
+
     /// Its last byte may be out: from here on it may have run.
     pub fn may_have_run(&self) -> bool {
         self.wire.borrow().as_ref().is_some_and(|(wire, whole)| wire.written.get() >= *whole)
@@ -308,6 +321,11 @@
         }
     }
 
+    /// Connections that it holds, and may hold.
+    pub fn connections(&self) -> (usize, usize) {
+        (self.held.get(), self.most)
+    }
+
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self) {
         for remote in self.remotes.borrow_mut().values_mut() {
@@ -400,6 +418,7 @@
             }
             let written = connection.wire.written.get();
             connection.wire.begin.set(Some((written, limits.write_by)));
+            connection.wire.first.set(progress.first.take());
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), written + length(&request)));
             let wire = connection.wire.clone();
             let ended = self.exchange(connection, request, limits.first_byte).await;
@@ -439,6 +458,7 @@
                 (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
             };
             connection.wire.begin.set(None);
+            connection.wire.first.set(None);
             let ended = self.exchange(connection, request, None).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
--- /dev/null
+++ b/crates/agent/tests/telemetry.rs
@@ -0,0 +1,311 @@
+//! What the real program sends of itself, and that nobody's request waits for a receiver.
+
+use rig::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SHORT: &str =
+    "interval = \"100ms\"\ntimeout = \"300ms\"\nretry_first = \"10ms\"\nretry_most = \"50ms\"\n";
+
+/// An operator's file with a receiver.
+fn file(folder: &Folder, receiver: &Receiver, more: &str) -> std::path::PathBuf {
+    folder.write("agent.toml", &format!("[remote_write]\nurl = \"{}\"\n{SHORT}{more}", receiver.url()))
+}
+
+struct Stage {
+    world: World,
+    receiver: Receiver,
+    folder: Folder,
+}
+
+impl Stage {
+    async fn set() -> Self {
+        let world = World::start(4, &Plan::default()).await;
+        Stage { world, receiver: Receiver::start().await, folder: Folder::new() }
+    }
+
+    async fn agent(&self, name: &str, more: &str) -> Agent {
+        let file = file(&self.folder, &self.receiver, more);
+        let agent = Agent::operated(self.world.config(name), &file).await;
+        agent.ready().await;
+        agent
+    }
+}
+
+fn traffic(agent: &Agent, rate: f64, seed: u64) -> Traffic {
+    Traffic::start(&Load { agents: vec![agent.address], clients: 8, rate, seed, most: 10_000 })
+}
+
+fn taken(store: &Store) -> usize {
+    store.sum("bellcroft_requests_total", &[]) as usize
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_arrives_is_what_clients_and_servers_saw() {
+    let mut stage = Stage::set().await;
+    let mut agent =
+        stage.agent("n7", "[remote_write.labels]\nbuilding = \"quote \\\" and \\n newline\"\n").await;
+    let load = traffic(&agent, 200.0, 3);
+    load.more(100, 1).await;
+    stage.world.drain(1);
+    load.more(200, 1).await;
+    let records = load.finish().await;
+    stage.receiver.until("all requests at the receiver", |store, _| taken(store) == records.len()).await;
+    agent.term().await;
+    let during = stage.receiver.store();
+    assert!(agent.end().await.success());
+    let store = stage.receiver.store();
+    assert_eq!(store.wrong, Vec::<String>::new());
+    for (place, class) in CLASSES.iter().enumerate() {
+        let own: Vec<Record> = records.iter().filter(|r| r.class == place).cloned().collect();
+        let fates = fates(&own);
+        for (word, fate) in [("served", Fate::Served), ("refused", Fate::Refused), ("failed", Fate::Failed)] {
+            let counted = during.sum("bellcroft_requests_total", &[("class", class.name), ("outcome", word)]);
+            assert_eq!(counted as usize, fates.get(&fate).copied().unwrap_or(0), "{} {word}", class.name);
+        }
+        let observed = during.sum("bellcroft_answer_seconds_count", &[("class", class.name)]);
+        assert_eq!(observed as usize, own.len());
+        let whole = during.sum("bellcroft_answer_seconds_bucket", &[("class", class.name), ("le", "+Inf")]);
+        assert_eq!(whole as usize, own.len());
+        let aim = class.aim.as_secs_f64().to_string();
+        assert_eq!(
+            during.latest("bellcroft_answer_seconds_bucket", &[("class", class.name), ("le", &aim)]).len(),
+            1
+        );
+    }
+    let reached = during.sum("bellcroft_attempts_total", &[])
+        - during.sum("bellcroft_attempts_total", &[("outcome", "connect")])
+        - during.sum("bellcroft_attempts_total", &[("outcome", "not_sent")]);
+    assert_eq!(reached as usize, stage.world.seen().len());
+    assert_eq!(during.sum("bellcroft_rule_breaches_total", &[]), 0.0);
+    assert_eq!(during.latest("bellcroft_rule_breaches_total", &[]).len(), 4);
+    assert_eq!(during.sum("bellcroft_servers", &[("state", "draining"), ("zone", "south")]), 1.0);
+    assert_eq!(during.sum("bellcroft_servers", &[("state", "up")]), 3.0);
+    assert_eq!(during.sum("bellcroft_tenant_requests_total", &[("tenant", "acme")]) as usize, records.len());
+    assert_eq!(during.sum("bellcroft_requests_in_flight", &[]), 0.0);
+    let common = [("instance", "n7"), ("job", "bellcroft"), ("building", "quote \" and \n newline")];
+    assert!(during.series.keys().all(|l| common.iter().all(|(n, v)| l.get(*n).is_some_and(|own| own == v))));
+    // No server is named unless the operator says so.
+    assert!(during.series.keys().all(|l| !l.contains_key("server")));
+    // A clean stop ends every series.
+    assert!(store
+        .series
+        .values()
+        .all(|s| s.last().is_some_and(|(_, v)| v.to_bits() == 0x7ff0_0000_0000_0002)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whatever_a_receiver_does_requests_are_served_and_what_it_missed_is_counted_or_comes_in_order() {
+    let stage = Stage::set().await;
+    let mut agent = stage.agent("n0", "queue_bytes = 33554432\n").await;
+    let load = traffic(&agent, 100.0, 5);
+    let line = "Retry-After: 1\r\n".to_owned();
+    let redirect = "Location: http://127.0.0.1:9/elsewhere\r\n".to_owned();
+    let again = [
+        Taking::Slowly(Duration::from_millis(150)),
+        Taking::Mute,
+        Taking::Reset,
+        Taking::Status(500, String::new()),
+        Taking::Garbage,
+        Taking::Endless,
+        Taking::Status(429, line),
+    ];
+    let never = [Taking::Status(400, String::new()), Taking::Status(307, redirect)];
+    for (taking, kept) in again.into_iter().map(|t| (t, true)).chain(never.into_iter().map(|t| (t, false))) {
+        stage.receiver.taking.send_replace(taking.clone());
+        let before = stage.receiver.posted().len();
+        load.more(20, 1).await;
+        stage.receiver.until("requests under the fault", |_, posted| posted.len() >= before + 2).await;
+        let refused = stage
+            .receiver
+            .store()
+            .sum("bellcroft_remote_write_samples_total", &[("outcome", "dropped_refused")]);
+        stage.receiver.taking.send_replace(Taking::All);
+        let answered = load.count();
+        // All that was kept has come once the newest count has: a queue keeps its order.
+        stage.receiver.until("the count after the fault", |store, _| taken(store) >= answered).await;
+        stage
+            .receiver
+            .until("the count of what was refused", |store, _| {
+                let now =
+                    store.sum("bellcroft_remote_write_samples_total", &[("outcome", "dropped_refused")]);
+                if kept {
+                    now == refused
+                } else {
+                    now > refused
+                }
+            })
+            .await;
+    }
+    let records = load.finish().await;
+    assert_eq!(fates(&records), BTreeMap::from([(Fate::Served, records.len())]));
+    let store = stage.receiver.store();
+    assert_eq!(store.wrong, Vec::<String>::new(), "in order, and none twice");
+    let of = |word: &str| store.sum("bellcroft_remote_write_samples_total", &[("outcome", word)]);
+    assert!(of("retried") > 0.0 && of("dropped_refused") > 0.0);
+    assert_eq!((of("dropped_full"), of("unwritten")), (0.0, 0.0));
+    assert_eq!(agent.logged("what it refuses is dropped"), 1, "told once");
+    assert_eq!(stage.world.audit(&records), Vec::<String>::new());
+    agent.term().await;
+    assert!(agent.end().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_agent_counts_on_and_its_growth_is_the_true_count() {
+    let stage = Stage::set().await;
+    let mut all = 0;
+    let mut agent = stage.agent("n0", "").await;
+    for round in 0..3 {
+        let load = traffic(&agent, 200.0, round);
+        load.more(60, 1).await;
+        let records = load.finish().await;
+        assert!(records.iter().all(|r| r.fate.is_answer()));
+        all += records.len();
+        stage.receiver.until("the round's count", |store, _| taken(store) == records.len()).await;
+        if round < 2 {
+            agent.child.kill().await.expect("it ran");
+            agent = stage.agent("n0", "").await;
+            stage.receiver.until("the new count from zero", |store, _| taken(store) == 0).await;
+        }
+    }
+    let store = stage.receiver.store();
+    let (first, last) = store.span().expect("samples");
+    let grown = |what: &str| {
+        let text = format!("sum({what}(bellcroft_requests_total[{}ms]))", last - first + 1);
+        match evaluate(&text, &store, last, 1.0) {
+            Ok(Value::Vector(vector)) => vector[0].1,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!((grown("increase") - all as f64).abs() < 0.5, "{} of {all}", grown("increase"));
+    let resets = evaluate(
+        &format!("max(resets(bellcroft_requests_total[{}ms]))", last - first + 1),
+        &store,
+        last,
+        1.0,
+    );
+    assert_eq!(resets, Ok(Value::Vector(vec![(Labels::new(), 2.0)])));
+    assert!(store.series.values().flatten().all(|(_, value)| *value >= 0.0 || value.is_nan()));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reload_moves_to_another_receiver_and_to_other_labels_while_a_request_is_out() {
+    let stage = Stage::set().await;
+    let token = stage.folder.write("token", "first-secret\n");
+    let more = |labels: &str| {
+        format!("token_file = \"{}\"\ntimeout = \"20s\"\n[remote_write.labels]\n{labels}", token.display())
+    };
+    let more_first = more("building = \"north\"\n").replace("timeout = \"20s\"\n", "");
+    let mut agent = stage.agent("n0", &more_first).await;
+    let load = traffic(&agent, 50.0, 9);
+    stage.receiver.until("samples", |_, posted| posted.len() > 2).await;
+    assert!(stage
+        .receiver
+        .posted()
+        .iter()
+        .all(|p| p.authorization.as_deref() == Some("Bearer first-secret")));
+    assert!(stage.receiver.posted().iter().all(|p| p.path == "/api/v1/write" && p.version == "2.0.0"));
+    stage.receiver.taking.send_replace(Taking::Mute);
+    let before = stage.receiver.posted().len();
+    stage.receiver.until("a request that is out", |_, posted| posted.len() > before).await;
+    let other = Receiver::start().await;
+    stage.folder.write("token", "second-secret");
+    file(&stage.folder, &other, &more_first.replace("north", "south"));
+    agent.hang_up().await;
+    let labelled =
+        |store: &Store, building: &str| store.latest("bellcroft_ready", &[("building", building)]).len();
+    other.until("samples under the new label", |store, _| labelled(store, "south") == 1).await;
+    assert!(other.posted().iter().all(|p| p.authorization.as_deref() == Some("Bearer second-secret")));
+    assert_eq!(labelled(&other.store(), "north"), 1, "what waited goes to the new one, under its old label");
+    // The same receiver, another label: the old series end.
+    file(&stage.folder, &other, &more_first.replace("north", "west"));
+    agent.hang_up().await;
+    other
+        .until("the old series' end", |store, _| {
+            labelled(store, "west") == 1 && labelled(store, "south") == 0
+        })
+        .await;
+    assert_eq!(other.store().wrong, Vec::<String>::new());
+    // What cannot be read changes nothing.
+    stage.folder.write("token", " ");
+    agent.hang_up().await;
+    other
+        .until("the refusal's count", |store, _| store.sum("bellcroft_reloads_refused_total", &[]) == 1.0)
+        .await;
+    assert_eq!(
+        other.posted().last().and_then(|p| p.authorization.clone()).as_deref(),
+        Some("Bearer second-secret")
+    );
+    // Nor does what only a restart can take.
+    stage.folder.write("token", "second-secret");
+    stage.folder.write("agent.toml", "");
+    agent.hang_up().await;
+    other.until("another refusal", |store, _| store.sum("bellcroft_reloads_refused_total", &[]) == 2.0).await;
+    let records = load.finish().await;
+    assert!(records.iter().all(|r| r.fate == Fate::Served));
+    agent.term().await;
+    assert!(agent.end().await.success());
+    assert_eq!((agent.logged("secret"), agent.logged("only a restart can take")), (0, 1));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_with_a_full_queue_flushes_for_so_long_and_counts_what_is_left() {
+    let stage = Stage::set().await;
+    let mut agent = stage.agent("n0", "queue_bytes = 65536\nflush_within = \"200ms\"\n").await;
+    stage.receiver.taking.send_replace(Taking::Mute);
+    let load = traffic(&agent, 50.0, 9);
+    load.more(60, 1).await;
+    let records = load.finish().await;
+    assert!(records.iter().all(|r| r.fate == Fate::Served));
+    agent.term().await;
+    assert!(agent.end().await.success());
+    soon("the log's end", async {
+        while agent.logged("samples were left at the end") == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_receiver_of_1_0_and_one_that_writes_less_than_it_was_sent() {
+    let stage = Stage::set().await;
+    stage.receiver.only_v1.send_replace(true);
+    let first = stage.agent("n0", "").await;
+    stage.receiver.until("three taken", |_, p| p.iter().filter(|p| p.samples.is_some()).count() >= 3).await;
+    let posted = stage.receiver.posted();
+    let versions: Vec<&str> = posted.iter().map(|p| p.version.as_str()).collect();
+    assert_eq!(&versions[..4], ["2.0.0", "0.1.0", "0.1.0", "0.1.0"], "found out once and remembered");
+    assert_eq!(posted[1].content_type, "application/x-protobuf");
+    drop(first);
+    let stage = Stage::set().await;
+    stage.receiver.taking.send_replace(Taking::Short(2));
+    let agent = stage.agent("n0", "").await;
+    let unwritten =
+        |store: &Store| store.sum("bellcroft_remote_write_samples_total", &[("outcome", "unwritten")]);
+    stage.receiver.until("the count of unwritten samples", |store, _| unwritten(store) >= 4.0).await;
+    assert_eq!(agent.logged("were not written"), 1, "told once");
+    assert!(!stage.receiver.store().created.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn servers_are_named_up_to_a_cap_and_the_rest_together() {
+    let stage = Stage::set().await;
+    let agent = stage.agent("n0", "server_names = 2\n").await;
+    let load = traffic(&agent, 200.0, 11);
+    load.more(200, 1).await;
+    let records = load.finish().await;
+    stage
+        .receiver
+        .until("all attempts", |store, _| {
+            store.sum("bellcroft_server_attempts_total", &[]) as usize >= records.len()
+        })
+        .await;
+    let store = stage.receiver.store();
+    let names: std::collections::BTreeSet<&String> =
+        store.series.keys().filter_map(|l| l.get("server")).collect();
+    assert_eq!(names.len(), 3, "{names:?}");
+    assert!(names.contains(&"other".to_owned()));
+    let all = store.sum("bellcroft_server_attempts_total", &[]);
+    assert_eq!(all, store.sum("bellcroft_attempts_total", &[]), "nothing of the count is lost");
+}
--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -3,6 +3,7 @@
 use bellcroft_routes::Spec;
 
 use crate::reader::{load, parse, Fault, Section};
+use crate::telemetry::RemoteWrite;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -16,6 +17,8 @@
     pub daemon: Daemon,
     /// Its routes, as they are written; the platform's settings say whether they can be.
     pub routes: Spec,
+    /// Where its counts go; nowhere without the section.
+    pub remote_write: Option<RemoteWrite>,
 }
 
 /// `[instance]`: each value stands behind the environment's, and before the platform's configuration.
@@ -84,7 +87,12 @@
                 .unwrap_or(standard.status_every),
             stop_within: section.time("stop_within", Duration::from_millis(100)..=Duration::from_secs(600)),
         };
-        AgentFile { instance, daemon, routes: crate::routes::schema(top) }
+        AgentFile {
+            instance,
+            daemon,
+            routes: crate::routes::schema(top),
+            remote_write: crate::telemetry::schema(top),
+        }
     }
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,7 +10,9 @@
 mod fleet;
 mod reader;
 mod routes;
+mod telemetry;
 
 pub use agent::{AgentFile, Daemon, Instance};
 pub use fleet::{FleetFile, Member};
 pub use reader::{load, parse, Fault, Section};
+pub use telemetry::RemoteWrite;
--- a/crates/operator/src/reader.rs
+++ b/crates/operator/src/reader.rs
@@ -280,6 +280,20 @@
         children
     }
 
+    /// The texts of this section, whose names are the operator's own.
+    pub fn texts(&self) -> Vec<(String, String)> {
+        self.named.set(true);
+        let mut texts = Vec::new();
+        for (name, value) in self.table.into_iter().flat_map(|table| table.iter()) {
+            let name = name.get_ref().to_string();
+            match value.get_ref().as_str() {
+                Some(text) => texts.push((name, text.to_owned())),
+                None => self.fault(&name, "is no text"),
+            }
+        }
+        texts
+    }
+
     /// The lines of the keys that have been asked for and are there.
     pub fn lines(&self) -> BTreeMap<&'static str, usize> {
         let line = |key: &&'static str| Some((*key, self.source.line(self.find(key)?.span().start)));
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -57,6 +57,9 @@
             .flat_map(|line| [line, "\n"])
             .collect();
         assert!(all.len() < text.len(), "{name} shows no key that is off");
+        // The one file that an example names and that must be there.
+        let token = Temporary::new(b"secret");
+        let all = all.replace("\"token\"", &format!("{:?}", token.0));
         let whole = Temporary::new(all.as_bytes());
         let read = match name {
             "agent.toml" => AgentFile::read(&whole.0).map(drop),
@@ -161,3 +164,50 @@
         assert!(part.split('|').any(|part| wrong.contains(part)), "{part}:\n{wrong}");
     }
 }
+
+#[test]
+fn bad_remote_write_sections_are_refused_each_with_its_message() {
+    let good = "[remote_write]\nurl = \"http://127.0.0.1:9/w\"\n";
+    let cases = [
+        ("[remote_write]\n", "F:1: remote_write.url: is missing"),
+        ("[remote_write]\nurl = \"https://a/w\"\n", "F:2: remote_write.url: is https"),
+        ("[remote_write]\nurl = \"http://me:pw@a/w\"\n", "F:2: remote_write.url: holds a user's name"),
+        ("[remote_write]\nurl = 7\n", "F:2: remote_write.url: is 7; a text"),
+        ("version = \"3.0\"\n", "F:3: remote_write.version: is \"3.0\"; \"1.0\" or \"2.0\""),
+        ("interval = \"1ms\"\n", "F:3: remote_write.interval: is \"1ms\"; a time"),
+        ("timeout = \"1h\"\n", "F:3: remote_write.timeout: is \"1h\"; a time"),
+        ("queue_bytes = 5\n", "F:3: remote_write.queue_bytes: is 5; a whole number"),
+        ("retry_first = \"50s\"\nretry_most = \"1s\"\n", "F:3: remote_write.retry_first: is longer"),
+        ("flush_within = \"2m\"\n", "F:3: remote_write.flush_within: is \"2m\""),
+        ("token_file = \"/nowhere/token\"\n", "F:3: remote_write.token_file: /nowhere/token: cannot be read"),
+        ("token_file = \"/\"\n", "F:3: remote_write.token_file: /: is no file"),
+        ("server_names = 1001\n", "F:3: remote_write.server_names: is 1001"),
+        ("querier = 1\n", "F:3: remote_write.querier: is no known key"),
+        ("intervall = \"1s\"\n", "did you mean interval?"),
+        (
+            "[remote_write.labels]\n__name__ = \"x\"\n",
+            "F:4: remote_write.labels.__name__: is no label's name",
+        ),
+        ("[remote_write.labels]\n\"a b\" = \"x\"\n", "F:4: remote_write.labels.a b: is no label's name"),
+        ("[remote_write.labels]\n1st = \"x\"\n", "F:4: remote_write.labels.1st: is no label's name"),
+        ("[remote_write.labels]\nx = 4\n", "F:4: remote_write.labels.x: is no text"),
+    ];
+    for (more, expected) in cases {
+        let text = if more.starts_with("[remote_write]") { more.to_owned() } else { format!("{good}{more}") };
+        let file = Temporary::new(text.as_bytes());
+        let found = lines(&AgentFile::read(&file.0).expect_err(more), &file.0);
+        assert!(found.len() == 1 && found[0].contains(expected), "{more}: {found:?}");
+    }
+    let long = format!("{good}[remote_write.labels]\nx = \"{}\"\n", "y".repeat(10_000));
+    let file = Temporary::new(long.as_bytes());
+    assert!(lines(&AgentFile::read(&file.0).expect_err("long"), &file.0)[0].contains("10000 bytes long"));
+    let secret = Temporary::new(b"two words");
+    let file = Temporary::new(format!("{good}token_file = \"{}\"\n", secret.0.display()).as_bytes());
+    let found = lines(&AgentFile::read(&file.0).expect_err("no token"), &file.0).join("\n");
+    assert!(found.contains("more than one word") && !found.contains("two words"), "{found}");
+    let secret = Temporary::new(b"  tok-en\n");
+    let file = Temporary::new(format!("{good}token_file = \"{}\"\n", secret.0.display()).as_bytes());
+    let read = AgentFile::read(&file.0).expect("good").remote_write.expect("there");
+    assert_eq!(read.token.as_deref(), Some("tok-en"));
+    assert!(!format!("{read:?}").contains("tok-en"), "a token is never shown");
+}
