Alert rules in Prometheus' format, with unit tests, an evaluator and staged incidents

Need: nothing tells the operators of a broken rule or a cut building before interpreters do.

Pages for operators: every series, every alert.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod measure;
 mod measure_routes;
+mod measure_telemetry;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -19,6 +20,18 @@
 enum Command {
     /// Start servers, one agent and steady traffic of three classes; slow one server half way; end with a table.
     Demo(demo::Options),
+    /// Run unit tests of alert rules, in the format of Prometheus; exit code 1 if an expectation is not met.
+    Alerts {
+        /// Files such as deploy/alerts/bellcroft.test.yml.
+        #[arg(required = true)]
+        files: Vec<std::path::PathBuf>,
+    },
+    /// Print the table of all series that an instance sends.
+    Metrics {
+        /// A page to write the table into, between its markers.
+        #[arg(long, value_name = "FILE")]
+        into: Option<std::path::PathBuf>,
+    },
     /// Measure something and print a table.
     #[command(subcommand)]
     Measure(measure::What),
@@ -44,8 +57,36 @@
         }
     };
     match args.command {
+        Command::Alerts { files } => alerts(&files),
+        Command::Metrics { into } => measure::table(&rig::metrics_table(), into.as_deref(), "metrics"),
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
         Command::Measure(measure::What::Routes(options)) => runtime.block_on(measure_routes::run(&options)),
+        Command::Measure(measure::What::Telemetry(options)) => {
+            runtime.block_on(measure_telemetry::run(&options))
+        }
+        Command::Measure(measure::What::Alerts(options)) => {
+            runtime.block_on(measure_telemetry::alerts(&options))
+        }
         Command::Measure(measure::What::Fleet(options)) => runtime.block_on(measure::fleet(&options)),
     }
 }
+
+fn alerts(files: &[std::path::PathBuf]) -> ExitCode {
+    let mut code = ExitCode::SUCCESS;
+    for file in files {
+        match rig::run_unit_tests(file) {
+            Ok(tally) => {
+                tally.failed.iter().for_each(|failure| println!("FAILED: {failure}"));
+                println!("{}: {} checked, {} failed", file.display(), tally.checked, tally.failed.len());
+                if !tally.failed.is_empty() {
+                    code = ExitCode::FAILURE;
+                }
+            }
+            Err(why) => {
+                eprintln!("rig: {why}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    code
+}
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -10,6 +10,10 @@
 pub enum What {
     /// Memory, CPU and starts of a fleet of idle instances, and a rolling restart under traffic.
     Fleet(FleetOptions),
+    /// What counting and sending cost, in CPU, bytes and memory, and clients beside a receiver that fails.
+    Telemetry(crate::measure_telemetry::Options),
+    /// Incidents staged on loopback against the shipped alert rules.
+    Alerts(crate::measure_telemetry::AlertOptions),
     /// Troubles with and without the example routes, and the cost of a look-up.
     Routes(crate::measure_routes::Options),
 }
@@ -152,7 +156,7 @@
 }
 
 /// Resident and private memory (proc_pid_smaps(5)).
-fn memory_kb(pid: u32) -> Option<(u64, u64)> {
+pub fn memory_kb(pid: u32) -> Option<(u64, u64)> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/smaps_rollup")).ok()?;
     let line = |name: &str| {
         let line = text.lines().find(|line| line.starts_with(name))?;
@@ -171,3 +175,15 @@
     let whole = format!("{}{open}{table}{}", &text[..from], &text[to..]);
     std::fs::write(page, whole).map_err(|e| format!("{}: {e}", page.display()))
 }
+
+/// Prints a table, and writes it into a page if there is one.
+pub fn table(table: &str, page: Option<&Path>, marker: &str) -> ExitCode {
+    print!("{table}");
+    match page.map(|page| write_into(page, marker, table)) {
+        Some(Err(why)) => {
+            eprintln!("rig: {why}");
+            ExitCode::from(2)
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
--- a/crates/rig/src/metrics/promql.rs
+++ b/crates/rig/src/metrics/promql.rs
@@ -35,8 +35,12 @@
 ///
 /// The text is no PromQL, or uses what this evaluator does not know.
 pub fn evaluate(text: &str, store: &Store, at: i64, pace: f64) -> Result<Value, String> {
-    let expr = promql_parser::parser::parse(text)?;
-    Moment { store, at, pace }.expr(&expr)
+    evaluate_parsed(&promql_parser::parser::parse(text)?, store, at, pace)
+}
+
+/// As [`evaluate`], of an expression that has been parsed: rules are evaluated many times.
+pub(super) fn evaluate_parsed(expr: &Expr, store: &Store, at: i64, pace: f64) -> Result<Value, String> {
+    Moment { store, at, pace }.expr(expr)
 }
 
 struct Moment<'a> {
--- a/crates/rig/src/metrics/rules.rs
+++ b/crates/rig/src/metrics/rules.rs
@@ -1,7 +1,8 @@
 //! Rule files of Prometheus ("Alerting rules", "Recording rules"): reading them, and what fires when.
 
-use super::promql::{evaluate, Value};
+use super::promql::{evaluate_parsed, Value};
 use super::store::{Labels, Store};
+use promql_parser::parser::Expr;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -45,7 +46,8 @@
     /// It records a series and alerts nobody.
     pub records: bool,
     /// Its expression.
-    pub expr: String,
+    pub text: String,
+    expr: Expr,
     /// How long it must hold.
     pub wait: Duration,
     /// Labels that it adds.
@@ -54,6 +56,19 @@
     pub annotations: BTreeMap<String, String>,
 }
 
+impl Rule {
+    /// Holds another expression, at once.
+    ///
+    /// # Errors
+    ///
+    /// It is no PromQL.
+    pub fn replace(&mut self, text: &str) -> Result<(), String> {
+        self.expr = promql_parser::parser::parse(text)?;
+        (self.text, self.wait) = (text.to_owned(), Duration::ZERO);
+        Ok(())
+    }
+}
+
 /// The rules of a file, in their order.
 #[derive(Debug, Clone, Default)]
 pub struct RuleFile {
@@ -86,11 +101,11 @@
                 (None, Some(name)) => (name, true),
                 _ => return Err(format!("{}: a rule alerts or records, one of the two", entry.expr)),
             };
-            promql_parser::parser::parse(&entry.expr).map_err(|e| format!("{name}: {e}"))?;
+            let expr = promql_parser::parser::parse(&entry.expr).map_err(|e| format!("{name}: {e}"))?;
             let wait = entry.wait.as_deref().map(promql_parser::util::parse_duration).transpose();
             let wait = wait.map_err(|e| format!("{name}: for: {e}"))?.unwrap_or_default();
-            let (expr, labels, annotations) = (entry.expr, entry.labels, entry.annotations);
-            rules.push(Rule { name, records, expr, wait, labels, annotations });
+            let (text, labels, annotations) = (entry.expr, entry.labels, entry.annotations);
+            rules.push(Rule { name, records, text, expr, wait, labels, annotations });
         }
         Ok(RuleFile { rules })
     }
@@ -136,7 +151,7 @@
         let (mut alerts, mut still) = (Vec::new(), BTreeMap::new());
         for (place, rule) in self.file.rules.iter().enumerate() {
             let wrong = |why: String| format!("{}: {why}", rule.name);
-            let vector = match evaluate(&rule.expr, store, at, self.pace).map_err(wrong)? {
+            let vector = match evaluate_parsed(&rule.expr, store, at, self.pace).map_err(wrong)? {
                 Value::Vector(vector) => vector,
                 Value::Scalar(value) => vec![(Labels::new(), value)],
             };
--- a/crates/rig/src/metrics/unit.rs
+++ b/crates/rig/src/metrics/unit.rs
@@ -144,13 +144,36 @@
 ///
 /// The file, or a rule file that it names, cannot be read or evaluated.
 pub fn run(file: &Path) -> Result<Tally, String> {
+    run_with(file, None)
+}
+
+/// Runs what a file's tests say of one alert, with another expression in its rule: a test of the tests, which must
+/// fail then.
+///
+/// # Errors
+///
+/// As of [`run`].
+pub fn run_replaced(file: &Path, alert: &str, expr: &str) -> Result<Tally, String> {
+    run_with(file, Some((alert, expr)))
+}
+
+fn run_with(file: &Path, replaced: Option<(&str, &str)>) -> Result<Tally, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let tests: File = serde_yaml_ng::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut tests: File = serde_yaml_ng::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))?;
     let folder = file.parent().unwrap_or(Path::new(""));
     let mut rules = RuleFile::default();
     for name in &tests.rule_files {
         rules.rules.extend(RuleFile::load(&folder.join(name))?.rules);
     }
+    if let Some((alert, expr)) = replaced {
+        rules.rules.retain(|rule| rule.name == alert);
+        rules.rules.iter_mut().try_for_each(|rule| rule.replace(expr))?;
+        for test in &mut tests.tests {
+            test.alert_rule_test.retain(|t| t.alertname == alert);
+            test.promql_expr_test.clear();
+        }
+        tests.tests.retain(|test| !test.alert_rule_test.is_empty());
+    }
     let every = ms(tests.evaluation_interval.as_deref().unwrap_or("1m"))?;
     let mut tally = Tally::default();
     for (number, test) in tests.tests.iter().enumerate() {
