--- /dev/null
+++ b/crates/telemetry/tests/instance.rs
@@ -0,0 +1,145 @@
+//! An instance's series over a long day and under odd names.
+
+use bellcroft_telemetry::*;
+use micasail::{Outcome, Settings, Span, Time};
+use rig::Store;
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000 + ms * 1000)
+}
+
+fn instance(classes: &[String], tenants: &[String], server_names: usize) -> Instance {
+    let settings = Settings {
+        classes: vec![micasail::Class::default(); classes.len()],
+        tenants: vec![micasail::Tenant { fraction: 1.0, allowance_per_s: 10.0 }; tenants.len()],
+        balancers: 2,
+        ..Settings::default()
+    };
+    Instance::new(&About {
+        settings: &settings,
+        classes,
+        tenants,
+        zones: &["north".into()],
+        version: "0",
+        started: 5.0,
+        external: &[("instance".into(), "n0".into())],
+        server_names,
+    })
+}
+
+fn line(server: u32, name: &str, up: bool) -> Line<'_> {
+    Line { server, name, zone: 0, cell: 0, up, here: up, started: None }
+}
+
+fn value(samples: &[Sample], name: &str, labels: &[(&str, &str)]) -> Option<f64> {
+    let has = |sample: &Sample, name: &str, value: &str| sample.labels.iter().any(|(n, v)| n == name && v == value);
+    let own = samples.iter().find(|s| has(s, "__name__", name) && labels.iter().all(|(n, v)| has(s, n, v)));
+    own.map(|sample| sample.value)
+}
+
+#[test]
+fn ten_thousand_servers_over_a_day_leave_the_series_under_their_cap_and_no_count_is_lost() {
+    let classes = ["read".to_owned()];
+    let instance = instance(&classes, &[], 5);
+    let mut most = 0;
+    for n in 0..10_000_u32 {
+        let now = at(u64::from(n) * 8640);
+        let name = format!("server-{n}");
+        instance.listed(now, line(n, &name, true));
+        instance.ended((u64::from(n), 0), 0, n, Outcome::Success, Span(1000));
+        // Eight stand at a time: five have names, three share one.
+        if n >= 8 {
+            instance.left(now, n - 8);
+            instance.forget(n - 8);
+        }
+        if n % 500 == 0 {
+            most = most.max(instance.gather(now).len());
+        }
+    }
+    let samples = instance.gather(at(86_400_000));
+    // By server eight outcomes and a time, for five names and `other`; besides these a small instance has its own few.
+    let by_server = samples.iter().filter(|s| s.labels.iter().any(|(n, _)| n == "server")).count();
+    assert!(by_server <= 6 * 9 && most < 200, "{by_server} {most}");
+    assert_eq!(value(&samples, "bellcroft_attempts_total", &[("outcome", "served")]), Some(10_000.0));
+    assert!(value(&samples, "bellcroft_server_attempts_total", &[("server", "other"), ("outcome", "served")]) > Some(0.0));
+}
+
+#[test]
+fn a_name_that_a_departing_server_held_goes_to_the_next_and_begins_at_zero() {
+    let classes = ["read".to_owned()];
+    let instance = instance(&classes, &[], 1);
+    for (server, name) in [(0, "a"), (1, "b"), (2, "c")] {
+        instance.listed(at(1), line(server, name, true));
+        instance.ended((u64::from(server), 0), 0, server, Outcome::Success, Span(1000));
+    }
+    let of = |name: &str| value(&instance.gather(at(2)), "bellcroft_server_attempts_total", &[("server", name), ("outcome", "served")]);
+    assert_eq!((of("a"), of("b"), of("c"), of("other")), (Some(1.0), None, None, Some(2.0)));
+    instance.forget(1);
+    assert_eq!(of("other"), Some(2.0), "what one of many counted stays");
+    instance.forget(0);
+    instance.listed(at(3), line(3, "d", true));
+    instance.ended((3, 0), 0, 3, Outcome::Success, Span(1000));
+    assert_eq!((of("a"), of("d")), (None, Some(1.0)));
+}
+
+#[test]
+fn any_names_arrive_at_a_strict_receiver_in_both_versions() {
+    let classes = ["quote\"s".to_owned(), "new\nline".to_owned(), "x".repeat(10_000), "back\\slash".to_owned()];
+    let tenants = [String::from_utf8_lossy(b"not \xff UTF-8").into_owned(), "\u{1f600}".repeat(3000)];
+    let instance = instance(&classes, &tenants, 3);
+    instance.listed(at(1), line(0, &"y".repeat(10_000), true));
+    instance.taken(1, 2, Some(1), "no \"route\"\n", at(500));
+    instance.over(at(10), 1, 2, Over::Served, Span(9000));
+    let samples = instance.gather(at(20));
+    for version in [Version::V1, Version::V2] {
+        let mut store = Store::default();
+        let written = store.take(version == Version::V2, &encode(version, &samples, 5, 1)).expect("a body");
+        assert_eq!((written, store.wrong.as_slice()), (samples.len(), [].as_slice()));
+        assert!(store.series.keys().flat_map(|l| l.values()).all(|v| v.len() <= LABEL_MOST));
+        assert_eq!(store.sum("bellcroft_requests_total", &[("outcome", "served")]), 1.0);
+        assert_eq!(store.latest("bellcroft_requests_total", &[("class", "new\nline"), ("outcome", "left")]), [0.0]);
+    }
+}
+
+#[test]
+fn margins_are_those_since_the_last_sample_and_near_misses_are_no_breaches() {
+    let classes = ["read".to_owned()];
+    let instance = instance(&classes, &[], 0);
+    let answer = |id: u64, deadline: u64, now: u64| {
+        instance.taken(id, 0, None, "none", at(deadline));
+        instance.over(at(now), id, 0, Over::Served, Span(1000));
+    };
+    let margin = |samples: &[Sample]| value(samples, "bellcroft_rule_margin_seconds", &[("rule", "answer")]);
+    answer(1, 1000, 400);
+    answer(2, 1000, 900);
+    let near = |value: Option<f64>, expected: f64| value.is_some_and(|v| (v - expected).abs() < 1e-6);
+    assert!(near(margin(&instance.gather(at(1000))), 0.1));
+    answer(3, 2000, 1500);
+    assert!(near(margin(&instance.gather(at(2000))), 0.5));
+    assert_eq!(margin(&instance.gather(at(2100))), None, "nothing was answered since");
+    answer(4, 3000, 3020);
+    let samples = instance.gather(at(3100));
+    let of = |name: &str| value(&samples, name, &[("rule", "answer")]);
+    assert_eq!((of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")), (Some(1.0), Some(0.0)));
+    answer(5, 4000, 4060);
+    let samples = instance.gather(at(4100));
+    let of = |name: &str| value(&samples, name, &[("rule", "answer")]);
+    assert_eq!((of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")), (Some(1.0), Some(1.0)));
+    assert_eq!(instance.observer().margin(Rule::Answer).breaches, 1);
+}
+
+#[test]
+fn budgets_of_routes_that_are_gone_lose_their_gauge_and_keep_their_counts() {
+    let classes = ["read".to_owned()];
+    let instance = instance(&classes, &[], 0);
+    let allowed = |route, retries, copies| Allowed { route, retries, copies };
+    instance.allowed(&[allowed("none", 0.1, None), allowed("read", 0.2, Some(0.05))]);
+    instance.attempt(0, "read", 1, false);
+    instance.attempt(0, "read", 2, true);
+    let of = |name: &str, kind: &str| value(&instance.gather(at(1)), name, &[("route", "read"), ("kind", kind)]);
+    let (budget, further) = ("bellcroft_further_attempts_allowed_ratio", "bellcroft_further_attempts_total");
+    assert_eq!((of(budget, "retry"), of(budget, "second_copy")), (Some(0.2), Some(0.05)));
+    instance.allowed(&[allowed("none", 0.1, None)]);
+    assert_eq!((of(budget, "retry"), of(budget, "second_copy")), (None, None));
+    assert_eq!((of(further, "retry"), of(further, "second_copy")), (Some(1.0), Some(1.0)));
+}
