A model of the whole deployment: discrete events, nine policies, a judge that sees servers

Need: claims about thousands of instances rest on loopback runs of fifty.

Change: crates/model hosts the true module and eight reference policies behind one common shell, in virtual time: servers with cores, queues, cold starts and repeats that they drop, zones with cuts, a list that is late, open-loop clients with a stream of random numbers each, troubles. The judge sees effects at the servers and cold servers that fall over.

--- /dev/null
+++ b/crates/model/src/engine.rs
@@ -0,0 +1,769 @@
+//! The run: one queue of events, and what each does.
+
+use crate::clients::{zipf, Clients};
+use crate::judge::Judge;
+use crate::outcome::{histogram, ClassOutcome, Outcome};
+use crate::policy::{Core, Policy};
+use crate::random::{stream, Actor};
+use crate::scenario::{Effect as Repeat, Reports, Scenario, ScenarioError, What};
+use crate::server::{Cold, Job, Server, Taken};
+use hdrhistogram::Histogram;
+use micasail::{
+    Action, AttemptNo, CellId, Class, ClassId, Effect, Event, Group, KeyId, KindId, ListUpdate, Listed,
+    Outcome as Ended, ReportField, ReportSource, Request, RequestId, ServerId, Settings, Span, Status,
+    Tenant, TenantId, Time, TimerId, ZoneId,
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+/// A probe that has no answer by then has timed out.
+const PROBE_WAIT: Span = Span(250_000);
+/// A cold server that fell over is back, as cold as before, after this.
+const BACK_AFTER: Span = Span(5_000_000);
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Ask(usize),
+    Leave(u64),
+    Timer(usize, u64),
+    Connected(u64, u32),
+    AtServer(u64, u32),
+    Done(usize, u32, u64, u32, u64),
+    Reply(u64, u32, u8, u32),
+    TimeOut(u64, u32),
+    Trouble(usize),
+    Back(usize),
+    Told(usize, usize, u8),
+    Probed(usize, usize, u8, u32, u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    Out,
+    Over,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    server: usize,
+    phase: Phase,
+    sent: Time,
+    timeout_at: Time,
+    write_by: Time,
+}
+
+#[derive(Debug)]
+struct Asked {
+    instance: usize,
+    class: usize,
+    key: u64,
+    at: Time,
+    counted: bool,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+struct Instance {
+    core: Box<dyn Core>,
+    zone: usize,
+    clients: Clients,
+    random: ChaCha8Rng,
+    /// Idle connections to each server, and when the latest was used.
+    idle: Vec<(u16, Time)>,
+    queue: VecDeque<Event>,
+    /// It is deciding: what comes meanwhile waits in its queue.
+    busy: bool,
+}
+
+struct Run<'a> {
+    scenario: &'a Scenario,
+    heap: BinaryHeap<Reverse<(Time, u64, Happening)>>,
+    scheduled: u64,
+    now: Time,
+    instances: Vec<Instance>,
+    servers: Vec<Server>,
+    cold: Cold,
+    /// By zone and zone: nothing passes.
+    cut: Vec<bool>,
+    flood: Vec<f64>,
+    asked: HashMap<u64, Asked>,
+    next_request: u64,
+    /// When the effect of a key first came, and in which zone, for servers to drop repeats.
+    first_runs: HashMap<u64, (Time, u32)>,
+    judge: Judge,
+    times: Vec<Histogram<u64>>,
+    all_times: Histogram<u64>,
+    sums: Vec<f64>,
+    waited: f64,
+    outcome: Outcome,
+    actions: Vec<Action>,
+}
+
+fn span(seconds: f64) -> Span {
+    Span::from_ms(seconds * 1e3)
+}
+
+/// The settings that a module of this scenario is given.
+fn settings(scenario: &Scenario) -> Settings {
+    let classes = scenario.classes.iter().map(|class| {
+        let window = span(class.window);
+        Class {
+            effect: match class.effect {
+                Repeat::Idempotent => Effect::Idempotent,
+                Repeat::Deduplicated => Effect::Deduplicated { group: Group::All, window },
+                Repeat::DeduplicatedByZone => Effect::Deduplicated { group: Group::Zone, window },
+                Repeat::AtMostOnce => Effect::AtMostOnce,
+            },
+            aim: span(class.aim),
+            deadline: span(class.deadline),
+            ..Class::default()
+        }
+    });
+    let shares: f64 = (0..scenario.tenants).map(|tenant| zipf(scenario, tenant)).sum();
+    let rate = scenario.arrivals.rate(0.0).0;
+    let tenants = (0..scenario.tenants).map(|tenant| {
+        let fraction = zipf(scenario, tenant) / shares;
+        // Half as much again as it asks for on a calm day.
+        Tenant { fraction, allowance_per_s: fraction * rate * 1.5 }
+    });
+    let reports = scenario.reports == Reports::InFlight;
+    Settings {
+        balancers: scenario.instances as u32,
+        classes: classes.collect(),
+        tenants: tenants.collect(),
+        max_attempts: scenario.attempts,
+        probes: true,
+        report_source: if reports { ReportSource::Answers } else { ReportSource::None },
+        report_fields: if reports { vec![ReportField::InFlight] } else { Vec::new() },
+        ..Settings::default()
+    }
+}
+
+/// Plays a scenario.
+///
+/// # Errors
+///
+/// The scenario can't be played.
+pub fn play(scenario: &Scenario, policy: Policy, seed: u64) -> Result<Outcome, ScenarioError> {
+    play_with(scenario, seed, |settings, number| {
+        policy.core(settings, seed, number).map_err(|e| ScenarioError(e.to_string()))
+    })
+}
+
+/// Plays a scenario with decisions of the caller's own, one for each instance.
+///
+/// # Errors
+///
+/// The scenario can't be played.
+pub fn play_with(
+    scenario: &Scenario,
+    seed: u64,
+    mut core: impl FnMut(&Settings, usize) -> Result<Box<dyn Core>, ScenarioError>,
+) -> Result<Outcome, ScenarioError> {
+    scenario.check()?;
+    let settings = settings(scenario);
+    let cold = Cold {
+        share: settings.cold_share,
+        warm_after: settings.warm_after,
+        overload: settings.overload_factor,
+        fall_after: settings.fall_after,
+    };
+    let mut servers = Vec::with_capacity(scenario.server_count());
+    let mut troubles = Vec::new();
+    for group in &scenario.servers {
+        for _ in 0..group.count {
+            let number = servers.len();
+            let zone = group.zone.unwrap_or(number % scenario.zones) as u32;
+            let random = stream(seed, Actor::Server(number));
+            servers.push(Server::new(
+                zone,
+                group.cores,
+                group.queue,
+                group.speed,
+                group.starts.is_none(),
+                random,
+            ));
+            troubles.extend(group.starts.map(|at| (at, What::Start { servers: vec![number] })));
+        }
+    }
+    let mut instances = Vec::with_capacity(scenario.instances);
+    for number in 0..scenario.instances {
+        let zone = number % scenario.zones;
+        instances.push(Instance {
+            core: core(&Settings { zone: ZoneId(zone as u32), ..settings.clone() }, number)?,
+            zone,
+            clients: Clients::new(scenario, seed, number),
+            random: stream(seed, Actor::Network(number)),
+            idle: vec![(0, Time::default()); servers.len()],
+            queue: VecDeque::new(),
+            busy: false,
+        });
+    }
+    let classes = scenario.classes.iter();
+    let outcome = Outcome {
+        classes: classes.map(|c| ClassOutcome { name: c.name.clone(), ..ClassOutcome::default() }).collect(),
+        ..Outcome::default()
+    };
+    let mut run = Run {
+        scenario,
+        heap: BinaryHeap::new(),
+        scheduled: 0,
+        now: Time::default(),
+        instances,
+        servers,
+        cold,
+        cut: vec![false; scenario.zones * scenario.zones],
+        flood: vec![1.0; scenario.tenants],
+        asked: HashMap::new(),
+        next_request: 0,
+        first_runs: HashMap::new(),
+        judge: Judge::new(settings.drain_grace),
+        times: scenario.classes.iter().map(|_| histogram()).collect(),
+        all_times: histogram(),
+        sums: vec![0.0; scenario.classes.len()],
+        waited: 0.0,
+        outcome,
+        actions: Vec::new(),
+    };
+    run.begin();
+    troubles.extend(scenario.troubles.iter().map(|t| (t.at, t.what.clone())));
+    for (place, (at, _)) in troubles.iter().enumerate() {
+        run.at(Time::default() + span(*at), Happening::Trouble(place));
+    }
+    // Past the last deadline nothing is owed; what servers still work on is nobody's.
+    let longest = scenario.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let end = Time::default() + span(scenario.seconds) + span(longest) + Span::from_ms(100.0);
+    while let Some(Reverse((at, _, what))) = run.heap.pop() {
+        if at > end {
+            break;
+        }
+        run.now = at;
+        run.outcome.events += 1;
+        run.happen(what, &troubles);
+    }
+    Ok(run.finish(end))
+}
+
+impl Run<'_> {
+    fn at(&mut self, at: Time, what: Happening) {
+        self.scheduled += 1;
+        self.heap.push(Reverse((at, self.scheduled, what)));
+    }
+
+    fn begin(&mut self) {
+        let lines: Vec<Listed> = (0..self.servers.len())
+            .filter(|s| self.servers[*s].up)
+            .map(|s| self.line(s, Status::Serving))
+            .collect();
+        for number in 0..self.instances.len() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.instances[number].busy = true;
+            self.instances[number].core.start(self.now, &mut actions);
+            self.carry_out(number, &mut actions);
+            self.actions = actions;
+            self.instances[number].busy = false;
+            self.tell(number, Event::List(ListUpdate::Complete(lines.clone())));
+            if let Some(at) = self.next_ask(number, self.now) {
+                self.at(at, Happening::Ask(number));
+            }
+        }
+    }
+
+    fn next_ask(&mut self, number: usize, now: Time) -> Option<Time> {
+        let scenario = self.scenario;
+        self.instances[number].clients.next(scenario, now)
+    }
+
+    fn line(&self, server: usize, status: Status) -> Listed {
+        Listed {
+            server: ServerId(server as u32),
+            zone: ZoneId(self.servers[server].zone),
+            kind: KindId(0),
+            cell: CellId(0),
+            status,
+            weight: 1.0,
+            started: self.servers[server].started,
+        }
+    }
+
+    /// One way's time.
+    fn way(&mut self, instance: usize, server: usize) -> Span {
+        let net = &self.scenario.network;
+        let own = &mut self.instances[instance];
+        let base = if own.zone as u32 == self.servers[server].zone { net.within } else { net.between };
+        if base == 0.0 {
+            return Span::ZERO;
+        }
+        span(base * (1.0 + net.jitter * own.random.random::<f64>()))
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        !self.cut[from * self.scenario.zones + to]
+    }
+
+    fn reaches(&self, instance: usize, server: usize) -> bool {
+        self.passes(self.instances[instance].zone, self.servers[server].zone as usize)
+    }
+
+    fn comes_back(&self, instance: usize, server: usize) -> bool {
+        self.passes(self.servers[server].zone as usize, self.instances[instance].zone)
+    }
+
+    /// Tells an instance, and carries out what it decides, until nothing is left.
+    fn tell(&mut self, instance: usize, event: Event) {
+        self.instances[instance].queue.push_back(event);
+        self.pump(instance);
+    }
+
+    fn pump(&mut self, instance: usize) {
+        if std::mem::replace(&mut self.instances[instance].busy, true) {
+            return;
+        }
+        while let Some(event) = self.instances[instance].queue.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.instances[instance].core.handle(self.now, event, &mut actions);
+            self.carry_out(instance, &mut actions);
+            self.actions = actions;
+        }
+        self.instances[instance].busy = false;
+    }
+
+    fn carry_out(&mut self, instance: usize, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, server, timeout_at, write_by } => {
+                    self.send(instance, request.0, server.0 as usize, timeout_at, write_by);
+                }
+                Action::Cancel { request, attempt } => self.call_off(request.0, attempt.0, Ended::Cancelled),
+                Action::Refuse { request, .. } => self.answer(request.0, |class| &mut class.refused),
+                Action::Fail { request } => self.answer(request.0, |class| &mut class.failed),
+                Action::SetTimer { at, timer } => {
+                    let at = at.max(self.now);
+                    self.at(at, Happening::Timer(instance, timer.0));
+                }
+                Action::Probe { server } => self.probe(instance, server.0 as usize),
+                Action::CloseIdle { server } => self.instances[instance].idle[server.0 as usize].0 = 0,
+                Action::FetchList => self.outcome.lists += 1,
+                // The list is pushed, instances do not talk to each other, and nobody reads a log here.
+                Action::Follow { .. } | Action::Tell { .. } | Action::Log { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, instance: usize, id: u64, server: usize, timeout_at: Time, write_by: Time) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let number = asked.attempts.len() as u32;
+        self.outcome.attempts += 1;
+        self.outcome.further += u64::from(number > 0);
+        asked.attempts.push(Attempt { server, phase: Phase::Connecting, sent: now, timeout_at, write_by });
+        let keepalive = span(self.scenario.network.keepalive);
+        let (count, used) = &mut self.instances[instance].idle[server];
+        if now.since(*used) > keepalive {
+            *count = 0;
+        }
+        // Without a time-out of its own an attempt that meets a cut would stay out for ever.
+        self.at(timeout_at, Happening::TimeOut(id, number));
+        let (count, _) = &mut self.instances[instance].idle[server];
+        if *count > 0 {
+            *count -= 1;
+            return self.write(id, number);
+        }
+        self.outcome.connections += 1;
+        let round_trip = self.way(instance, server).0 + self.way(instance, server).0;
+        if round_trip == 0 && self.reaches(instance, server) && self.comes_back(instance, server) {
+            return self.connected(id, number);
+        }
+        if self.reaches(instance, server) && self.comes_back(instance, server) {
+            self.at(now + Span(round_trip), Happening::Connected(id, number));
+        } else {
+            let given_up = now + span(self.scenario.network.connect_timeout);
+            self.at(given_up.min(timeout_at), Happening::TimeOut(id, number));
+        }
+    }
+
+    fn connected(&mut self, id: u64, number: u32) {
+        let Some(attempt) = self.attempt(id, number) else { return };
+        if attempt.phase != Phase::Connecting {
+            return;
+        }
+        let (server, late) = (attempt.server, self.now > attempt.write_by);
+        if !self.servers[server].up {
+            return self.over(id, number, Ended::ConnectFailed, None);
+        }
+        if late {
+            return self.over(id, number, Ended::NotSent, None);
+        }
+        self.write(id, number);
+    }
+
+    fn attempt(&self, id: u64, number: u32) -> Option<&Attempt> {
+        self.asked.get(&id)?.attempts.get(number as usize)
+    }
+
+    /// The request's bytes leave.
+    fn write(&mut self, id: u64, number: u32) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let instance = asked.instance;
+        let attempt = &mut asked.attempts[number as usize];
+        attempt.phase = Phase::Out;
+        let server = attempt.server;
+        self.judge.sent(now, id, instance as u32, server as u32);
+        if !self.reaches(instance, server) {
+            return;
+        }
+        let way = self.way(instance, server);
+        if way == Span::ZERO {
+            self.at_server(id, number);
+        } else {
+            self.at(now + way, Happening::AtServer(id, number));
+        }
+    }
+
+    fn at_server(&mut self, id: u64, number: u32) {
+        let Some(asked) = self.asked.get(&id) else { return };
+        let (instance, class) = (asked.instance, asked.class);
+        let server = asked.attempts[number as usize].server;
+        let scenario = self.scenario;
+        let dist = &scenario.classes[class].service;
+        let job = Job { request: id, attempt: number, class, came: self.now };
+        if self.servers[server].falls(self.now, dist.mean(), &self.cold) {
+            self.judge.fell();
+            self.crash(server);
+            self.publish(server, 2);
+            return self.at(self.now + BACK_AFTER, Happening::Back(server));
+        }
+        match self.servers[server].take(self.now, job, dist, &self.cold) {
+            Taken::Started(time) => self.work(server, job, time),
+            Taken::Queued | Taken::Nothing => {}
+            Taken::Rejected => self.reply(instance, server, (id, number), Ended::Rejected),
+            Taken::Refused => self.reply(instance, server, (id, number), Ended::ConnectionReset),
+        }
+    }
+
+    fn work(&mut self, server: usize, job: Job, time: Span) {
+        self.waited += self.now.since(job.came).ms() / 1e3;
+        self.outcome.begun += 1;
+        let life = self.servers[server].life;
+        self.at(self.now + time, Happening::Done(server, life, job.request, job.attempt, time.0));
+    }
+
+    fn done(&mut self, server: usize, id: u64, number: u32, time: u64) {
+        let scenario = self.scenario;
+        if let Some(job) = self.servers[server].next() {
+            let dist = &scenario.classes[job.class].service;
+            let time = self.servers[server].service(self.now, dist, &self.cold);
+            self.work(server, job, time);
+        }
+        let Some(asked) = self.asked.get(&id) else {
+            self.outcome.wasted += time as f64 / 1e6;
+            return;
+        };
+        let (instance, class, key) = (asked.instance, asked.class, asked.key);
+        if asked.answered {
+            self.outcome.wasted += time as f64 / 1e6;
+        }
+        let spec = &scenario.classes[class];
+        let zone = self.servers[server].zone;
+        let now = self.now;
+        let dropped = self.first_runs.get(&key).is_some_and(|(first, first_zone)| {
+            now.since(*first) <= span(spec.window)
+                && match spec.effect {
+                    Repeat::Deduplicated => true,
+                    Repeat::DeduplicatedByZone => *first_zone == zone,
+                    Repeat::Idempotent | Repeat::AtMostOnce => false,
+                }
+        });
+        if !dropped {
+            if spec.effect != Repeat::Idempotent {
+                self.first_runs.entry(key).or_insert((now, zone));
+            }
+            self.judge.ran(key, spec.effect);
+        }
+        self.reply(instance, server, (id, number), Ended::Success);
+    }
+
+    /// A server's word goes back, if anything does.
+    fn reply(&mut self, instance: usize, server: usize, (id, number): (u64, u32), ended: Ended) {
+        if !self.comes_back(instance, server) {
+            return;
+        }
+        let held = self.servers[server].held() as u32;
+        let way = self.way(instance, server);
+        let code = match ended {
+            Ended::Success => 0,
+            Ended::Rejected => 1,
+            _ => 2,
+        };
+        if way == Span::ZERO {
+            self.replied(id, number, code, held);
+        } else {
+            self.at(self.now + way, Happening::Reply(id, number, code, held));
+        }
+    }
+
+    fn replied(&mut self, id: u64, number: u32, code: u8, held: u32) {
+        let ended = [Ended::Success, Ended::Rejected, Ended::ConnectionReset][code as usize];
+        let Some(asked) = self.asked.get(&id) else { return };
+        let attempt = &asked.attempts[number as usize];
+        if attempt.phase != Phase::Out {
+            return;
+        }
+        let (instance, server) = (asked.instance, attempt.server);
+        if ended != Ended::ConnectionReset {
+            let (count, used) = &mut self.instances[instance].idle[server];
+            *count = count.saturating_add(1);
+            *used = self.now;
+        }
+        let report = (self.scenario.reports == Reports::InFlight && ended != Ended::ConnectionReset)
+            .then(|| vec![f64::from(held)]);
+        if ended == Ended::Success {
+            self.answer(id, |class| &mut class.served);
+        }
+        self.over(id, number, ended, report);
+    }
+
+    /// An attempt is over, and its instance hears so.
+    fn over(&mut self, id: u64, number: u32, outcome: Ended, report: Option<Vec<f64>>) {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        let instance = asked.instance;
+        let attempt = &mut asked.attempts[number as usize];
+        if attempt.phase == Phase::Over {
+            return;
+        }
+        attempt.phase = Phase::Over;
+        let event = Event::Outcome {
+            request: RequestId(id),
+            attempt: AttemptNo(number),
+            outcome,
+            elapsed: now.since(attempt.sent),
+            report,
+            closed: asked.answered,
+        };
+        self.settle(id);
+        self.instances[instance].queue.push_back(event);
+        self.pump(instance);
+    }
+
+    fn call_off(&mut self, id: u64, number: u32, outcome: Ended) {
+        let Some(attempt) = self.attempt(id, number) else { return };
+        match attempt.phase {
+            Phase::Over => {}
+            Phase::Connecting => self.over(id, number, Ended::NotSent, None),
+            Phase::Out => self.over(id, number, outcome, None),
+        }
+    }
+
+    /// The final answer of a request; what of it has not been written stays unwritten.
+    fn answer(&mut self, id: u64, of: impl Fn(&mut ClassOutcome) -> &mut u64) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        if std::mem::replace(&mut asked.answered, true) {
+            return;
+        }
+        self.judge.answered(self.now, id);
+        let (class, took) = (asked.class, self.now.since(asked.at));
+        let unwritten: Vec<u32> = (0..asked.attempts.len() as u32)
+            .filter(|n| asked.attempts[*n as usize].phase == Phase::Connecting)
+            .collect();
+        if asked.counted {
+            let own = &mut self.outcome.classes[class];
+            let before = own.served;
+            *of(own) += 1;
+            if own.served > before {
+                own.in_wanted += u64::from(took <= span(self.scenario.classes[class].aim));
+                self.sums[class] += took.ms() / 1e3;
+                // Never out of bounds: the histogram grows with what it is given.
+                let _ = self.times[class].record(took.0.max(1));
+                let _ = self.all_times.record(took.0.max(1));
+            }
+        }
+        for number in unwritten {
+            self.over(id, number, Ended::NotSent, None);
+        }
+        self.settle(id);
+    }
+
+    /// Forgets a request that is answered and has no attempt out.
+    fn settle(&mut self, id: u64) {
+        let over = |asked: &Asked| asked.answered && asked.attempts.iter().all(|a| a.phase == Phase::Over);
+        if self.asked.get(&id).is_some_and(over) {
+            self.asked.remove(&id);
+            self.judge.settled(id);
+        }
+    }
+
+    fn probe(&mut self, instance: usize, server: usize) {
+        self.outcome.probes += 1;
+        let (way, back) = (self.way(instance, server), self.way(instance, server));
+        let own = &self.servers[server];
+        let passes = self.reaches(instance, server) && self.comes_back(instance, server);
+        let (code, after) = match (passes && !own.mute, own.up) {
+            (false, _) => (1, PROBE_WAIT),
+            (true, false) => (2, Span(way.0 + back.0)),
+            (true, true) => (0, Span(way.0 + back.0)),
+        };
+        let held = own.held() as u32;
+        self.at(self.now + after, Happening::Probed(instance, server, code, held, after.0));
+    }
+
+    fn happen(&mut self, what: Happening, troubles: &[(f64, What)]) {
+        match what {
+            Happening::Ask(instance) => self.ask(instance),
+            Happening::Leave(id) => {
+                let Some(asked) = self.asked.get_mut(&id) else { return };
+                if std::mem::replace(&mut asked.answered, true) {
+                    return;
+                }
+                let (instance, class, counted) = (asked.instance, asked.class, asked.counted);
+                self.outcome.classes[class].left += u64::from(counted);
+                let connecting: Vec<u32> = (0..asked.attempts.len() as u32)
+                    .filter(|n| asked.attempts[*n as usize].phase == Phase::Connecting)
+                    .collect();
+                for number in connecting {
+                    self.over(id, number, Ended::NotSent, None);
+                }
+                self.settle(id);
+                self.tell(instance, Event::ClientGone { request: RequestId(id) });
+            }
+            Happening::Timer(instance, timer) => self.tell(instance, Event::Timer(TimerId(timer))),
+            Happening::Connected(id, number) => self.connected(id, number),
+            Happening::AtServer(id, number) => self.at_server(id, number),
+            Happening::Done(server, life, id, number, time) => {
+                if self.servers[server].life == life {
+                    self.done(server, id, number, time);
+                }
+            }
+            Happening::Reply(id, number, code, held) => self.replied(id, number, code, held),
+            Happening::TimeOut(id, number) => match self.attempt(id, number).map(|a| a.phase) {
+                Some(Phase::Out) if self.attempt(id, number).is_some_and(|a| self.now >= a.timeout_at) => {
+                    self.over(id, number, Ended::TimedOut, None);
+                }
+                Some(Phase::Connecting) => self.over(id, number, Ended::ConnectFailed, None),
+                _ => {}
+            },
+            Happening::Trouble(place) => self.trouble(&troubles[place].1),
+            Happening::Back(server) => self.trouble(&What::Start { servers: vec![server] }),
+            Happening::Told(instance, server, status) => {
+                let status = [Status::Serving, Status::Draining, Status::Gone][status as usize];
+                self.judge.told(self.now, instance as u32, server as u32, status == Status::Serving);
+                let line = self.line(server, status);
+                self.tell(instance, Event::List(ListUpdate::Changes(vec![line])));
+            }
+            Happening::Probed(instance, server, code, held, after) => {
+                let outcome = [Ended::Success, Ended::TimedOut, Ended::ConnectFailed][code as usize];
+                let reports = self.scenario.reports == Reports::InFlight && code == 0;
+                let report = reports.then(|| vec![f64::from(held)]);
+                let (server, elapsed) = (ServerId(server as u32), Span(after));
+                self.tell(instance, Event::Probed { server, outcome, elapsed, report });
+            }
+        }
+    }
+
+    fn ask(&mut self, instance: usize) {
+        if let Some(at) = self.next_ask(instance, self.now) {
+            self.at(at, Happening::Ask(instance));
+        }
+        let (class, tenant) = self.instances[instance].clients.what();
+        let id = self.next_request;
+        self.next_request += 1;
+        let deadline = span(self.scenario.classes[class].deadline);
+        let counted = self.now >= Time::default() + span(self.scenario.warm_up);
+        self.outcome.classes[class].asked += u64::from(counted);
+        let asked =
+            Asked { instance, class, key: id, at: self.now, counted, answered: false, attempts: Vec::new() };
+        self.asked.insert(id, asked);
+        self.judge.asked(id, self.now + deadline);
+        // A client that has heard nothing a moment past its deadline leaves.
+        self.at(self.now + deadline + Span::from_ms(60.0), Happening::Leave(id));
+        let request = Request {
+            tenant: tenant.map(TenantId),
+            key: Some(KeyId(id)),
+            ..Request::new(RequestId(id), ClassId(class), deadline)
+        };
+        self.tell(instance, Event::Request(request));
+    }
+
+    fn crash(&mut self, server: usize) {
+        self.servers[server].crash();
+        // Connections end: whatever is out there is reset, in the order of requests.
+        let mut out: Vec<(u64, u32, usize)> = Vec::new();
+        for (id, asked) in &self.asked {
+            for (number, attempt) in asked.attempts.iter().enumerate() {
+                if attempt.server == server && attempt.phase == Phase::Out {
+                    out.push((*id, number as u32, asked.instance));
+                }
+            }
+        }
+        out.sort_unstable();
+        for (id, number, instance) in out {
+            self.reply(instance, server, (id, number), Ended::ConnectionReset);
+        }
+        for instance in &mut self.instances {
+            instance.idle[server].0 = 0;
+        }
+    }
+
+    fn trouble(&mut self, what: &What) {
+        match what {
+            What::Slow { servers, factor } => servers.iter().for_each(|s| self.servers[*s].slower = *factor),
+            What::Mute { servers, on } => servers.iter().for_each(|s| self.servers[*s].mute = *on),
+            What::Crash { servers } => {
+                for server in servers {
+                    self.crash(*server);
+                    self.publish(*server, 2);
+                }
+            }
+            What::Start { servers } => {
+                for server in servers {
+                    self.servers[*server].start(self.now);
+                    self.publish(*server, 0);
+                }
+            }
+            What::Drain { servers } => {
+                for server in servers {
+                    self.servers[*server].draining = true;
+                    self.publish(*server, 1);
+                }
+            }
+            What::Cut { from, to, on } => self.cut[from * self.scenario.zones + to] = *on,
+            What::Flood { tenant, factor } => {
+                self.flood[*tenant] = *factor;
+                let scenario = self.scenario;
+                for instance in &mut self.instances {
+                    instance.clients.flood(scenario, &self.flood);
+                }
+            }
+        }
+    }
+
+    /// Each instance hears of it after a part of the list's delay that is its own.
+    fn publish(&mut self, server: usize, status: u8) {
+        let all = self.instances.len();
+        for instance in 0..all {
+            let after = span(self.scenario.list_delay * (instance + 1) as f64 / all as f64);
+            self.at(self.now + after, Happening::Told(instance, server, status));
+        }
+    }
+
+    fn finish(mut self, end: Time) -> Outcome {
+        let mut outcome = self.outcome;
+        for (class, (times, sum)) in outcome.classes.iter_mut().zip(self.times.iter().zip(&self.sums)) {
+            class.fill(times);
+            class.mean = sum / class.served.max(1) as f64;
+        }
+        let all = |of: fn(&ClassOutcome) -> u64| outcome.classes.iter().map(of).sum::<u64>();
+        outcome.wanted_share = all(|c| c.in_wanted) as f64 / all(|c| c.asked).max(1) as f64;
+        outcome.p99 = self.all_times.value_at_quantile(0.99);
+        outcome.mean_wait = self.waited / outcome.begun.max(1) as f64;
+        outcome.by_server = self.servers.iter().map(|s| s.requests).collect();
+        outcome.peak_held = self.servers.iter().map(|s| s.peak).max().unwrap_or(0);
+        self.asked.clear();
+        outcome.breaches = self.judge.finish(end);
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/model/src/scenario.rs
@@ -0,0 +1,355 @@
+//! What is played.
+
+use crate::random::Dist;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A deployment, its load and its troubles. Times are seconds of virtual time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// How long requests come.
+    pub seconds: f64,
+    /// Requests that come before this are not counted.
+    #[serde(default)]
+    pub warm_up: f64,
+    /// Instances.
+    pub instances: usize,
+    /// Zones; instances and servers stand in them in turn, unless a group of servers names one.
+    #[serde(default = "one")]
+    pub zones: usize,
+    /// Classes of requests.
+    pub classes: Vec<ClassSpec>,
+    /// Groups of servers.
+    pub servers: Vec<Servers>,
+    /// The network.
+    #[serde(default)]
+    pub network: Network,
+    /// When requests come.
+    pub arrivals: Arrivals,
+    /// Tenants; their shares follow Zipf's law with this exponent.
+    #[serde(default)]
+    pub tenants: usize,
+    /// Zipf's exponent; 0 for equal shares.
+    #[serde(default)]
+    pub zipf: f64,
+    /// Attempts that a request may have.
+    #[serde(default = "three")]
+    pub attempts: u32,
+    /// What servers tell of their load.
+    #[serde(default)]
+    pub reports: Reports,
+    /// How long a change of the list is on its way to an instance: each waits for its own part of this.
+    #[serde(default)]
+    pub list_delay: f64,
+    /// What goes wrong.
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+fn one() -> usize {
+    1
+}
+
+fn three() -> u32 {
+    3
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    /// Its name.
+    pub name: String,
+    /// Its share of the requests, against the others'.
+    #[serde(default = "whole")]
+    pub share: f64,
+    /// `idempotent`, `deduplicated`, `deduplicated_by_zone` or `at_most_once`.
+    pub effect: Effect,
+    /// For how long servers drop repeats.
+    #[serde(default)]
+    pub window: f64,
+    /// The wanted time.
+    pub aim: f64,
+    /// How long a client waits.
+    pub deadline: f64,
+    /// The work of one on a server of speed 1.
+    pub service: Dist,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+/// What a repeat does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// Nothing.
+    Idempotent,
+    /// Servers drop repeats, wherever they come.
+    Deduplicated,
+    /// Servers drop repeats within their zone.
+    DeduplicatedByZone,
+    /// Its effect a second time.
+    AtMostOnce,
+}
+
+/// Servers of one kind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Servers {
+    /// How many.
+    pub count: usize,
+    /// Their zone; in turn without.
+    #[serde(default)]
+    pub zone: Option<usize>,
+    /// Requests in work at a time, each.
+    #[serde(default = "one")]
+    pub cores: usize,
+    /// Requests that may wait; one more is turned away unseen. No bound without.
+    #[serde(default)]
+    pub queue: Option<usize>,
+    /// How fast they work.
+    #[serde(default = "whole")]
+    pub speed: f64,
+    /// They start at this time; from the begin on without.
+    #[serde(default)]
+    pub starts: Option<f64>,
+}
+
+/// The network. A connection takes a round trip to open.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// One way within a zone.
+    pub within: f64,
+    /// One way between zones.
+    pub between: f64,
+    /// Each way takes up to this share longer.
+    pub jitter: f64,
+    /// A connection that is not open by then has failed.
+    pub connect_timeout: f64,
+    /// An idle connection is closed after this.
+    pub keepalive: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { within: 0.0, between: 0.0, jitter: 0.0, connect_timeout: 0.5, keepalive: 10.0 }
+    }
+}
+
+/// When requests come, over all instances together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind", deny_unknown_fields)]
+pub enum Arrivals {
+    /// At random, at a constant rate.
+    Poisson {
+        /// Requests a second.
+        rate: f64,
+    },
+    /// At random; the rate is multiplied for a while, again and again.
+    Bursts {
+        /// Requests a second outside a burst.
+        rate: f64,
+        /// How long a burst lasts.
+        on: f64,
+        /// How long none does.
+        off: f64,
+        /// The multiple.
+        factor: f64,
+    },
+    /// At random; the rate swings with the day.
+    Day {
+        /// Requests a second on average.
+        rate: f64,
+        /// The swing, as a share of the rate.
+        swing: f64,
+        /// The day's length.
+        period: f64,
+    },
+}
+
+impl Arrivals {
+    /// The rate at a time, and the highest there is.
+    pub(crate) fn rate(&self, at: f64) -> (f64, f64) {
+        match *self {
+            Arrivals::Poisson { rate } => (rate, rate),
+            Arrivals::Bursts { rate, on, off, factor } => {
+                let burst = at % (on + off) >= off;
+                (if burst { rate * factor } else { rate }, rate * factor.max(1.0))
+            }
+            Arrivals::Day { rate, swing, period } => {
+                let turn = (at / period * std::f64::consts::TAU).sin();
+                (rate * (1.0 + swing * turn), rate * (1.0 + swing))
+            }
+        }
+    }
+}
+
+/// What servers tell of their load with each answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reports {
+    /// Nothing.
+    #[default]
+    None,
+    /// The requests that they hold.
+    InFlight,
+}
+
+/// Something that goes wrong, or is put right.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// When.
+    pub at: f64,
+    /// What.
+    pub what: What,
+}
+
+/// What goes wrong. Servers are named by their numbers, group after group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind", deny_unknown_fields)]
+pub enum What {
+    /// Servers work this many times slower.
+    Slow {
+        /// The servers.
+        servers: Vec<usize>,
+        /// The factor; 1 puts it right.
+        factor: f64,
+    },
+    /// Servers read and say nothing, or speak again.
+    Mute {
+        /// The servers.
+        servers: Vec<usize>,
+        /// They do from now on.
+        on: bool,
+    },
+    /// Servers crash: all connections end, what was in work has run for nobody. The list says so after its delay.
+    Crash {
+        /// The servers.
+        servers: Vec<usize>,
+    },
+    /// Crashed or drained servers start again, cold.
+    Start {
+        /// The servers.
+        servers: Vec<usize>,
+    },
+    /// Servers drain: the list says so, they take what still comes for the grace, then turn it away.
+    Drain {
+        /// The servers.
+        servers: Vec<usize>,
+    },
+    /// Nothing passes from one zone to another; both ways need two.
+    Cut {
+        /// From this zone ...
+        from: usize,
+        /// ... to this.
+        to: usize,
+        /// It does from now on; false puts it right.
+        on: bool,
+    },
+    /// One tenant asks this many times as much.
+    Flood {
+        /// The tenant.
+        tenant: usize,
+        /// The factor; 1 puts it right.
+        factor: f64,
+    },
+}
+
+/// A scenario that can't be played, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScenarioError(pub String);
+
+impl fmt::Display for ScenarioError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ScenarioError {}
+
+/// More than this is a mistake, and is refused before memory is.
+const COUNT_MOST: usize = 100_000;
+
+impl Scenario {
+    /// How many servers there are.
+    pub fn server_count(&self) -> usize {
+        self.servers.iter().map(|group| group.count).sum()
+    }
+
+    /// Refuses what cannot be played.
+    ///
+    /// # Errors
+    ///
+    /// The first thing that is wrong.
+    pub fn check(&self) -> Result<(), ScenarioError> {
+        let wrong = |what: String| Err(ScenarioError(what));
+        let time = |value: f64| value.is_finite() && value >= 0.0;
+        if !time(self.seconds) || !time(self.warm_up) || !time(self.list_delay) || self.seconds > 1e6 {
+            return wrong("seconds, warm_up and list_delay are times of zero to a million seconds".into());
+        }
+        if self.classes.is_empty() || self.zones == 0 || self.attempts == 0 {
+            return wrong("a scenario needs a class, a zone and an attempt".into());
+        }
+        let servers = self.server_count();
+        if self.instances == 0 || self.instances > COUNT_MOST || servers > COUNT_MOST {
+            return wrong(format!(
+                "{} instances and {servers} servers; 1 and 0 to {COUNT_MOST}",
+                self.instances
+            ));
+        }
+        for class in &self.classes {
+            class.service.check().map_err(|why| ScenarioError(format!("{}: {why}", class.name)))?;
+            let whole = class.aim > 0.0 && class.deadline > 0.0 && time(class.aim) && time(class.deadline);
+            if !(whole && time(class.window) && time(class.share) && class.share > 0.0) {
+                return wrong(format!("{}: aim, deadline and share are above zero", class.name));
+            }
+        }
+        for group in &self.servers {
+            let zone = group.zone.is_none_or(|zone| zone < self.zones);
+            if group.cores == 0 || !(group.speed > 0.0 && group.speed.is_finite()) || !zone {
+                return wrong("servers need a core, a speed above zero and a zone that is there".into());
+            }
+        }
+        let net = &self.network;
+        if ![net.within, net.between, net.jitter, net.connect_timeout, net.keepalive].into_iter().all(time) {
+            return wrong("the network's times are finite and not below zero".into());
+        }
+        let (now, most) = self.arrivals.rate(0.0);
+        let positive = match self.arrivals {
+            Arrivals::Bursts { on, off, .. } => time(on) && time(off) && on + off > 0.0,
+            Arrivals::Day { swing, period, .. } => (0.0..=1.0).contains(&swing) && period > 0.0,
+            Arrivals::Poisson { .. } => true,
+        };
+        if !time(now) || !time(most) || !positive {
+            return wrong("rates are finite and not below zero, periods above".into());
+        }
+        for trouble in &self.troubles {
+            let named = match &trouble.what {
+                What::Slow { servers: named, factor } if *factor > 0.0 && factor.is_finite() => {
+                    named.as_slice()
+                }
+                What::Slow { .. } => return wrong("a server can't be slower by nothing".into()),
+                What::Mute { servers: named, .. }
+                | What::Crash { servers: named }
+                | What::Start { servers: named }
+                | What::Drain { servers: named } => named,
+                What::Cut { from, to, .. } if *from < self.zones && *to < self.zones => &[],
+                What::Cut { from, to, .. } => return wrong(format!("no zones {from} and {to}")),
+                What::Flood { tenant, factor } if *tenant < self.tenants && time(*factor) => &[],
+                What::Flood { tenant, .. } => return wrong(format!("no tenant {tenant}")),
+            };
+            if !time(trouble.at) {
+                return wrong("a trouble's time is finite and not below zero".into());
+            }
+            if let Some(server) = named.iter().find(|server| **server >= servers) {
+                return wrong(format!("no server {server}; there are {servers}"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/model/src/server.rs
@@ -0,0 +1,170 @@
+//! A server: cores, a queue, a cold start with its falling-over, repeats that it drops, and faults.
+
+use crate::random::Dist;
+use micasail::{Span, Time};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// A request at a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Job {
+    pub request: u64,
+    pub attempt: u32,
+    pub class: usize,
+    pub came: Time,
+}
+
+/// What becomes of a request that has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Taken {
+    /// A core is on it; it is done after this.
+    Started(Span),
+    /// It waits.
+    Queued,
+    /// It was turned away unseen.
+    Rejected,
+    /// Nothing is said.
+    Nothing,
+    /// Nobody listens.
+    Refused,
+}
+
+/// How cold servers are.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Cold {
+    pub share: f64,
+    pub warm_after: Span,
+    pub overload: f64,
+    pub fall_after: Span,
+}
+
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub zone: u32,
+    cores: usize,
+    queue_most: Option<usize>,
+    speed: f64,
+    pub slower: f64,
+    pub mute: bool,
+    pub up: bool,
+    pub draining: bool,
+    /// When it started, if it was cold then.
+    pub started: Option<Time>,
+    pub working: usize,
+    waiting: VecDeque<Job>,
+    /// Counts its processes: what an earlier one had in work is not this one's.
+    pub life: u32,
+    random: ChaCha8Rng,
+    /// Work that came within the last window, in seconds, while it was cold.
+    recent: VecDeque<(Time, f64)>,
+    pub requests: u64,
+    pub peak: usize,
+}
+
+impl Server {
+    pub fn new(
+        zone: u32,
+        cores: usize,
+        queue_most: Option<usize>,
+        speed: f64,
+        up: bool,
+        random: ChaCha8Rng,
+    ) -> Self {
+        Server {
+            zone,
+            cores,
+            queue_most,
+            speed,
+            slower: 1.0,
+            mute: false,
+            up,
+            draining: false,
+            started: None,
+            working: 0,
+            waiting: VecDeque::new(),
+            life: 0,
+            random,
+            recent: VecDeque::new(),
+            requests: 0,
+            peak: 0,
+        }
+    }
+
+    pub fn held(&self) -> usize {
+        self.working + self.waiting.len()
+    }
+
+    pub fn start(&mut self, now: Time) {
+        (self.up, self.draining, self.mute, self.started) = (true, false, false, Some(now));
+        self.life += 1;
+        self.recent.clear();
+    }
+
+    /// Ends; what it held is forgotten.
+    pub fn crash(&mut self) {
+        (self.up, self.working) = (false, 0);
+        self.life += 1;
+        self.waiting.clear();
+    }
+
+    pub fn warmth(&self, now: Time, cold: &Cold) -> f64 {
+        self.started.map_or(1.0, |started| {
+            let grown = (now.since(started).ms() / cold.warm_after.ms().max(1.0)).min(1.0);
+            cold.share + (1.0 - cold.share) * grown
+        })
+    }
+
+    /// Whether what has come within the window is more than a cold server bears.
+    pub fn falls(&mut self, now: Time, work: f64, cold: &Cold) -> bool {
+        let warmth = self.warmth(now, cold);
+        if warmth >= 1.0 {
+            return false;
+        }
+        self.recent.push_back((now, work));
+        while self.recent.front().is_some_and(|(at, _)| *at + cold.fall_after < now) {
+            self.recent.pop_front();
+        }
+        let offered: f64 = self.recent.iter().map(|(_, work)| work).sum();
+        let bears = cold.overload * self.cores as f64 * self.speed * warmth * cold.fall_after.ms() / 1e3;
+        // A handful of requests is chance and no push.
+        self.recent.len() > 5 && offered > bears
+    }
+
+    pub fn take(&mut self, now: Time, job: Job, dist: &Dist, cold: &Cold) -> Taken {
+        if !self.up {
+            return Taken::Refused;
+        }
+        if self.mute {
+            return Taken::Nothing;
+        }
+        if self.draining {
+            return Taken::Rejected;
+        }
+        self.requests += 1;
+        if self.working < self.cores {
+            self.working += 1;
+            self.peak = self.peak.max(self.held());
+            return Taken::Started(self.service(now, dist, cold));
+        }
+        if self.queue_most.is_some_and(|most| self.waiting.len() >= most) {
+            return Taken::Rejected;
+        }
+        self.waiting.push_back(job);
+        self.peak = self.peak.max(self.held());
+        Taken::Queued
+    }
+
+    /// A core is free: the next that waits, if there is one.
+    pub fn next(&mut self) -> Option<Job> {
+        let job = self.waiting.pop_front();
+        if job.is_none() {
+            self.working -= 1;
+        }
+        job
+    }
+
+    pub fn service(&mut self, now: Time, dist: &Dist, cold: &Cold) -> Span {
+        let seconds = dist.sample(&mut self.random) * self.slower / self.speed / self.warmth(now, cold);
+        Span::from_ms(seconds.min(1e6) * 1e3)
+    }
+}
