Log through tracing: levels by part, JSON lines; entries left out of the list are told

Need: a list whose addresses were malformed gave 429 for ever and not one line; the README's own check command ended with 2; the log had neither levels nor a form for programs.

Change: tracing in place of the log's own lines; a writer that never fails, so a full disk or a reader that has gone still ends nothing; the fleet's instances log as it does. Entries that make no sense are told once each with their reason, 200 at most. An operator's file is checked alone where no platform's configuration is named. server_names up to 1,000 fits its bound.

--- a/crates/agent/src/cli/check.rs
+++ b/crates/agent/src/cli/check.rs
@@ -3,9 +3,43 @@
 use crate::daemon::config::Config;
 use crate::daemon::{state, variable, Sources};
 use crate::exit;
+use bellcroft_operator::AgentFile;
 use std::process::ExitCode;
 
+/// An operator's file without any platform's configuration: what can be checked is, and what can't is said. None where
+/// there is a configuration, or no operator's file.
+fn alone(sources: &Sources) -> Option<ExitCode> {
+    let file = sources.operator.as_ref()?;
+    if sources.config.is_some() || variable("PROXY_CONFIG").is_some() {
+        return None;
+    }
+    let operator = match AgentFile::read(file) {
+        Ok(operator) => operator,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return Some(ExitCode::from(exit::BAD_INPUT));
+        }
+    };
+    if operator.instance.config.is_some() {
+        return None;
+    }
+    println!("{}: every key and value is good", file.display());
+    println!("routes: {}, pools: {}", operator.routes.routes.len(), operator.routes.pools.len());
+    match &operator.remote_write {
+        Some(remote) => println!("remote write: {} every {:?}", remote.url, remote.interval),
+        None => println!("remote write: off"),
+    }
+    println!(
+        "not checked, for no platform's configuration is named (--config, PROXY_CONFIG, instance.config): \
+         addresses, classes and tenants, and whether the routes keep the four rules"
+    );
+    Some(ExitCode::SUCCESS)
+}
+
 pub fn run(sources: &Sources, explain: bool) -> ExitCode {
+    if let Some(code) = alone(sources) {
+        return code;
+    }
     let config = match Config::load(sources, variable) {
         Ok(config) => config,
         Err(wrong) => {
--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::daemon::{self, Sources, Start};
 use crate::exit;
+use crate::log::{self, Format};
 use clap::{Args, Parser, Subcommand};
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -25,6 +26,12 @@
 #[derive(Parser)]
 #[command(name = "bellcroft", version, after_help = CODES, max_term_width = 100)]
 struct Cli {
+    /// What the log's lines look like; BELLCROFT_LOG_FORMAT without. A fleet's instances log as it does.
+    #[arg(long, global = true, value_enum)]
+    log_format: Option<Format>,
+    /// The least level that is logged, by part: such as info, or info,bellcroft::discovery=debug; BELLCROFT_LOG without.
+    #[arg(long, global = true, value_name = "LEVELS")]
+    log_level: Option<String>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -90,6 +97,10 @@
             return if e.use_stderr() { ExitCode::from(exit::BAD_INPUT) } else { ExitCode::SUCCESS };
         }
     };
+    if let Err(why) = log::start(cli.log_format, cli.log_level) {
+        log::say(format_args!("bellcroft: {why}"));
+        return ExitCode::from(exit::BAD_INPUT);
+    }
     match cli.command {
         None => daemon::run(Start::default()),
         Some(Command::Run { files, state }) => daemon::run(Start { sources: files.into(), state }),
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{sleep, Instant};
+use tracing::{info, warn};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
 const SPARE_SOCKETS: usize = 24;
@@ -202,10 +203,10 @@
         match &taken {
             Ok(()) => {
                 self.generation.set(self.generation.get() + 1);
-                say(format_args!("{}: discovery is at {}", self.name(), self.config.borrow().discovery));
+                info!("{}: discovery is at {}", self.name(), self.config.borrow().discovery);
             }
             Err(why) => {
-                say(format_args!("{}: reload: {why}; all stays as it was", self.name()));
+                warn!("{}: reload: {why}; all stays as it was", self.name());
                 if let Some(telemetry) = &self.driver.telemetry {
                     telemetry.registry.counter(&families::RELOADS_REFUSED, &[]).inc();
                 }
@@ -327,7 +328,7 @@
         }
     });
     for problem in &problems {
-        say(format_args!("{name}: {problem}; serving goes on"));
+        warn!("{name}: {problem}; serving goes on");
     }
     let status_every = config.daemon.status_every;
     let (remote, seed) = (telemetry::remote(&config), config.seed);
@@ -356,7 +357,7 @@
             instance: counted,
             now: Box::new(move || clock.now()),
             refresh: Box::new(move || refreshed.gauges(clients)),
-            log: Box::new(move |text| say(format_args!("{name}: {text}"))),
+            log: Box::new(move |text| warn!(target: "bellcroft::telemetry", "{name}: {text}")),
             seed,
         };
         *instance.remote.borrow_mut() = Some(Remote::start(remote, owner));
@@ -365,7 +366,7 @@
     *handler.borrow_mut() = Some(instance.clone());
     instance.write();
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
-    say(format_args!("{name}: listening on {address}"));
+    info!("{name}: listening on {address}");
 
     let mut next_write = Instant::now() + status_every;
     let alive_every = instance.notify.watchdog();
@@ -435,7 +436,7 @@
     if let Some(remote) = remote {
         let counts = remote.stop().await;
         if counts.dropped_at_end > 0 {
-            say(format_args!("{name}: remote write: {} samples were left at the end", counts.dropped_at_end));
+            warn!(target: "bellcroft::telemetry", "{name}: remote write: {} samples were left at the end", counts.dropped_at_end);
         }
     }
     instance.phase.set(Phase::Stopped);
@@ -447,9 +448,9 @@
     if state.is_some() {
         // The next process begins to count anew, and its status takes this one's place.
         let totals = serde_json::to_string(&instance.status().requests).unwrap_or_default();
-        say(format_args!("{name}: totals {totals}"));
+        info!("{name}: totals {totals}");
     }
-    say(format_args!("{name}: all is answered"));
+    info!("{name}: all is answered");
     // The lock ends with the process, after everything else.
     drop(state);
     Ok(())
--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -32,6 +32,8 @@
     pub whole: bool,
     /// Its entries.
     pub hosts: Vec<Host>,
+    /// Entries that make no sense: which, and why.
+    pub left_out: Vec<String>,
 }
 
 /// One server.
@@ -66,30 +68,52 @@
     Removed,
 }
 
-/// Reads a list. An entry that makes no sense is left out: one bad line must not cost the others.
+/// The longest name that is told.
+const TOLD_MOST: usize = 64;
+
+/// Reads a list. An entry that makes no sense is left out, and its reason kept: one bad line must not cost the others,
+/// and a list of bad lines must not look like an empty one.
 pub fn parse_list(value: &Value) -> Option<List> {
     let hosts = value.get("hosts")?.as_array()?;
+    let (mut good, mut left_out) = (Vec::with_capacity(hosts.len()), Vec::new());
+    for (place, host) in hosts.iter().enumerate() {
+        match parse_host(host) {
+            Ok(host) => good.push(host),
+            Err(why) => {
+                let name = host.get("host").and_then(Value::as_str).filter(|name| !name.is_empty());
+                let name = name.map(|name| name.chars().take(TOLD_MOST).collect::<String>());
+                let name = name.map_or_else(|| format!("entry {place}"), |name| format!("{name:?}"));
+                left_out.push(format!("{name}: {why}"));
+            }
+        }
+    }
     Some(List {
         seq: value.get("seq")?.as_u64()?,
         whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
-        hosts: hosts.iter().filter_map(parse_host).collect(),
+        hosts: good,
+        left_out,
     })
 }
 
-fn parse_host(value: &Value) -> Option<Host> {
+fn parse_host(value: &Value) -> Result<Host, String> {
     let text = |key: &str| value.get(key).and_then(Value::as_str);
-    let health = match text("health")? {
+    let health = match text("health").ok_or("has no health")? {
         "up" => Health::Up,
         "draining" => Health::Draining,
         "removed" => Health::Removed,
-        _ => return None,
+        other => {
+            let other: String = other.chars().take(TOLD_MOST).collect();
+            return Err(format!("its health is {other:?}; up, draining or removed was expected"));
+        }
     };
+    let name = text("host").filter(|name| !name.is_empty()).ok_or("has no name")?.to_owned();
     let dial = text("dial").and_then(|d| d.parse().ok());
     if dial.is_none() && health == Health::Up {
-        return None;
+        let dial: String = text("dial").unwrap_or_default().chars().take(TOLD_MOST).collect();
+        return Err(format!("its dial is {dial:?}; an address such as \"10.0.0.1:80\" was expected"));
     }
-    Some(Host {
-        name: text("host").filter(|name| !name.is_empty())?.to_owned(),
+    Ok(Host {
+        name,
         dial,
         site: text("site").unwrap_or_default().to_owned(),
         kind: text("class").unwrap_or_default().to_owned(),
@@ -235,6 +259,15 @@
         assert_eq!(names, ["a", "d"]);
         assert_eq!((list.seq, list.whole), (7, true));
         assert_eq!(list.hosts[0].born_ms, 5.0);
+        assert_eq!(
+            list.left_out,
+            [
+                "\"b\": its dial is \"nowhere\"; an address such as \"10.0.0.1:80\" was expected",
+                "\"c\": its health is \"asleep\"; up, draining or removed was expected",
+                "entry 3: has no name",
+                "entry 5: has no health",
+            ]
+        );
     }
 
     #[test]
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -6,7 +6,6 @@
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
-use crate::log::say;
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
 use crate::upstream::{AttemptLimits, Ended, Progress, Upstream};
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
@@ -26,10 +25,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
+use tracing::{info, warn};
 
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// Entries of the list that are left out are told once each, this many at most: a list may bring new ones for ever.
+const LEFT_OUT_TOLD: usize = 200;
+
 /// A server's name and number are kept this long after it has left: longer than the balancer remembers the number,
 /// so that a name that shares it by chance is not taken for the one that left.
 const NAMES_KEPT: Duration = Duration::from_secs(30);
@@ -128,6 +131,8 @@
     up: HashSet<ServerId>,
     /// The version of the list; none after discovery has moved, for versions are each service's own.
     seq: Option<u64>,
+    /// What of the list was left out, and has been told.
+    left_out: HashSet<String>,
     discovery: Discovery,
     routes: Rc<Table>,
     ids: Ids,
@@ -184,6 +189,7 @@
             left: HashMap::new(),
             up: HashSet::new(),
             seq: Some(config.known.seq),
+            left_out: HashSet::new(),
             discovery: Discovery::new(config.discovery),
             routes,
             ids,
@@ -404,7 +410,7 @@
             Action::FetchList => state.discovery.fetch(self),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
             Action::Tell { .. } => {}
-            Action::Log { text } => say(text),
+            Action::Log { text } => info!(target: "bellcroft::decisions", "{text}"),
         }
     }
 
@@ -498,6 +504,12 @@
     /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
     fn take_list(&self, state: &mut State, list: List) -> Vec<Listed> {
         state.seq = Some(list.seq);
+        for entry in list.left_out {
+            if state.left_out.len() < LEFT_OUT_TOLD && !state.left_out.contains(&entry) {
+                warn!(target: "bellcroft::discovery", "list: {entry}; it is left out");
+                state.left_out.insert(entry);
+            }
+        }
         let mut lines = Vec::with_capacity(list.hosts.len());
         if list.whole {
             state.up.clear();
@@ -611,7 +623,7 @@
         while self.names.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
-        say(format_args!("server {id} is {name}"));
+        info!(target: "bellcroft::discovery", "server {id} is {name}");
         self.names.insert(ServerId(id), name.to_owned());
         self.servers.insert(name.to_owned(), ServerId(id));
         ServerId(id)
--- a/crates/agent/src/fleet/mod.rs
+++ b/crates/agent/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use tracing::info;
 
 /// Connections that may wait at a socket that no process takes from at the moment. The kernel's own bound
 /// (`net.core.somaxconn`) may be lower.
@@ -201,7 +202,7 @@
     let writer = Writer::start(state.path()).map_err(|e| format!("no thread writes the status: {e}"))?;
     {
         let mut fleet = fleet.borrow_mut();
-        say(format_args!("fleet of {}: {} run already", fleet.slots.len(), found.len()));
+        info!("fleet of {}: {} run already", fleet.slots.len(), found.len());
         for place in found {
             fleet.tell(Event::Adopted(InstanceId(place)));
             fleet.watch_adopted(InstanceId(place));
@@ -240,7 +241,7 @@
     }
     let text = fleet.borrow().status().to_string().into_bytes();
     writer.finish(text).await;
-    say("fleet: all have ended");
+    info!("fleet: all have ended");
     Ok(())
 }
 
@@ -316,7 +317,7 @@
     }
 
     fn log(&mut self, line: &str) {
-        say(line);
+        info!("{line}");
         if self.lines.len() >= LINES_KEPT {
             self.lines.pop_front();
         }
--- a/crates/agent/src/fleet/process.rs
+++ b/crates/agent/src/fleet/process.rs
@@ -96,6 +96,7 @@
         .env("PROXY_NAME", &member.name)
         .env("PROXY_LISTEN", listener.local_addr()?.to_string())
         .env("LISTEN_FDS", "1")
+        .envs(crate::log::variables())
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         // A file and no pipe: the instance outlives its supervisor.
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -99,7 +99,7 @@
         let address = loop {
             let line = soon("the agent's start", log.next_line()).await.expect("a log").expect("a line");
             if let Some((_, address)) = line.split_once("listening on ") {
-                break address.parse().expect("an address");
+                break address.trim().parse().expect("an address");
             }
         };
         // Someone must read on, or a full pipe would stop the agent.
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -9,6 +9,8 @@
 const FEW: usize = 64;
 const SOME: usize = 256;
 const MANY: usize = 2_048;
+/// A thousand servers by eight outcomes, and what the rest share.
+const NAMED: usize = 8_192;
 
 macro_rules! families {
     ($($constant:ident $kind:ident $name:literal [$($label:literal),*] $most:expr, $help:literal;)*) => {
@@ -50,7 +52,7 @@
     FURTHER Counter "bellcroft_further_attempts_total" ["kind", "route"] SOME, "Attempts beyond a request's first: retry, or second_copy while another was out.";
     ROUTE_REQUESTS Counter "bellcroft_route_requests_total" ["route"] SOME, "Requests taken, by their route; none for those without one.";
     BUDGET Gauge "bellcroft_further_attempts_allowed_ratio" ["kind", "route"] SOME, "Further attempts that each request of the route earns.";
-    SERVER_ATTEMPTS Counter "bellcroft_server_attempts_total" ["outcome", "server"] MANY, "Attempts by server and how they ended; only with server_names.";
+    SERVER_ATTEMPTS Counter "bellcroft_server_attempts_total" ["outcome", "server"] NAMED, "Attempts by server and how they ended; only with server_names.";
     SERVER_SECONDS Counter "bellcroft_server_attempt_seconds_total" ["server"] MANY, "Time of the server's served attempts, added up; only with server_names.";
 
     SERVERS Gauge "bellcroft_servers" ["state", "zone"] SOME, "Servers by what the list says of them: up, draining, gone.";
--- a/crates/telemetry/tests/instance.rs
+++ b/crates/telemetry/tests/instance.rs
@@ -32,7 +32,8 @@
 }
 
 fn value(samples: &[Sample], name: &str, labels: &[(&str, &str)]) -> Option<f64> {
-    let has = |sample: &Sample, name: &str, value: &str| sample.labels.iter().any(|(n, v)| n == name && v == value);
+    let has =
+        |sample: &Sample, name: &str, value: &str| sample.labels.iter().any(|(n, v)| n == name && v == value);
     let own = samples.iter().find(|s| has(s, "__name__", name) && labels.iter().all(|(n, v)| has(s, n, v)));
     own.map(|sample| sample.value)
 }
@@ -61,7 +62,10 @@
     let by_server = samples.iter().filter(|s| s.labels.iter().any(|(n, _)| n == "server")).count();
     assert!(by_server <= 6 * 9 && most < 200, "{by_server} {most}");
     assert_eq!(value(&samples, "bellcroft_attempts_total", &[("outcome", "served")]), Some(10_000.0));
-    assert!(value(&samples, "bellcroft_server_attempts_total", &[("server", "other"), ("outcome", "served")]) > Some(0.0));
+    assert!(
+        value(&samples, "bellcroft_server_attempts_total", &[("server", "other"), ("outcome", "served")])
+            > Some(0.0)
+    );
 }
 
 #[test]
@@ -72,7 +76,13 @@
         instance.listed(at(1), line(server, name, true));
         instance.ended((u64::from(server), 0), 0, server, Outcome::Success, Span(1000));
     }
-    let of = |name: &str| value(&instance.gather(at(2)), "bellcroft_server_attempts_total", &[("server", name), ("outcome", "served")]);
+    let of = |name: &str| {
+        value(
+            &instance.gather(at(2)),
+            "bellcroft_server_attempts_total",
+            &[("server", name), ("outcome", "served")],
+        )
+    };
     assert_eq!((of("a"), of("b"), of("c"), of("other")), (Some(1.0), None, None, Some(2.0)));
     instance.forget(1);
     assert_eq!(of("other"), Some(2.0), "what one of many counted stays");
@@ -84,7 +94,8 @@
 
 #[test]
 fn any_names_arrive_at_a_strict_receiver_in_both_versions() {
-    let classes = ["quote\"s".to_owned(), "new\nline".to_owned(), "x".repeat(10_000), "back\\slash".to_owned()];
+    let classes =
+        ["quote\"s".to_owned(), "new\nline".to_owned(), "x".repeat(10_000), "back\\slash".to_owned()];
     let tenants = [String::from_utf8_lossy(b"not \xff UTF-8").into_owned(), "\u{1f600}".repeat(3000)];
     let instance = instance(&classes, &tenants, 3);
     instance.listed(at(1), line(0, &"y".repeat(10_000), true));
@@ -97,7 +108,10 @@
         assert_eq!((written, store.wrong.as_slice()), (samples.len(), [].as_slice()));
         assert!(store.series.keys().flat_map(|l| l.values()).all(|v| v.len() <= LABEL_MOST));
         assert_eq!(store.sum("bellcroft_requests_total", &[("outcome", "served")]), 1.0);
-        assert_eq!(store.latest("bellcroft_requests_total", &[("class", "new\nline"), ("outcome", "left")]), [0.0]);
+        assert_eq!(
+            store.latest("bellcroft_requests_total", &[("class", "new\nline"), ("outcome", "left")]),
+            [0.0]
+        );
     }
 }
 
@@ -120,11 +134,17 @@
     answer(4, 3000, 3020);
     let samples = instance.gather(at(3100));
     let of = |name: &str| value(&samples, name, &[("rule", "answer")]);
-    assert_eq!((of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")), (Some(1.0), Some(0.0)));
+    assert_eq!(
+        (of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")),
+        (Some(1.0), Some(0.0))
+    );
     answer(5, 4000, 4060);
     let samples = instance.gather(at(4100));
     let of = |name: &str| value(&samples, name, &[("rule", "answer")]);
-    assert_eq!((of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")), (Some(1.0), Some(1.0)));
+    assert_eq!(
+        (of("bellcroft_rule_near_misses_total"), of("bellcroft_rule_breaches_total")),
+        (Some(1.0), Some(1.0))
+    );
     assert_eq!(instance.observer().margin(Rule::Answer).breaches, 1);
 }
 
@@ -136,7 +156,8 @@
     instance.allowed(&[allowed("none", 0.1, None), allowed("read", 0.2, Some(0.05))]);
     instance.attempt(0, "read", 1, false);
     instance.attempt(0, "read", 2, true);
-    let of = |name: &str, kind: &str| value(&instance.gather(at(1)), name, &[("route", "read"), ("kind", kind)]);
+    let of =
+        |name: &str, kind: &str| value(&instance.gather(at(1)), name, &[("route", "read"), ("kind", kind)]);
     let (budget, further) = ("bellcroft_further_attempts_allowed_ratio", "bellcroft_further_attempts_total");
     assert_eq!((of(budget, "retry"), of(budget, "second_copy")), (Some(0.2), Some(0.05)));
     instance.allowed(&[allowed("none", 0.1, None)]);
