--- a/crates/telemetry/tests/instance.rs
+++ b/crates/telemetry/tests/instance.rs
@@ -84,6 +84,9 @@
         )
     };
     assert_eq!((of("a"), of("b"), of("c"), of("other")), (Some(1.0), None, None, Some(2.0)));
+    // One that happens to be called so, too.
+    instance.listed(at(2), line(4, "other", true));
+    instance.forget(4);
     instance.forget(1);
     assert_eq!(of("other"), Some(2.0), "what one of many counted stays");
     instance.forget(0);
