Model: recorded traces, and load reports that are old, missing or wrong

Change: report_faults (delay, missing, wrong) and arrivals of kind "trace". What is wrong with reports is drawn from streams of their own, so older scenarios play as they did.

Measured: the module breaks no rule under any of four faults, up to all reports missing or wrong; a policy that reads no report plays the same to the byte; a trace of 3,000 requests is asked 3,000 times, and 1,500 times when it is cut at its half.

--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -1,7 +1,7 @@
 //! When an instance's clients ask, and for what. Open loop: they ask whatever the answers do.
 
 use crate::random::{stream, Actor};
-use crate::scenario::Scenario;
+use crate::scenario::{Arrivals, Scenario};
 use micasail::{Span, Time};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,8 @@
     classes: Vec<f64>,
     tenants: Vec<f64>,
     part: f64,
+    /// The next place of a recorded trace that is this instance's.
+    recorded: usize,
 }
 
 fn sums(shares: impl Iterator<Item = f64>) -> Vec<f64> {
@@ -38,6 +40,7 @@
             classes: sums(scenario.classes.iter().map(|class| class.share)),
             tenants: sums((0..scenario.tenants).map(|tenant| zipf(scenario, tenant))),
             part: 1.0 / scenario.instances as f64,
+            recorded: instance,
         }
     }
 
@@ -52,6 +55,11 @@
     /// When the next request comes after `now`; none after the scenario's end. By thinning: draws at the highest rate,
     /// each kept with the share that the rate then has of it.
     pub fn next(&mut self, scenario: &Scenario, now: Time) -> Option<Time> {
+        if let Arrivals::Trace { times } = &scenario.arrivals {
+            let at = *times.get(self.recorded)?;
+            self.recorded += scenario.instances;
+            return (at < scenario.seconds).then(|| now.max(Time::default() + Span::from_ms(at * 1e3)));
+        }
         let mut at = now.ms() / 1e3;
         loop {
             let (_, most) = scenario.arrivals.rate(at);
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -31,12 +31,12 @@
     Connected(u64, u32),
     AtServer(u64, u32),
     Done(usize, u32, u64, u32, u64),
-    Reply(u64, u32, u8, u32),
+    Reply(u64, u32, u8, Option<u32>),
     TimeOut(u64, u32),
     Trouble(usize),
     Back(usize),
     Told(usize, usize, u8),
-    Probed(usize, usize, u8, u32, u64),
+    Probed(usize, usize, u8, Option<u32>, u64),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -177,15 +177,9 @@
         for _ in 0..group.count {
             let number = servers.len();
             let zone = group.zone.unwrap_or(number % scenario.zones) as u32;
-            let random = stream(seed, Actor::Server(number));
-            servers.push(Server::new(
-                zone,
-                group.cores,
-                group.queue,
-                group.speed,
-                group.starts.is_none(),
-                random,
-            ));
+            let random = (stream(seed, Actor::Server(number)), stream(seed, Actor::Reports(number)));
+            let can = (group.cores, group.queue, group.speed);
+            servers.push(Server::new(zone, can, group.starts.is_none(), random));
             troubles.extend(group.starts.map(|at| (at, What::Start { servers: vec![number] })));
         }
     }
@@ -492,7 +486,8 @@
         if !self.comes_back(instance, server) {
             return;
         }
-        let held = self.servers[server].held() as u32;
+        let scenario = self.scenario;
+        let held = self.servers[server].report(self.now, &scenario.report_faults);
         let way = self.way(instance, server);
         let code = match ended {
             Ended::Success => 0,
@@ -506,7 +501,7 @@
         }
     }
 
-    fn replied(&mut self, id: u64, number: u32, code: u8, held: u32) {
+    fn replied(&mut self, id: u64, number: u32, code: u8, held: Option<u32>) {
         let ended = [Ended::Success, Ended::Rejected, Ended::ConnectionReset][code as usize];
         let Some(asked) = self.asked.get(&id) else { return };
         let attempt = &asked.attempts[number as usize];
@@ -519,8 +514,8 @@
             *count = count.saturating_add(1);
             *used = self.now;
         }
-        let report = (self.scenario.reports == Reports::InFlight && ended != Ended::ConnectionReset)
-            .then(|| vec![f64::from(held)]);
+        let told = self.scenario.reports == Reports::InFlight && ended != Ended::ConnectionReset;
+        let report = held.filter(|_| told).map(|held| vec![f64::from(held)]);
         if ended == Ended::Success {
             self.answer(id, |class| &mut class.served);
         }
@@ -607,7 +602,8 @@
             (true, false) => (2, Span(way.0 + back.0)),
             (true, true) => (0, Span(way.0 + back.0)),
         };
-        let held = own.held() as u32;
+        let scenario = self.scenario;
+        let held = self.servers[server].report(self.now, &scenario.report_faults);
         self.at(self.now + after, Happening::Probed(instance, server, code, held, after.0));
     }
 
@@ -657,7 +653,7 @@
             Happening::Probed(instance, server, code, held, after) => {
                 let outcome = [Ended::Success, Ended::TimedOut, Ended::ConnectFailed][code as usize];
                 let reports = self.scenario.reports == Reports::InFlight && code == 0;
-                let report = reports.then(|| vec![f64::from(held)]);
+                let report = held.filter(|_| reports).map(|held| vec![f64::from(held)]);
                 let (server, elapsed) = (ServerId(server as u32), Span(after));
                 self.tell(instance, Event::Probed { server, outcome, elapsed, report });
             }
--- a/crates/model/src/random.rs
+++ b/crates/model/src/random.rs
@@ -16,18 +16,23 @@
     Network(usize),
     /// An instance's reference policy.
     Policy(usize),
+    /// What is wrong with a server's reports.
+    Reports(usize),
 }
 
 /// An actor's generator: ChaCha with 8 rounds, the run's seed, and the actor as the stream.
 pub fn stream(seed: u64, actor: Actor) -> ChaCha8Rng {
-    let (kind, number) = match actor {
-        Actor::Clients(n) => (0, n),
-        Actor::Server(n) => (1, n),
-        Actor::Network(n) => (2, n),
-        Actor::Policy(n) => (3, n),
+    let stream = |kind: u64, number: usize| number as u64 * 4 + kind;
+    let stream = match actor {
+        Actor::Clients(n) => stream(0, n),
+        Actor::Server(n) => stream(1, n),
+        Actor::Network(n) => stream(2, n),
+        Actor::Policy(n) => stream(3, n),
+        // From the other end: a new kind of actor moves no older one's stream.
+        Actor::Reports(n) => u64::MAX - n as u64,
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(number as u64 * 4 + kind);
+    random.set_stream(stream);
     random
 }
 
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -39,6 +39,9 @@
     /// What servers tell of their load.
     #[serde(default)]
     pub reports: Reports,
+    /// What is wrong with that.
+    #[serde(default)]
+    pub report_faults: ReportFaults,
     /// How long a change of the list is on its way to an instance: each waits for its own part of this.
     #[serde(default)]
     pub list_delay: f64,
@@ -160,6 +163,11 @@
         /// The multiple.
         factor: f64,
     },
+    /// As recorded: at these seconds, each for the next instance in turn.
+    Trace {
+        /// The times, ascending.
+        times: Vec<f64>,
+    },
     /// At random; the rate swings with the day.
     Day {
         /// Requests a second on average.
@@ -180,6 +188,10 @@
                 let burst = at % (on + off) >= off;
                 (if burst { rate * factor } else { rate }, rate * factor.max(1.0))
             }
+            Arrivals::Trace { ref times } => {
+                let rate = times.last().map_or(0.0, |last| times.len() as f64 / last.max(1e-6));
+                (rate, rate)
+            }
             Arrivals::Day { rate, swing, period } => {
                 let turn = (at / period * std::f64::consts::TAU).sin();
                 (rate * (1.0 + swing * turn), rate * (1.0 + swing))
@@ -199,6 +211,18 @@
     InFlight,
 }
 
+/// What is wrong with reports.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ReportFaults {
+    /// A server tells what it held up to this long ago.
+    pub delay: f64,
+    /// The share of answers without a report.
+    pub missing: f64,
+    /// The share of reports that say that it holds nothing.
+    pub wrong: f64,
+}
+
 /// Something that goes wrong, or is put right.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -320,9 +344,20 @@
             return wrong("the network's times are finite and not below zero".into());
         }
         let (now, most) = self.arrivals.rate(0.0);
-        let positive = match self.arrivals {
-            Arrivals::Bursts { on, off, .. } => time(on) && time(off) && on + off > 0.0,
-            Arrivals::Day { swing, period, .. } => (0.0..=1.0).contains(&swing) && period > 0.0,
+        let faults = &self.report_faults;
+        let share = |value: f64| (0.0..=1.0).contains(&value);
+        if !time(faults.delay) || !share(faults.missing) || !share(faults.wrong) {
+            return wrong("report_faults are a time and two shares from 0 to 1".into());
+        }
+        let positive = match &self.arrivals {
+            Arrivals::Trace { times } => {
+                if !times.iter().all(|at| time(*at)) || times.windows(2).any(|pair| pair[0] > pair[1]) {
+                    return wrong("a trace's times are finite and ascending".into());
+                }
+                true
+            }
+            Arrivals::Bursts { on, off, .. } => time(*on) && time(*off) && on + off > 0.0,
+            Arrivals::Day { swing, period, .. } => share(*swing) && *period > 0.0,
             Arrivals::Poisson { .. } => true,
         };
         if !time(now) || !time(most) || !positive {
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -1,7 +1,9 @@
 //! A server: cores, a queue, a cold start with its falling-over, repeats that it drops, and faults.
 
 use crate::random::Dist;
+use crate::scenario::ReportFaults;
 use micasail::{Span, Time};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 
@@ -59,16 +61,17 @@
     recent: VecDeque<(Time, f64)>,
     pub requests: u64,
     pub peak: usize,
+    /// What it last told of its load, and when it had counted that.
+    told: (Time, u32),
+    lies: ChaCha8Rng,
 }
 
 impl Server {
     pub fn new(
         zone: u32,
-        cores: usize,
-        queue_most: Option<usize>,
-        speed: f64,
+        (cores, queue_most, speed): (usize, Option<usize>, f64),
         up: bool,
-        random: ChaCha8Rng,
+        (random, lies): (ChaCha8Rng, ChaCha8Rng),
     ) -> Self {
         Server {
             zone,
@@ -87,6 +90,8 @@
             recent: VecDeque::new(),
             requests: 0,
             peak: 0,
+            told: (Time::default(), 0),
+            lies,
         }
     }
 
@@ -94,6 +99,19 @@
         self.working + self.waiting.len()
     }
 
+    /// What it tells of its load, which may be old, wrong or nothing.
+    pub fn report(&mut self, now: Time, faults: &ReportFaults) -> Option<u32> {
+        if now.since(self.told.0) >= Span::from_ms(faults.delay * 1e3) {
+            self.told = (now, self.held() as u32);
+        }
+        // Nothing is drawn where nothing is wrong.
+        if faults.missing > 0.0 && self.lies.random::<f64>() < faults.missing {
+            return None;
+        }
+        let wrong = faults.wrong > 0.0 && self.lies.random::<f64>() < faults.wrong;
+        Some(if wrong { 0 } else { self.told.1 })
+    }
+
     pub fn start(&mut self, now: Time) {
         (self.up, self.draining, self.mute, self.started) = (true, false, false, Some(now));
         self.life += 1;
--- a/crates/model/tests/deployment.rs
+++ b/crates/model/tests/deployment.rs
@@ -37,6 +37,7 @@
         zipf: 1.0,
         attempts: 3,
         reports: Reports::InFlight,
+        report_faults: ReportFaults::default(),
         list_delay: 0.2,
         troubles: Vec::new(),
     }
@@ -266,3 +267,51 @@
     let honest = play(&scenario, Policy::Module, 9).expect("it plays").breaches;
     assert_eq!(honest, Breaches::default());
 }
+
+#[test]
+fn reports_that_are_old_missing_or_wrong_break_no_rule_and_change_the_run() {
+    let plain = play(&troubled(), Policy::Module, 6).expect("it plays");
+    for faults in [
+        ReportFaults { delay: 1.0, ..ReportFaults::default() },
+        ReportFaults { missing: 0.5, ..ReportFaults::default() },
+        ReportFaults { wrong: 0.3, ..ReportFaults::default() },
+        ReportFaults { delay: 2.0, missing: 1.0, wrong: 1.0 },
+    ] {
+        let run =
+            play(&Scenario { report_faults: faults, ..troubled() }, Policy::Module, 6).expect("it plays");
+        assert_eq!(run.breaches, Breaches::default(), "{faults:?}");
+        assert_ne!(run, plain, "{faults:?} changes nothing");
+        let asked = |outcome: &Outcome| outcome.classes.iter().map(|c| c.asked).collect::<Vec<_>>();
+        assert_eq!(asked(&run), asked(&plain), "clients' draws are their own");
+        // A policy that reads no report does not care.
+        let deaf = |scenario: &Scenario| play(scenario, Policy::PowerOfTwo, 6).expect("it plays");
+        assert_eq!(deaf(&Scenario { report_faults: faults, ..troubled() }), deaf(&troubled()), "{faults:?}");
+    }
+    let none = ReportFaults { missing: 1.0, ..ReportFaults::default() };
+    let without = play(&Scenario { reports: Reports::None, ..deployment() }, Policy::PeakEwma, 6);
+    let missing = play(&Scenario { report_faults: none, ..deployment() }, Policy::PeakEwma, 6);
+    assert_eq!(without, missing);
+}
+
+#[test]
+fn a_recorded_trace_is_played_as_it_was() {
+    let times: Vec<f64> = (0..3000).map(|n| f64::from(n) * 0.003).collect();
+    let recorded =
+        Scenario { arrivals: Arrivals::Trace { times: times.clone() }, warm_up: 0.0, ..deployment() };
+    for policy in [Policy::Module, Policy::Memory] {
+        let outcome = play(&recorded, policy, 1).expect("it plays");
+        assert_eq!(outcome.classes.iter().map(|c| c.asked).sum::<u64>(), 3000, "{policy:?}");
+        assert!(outcome.wanted_share > 0.95, "{policy:?}: {}", outcome.wanted_share);
+        // What lies behind the scenario's end is not asked.
+        let short = play(&Scenario { seconds: 4.5, ..recorded.clone() }, policy, 1).expect("it plays");
+        assert_eq!(short.classes.iter().map(|c| c.asked).sum::<u64>(), 1500, "{policy:?}");
+    }
+    for bad in [vec![2.0, 1.0], vec![f64::NAN], vec![-1.0]] {
+        let refused =
+            play(&Scenario { arrivals: Arrivals::Trace { times: bad }, ..deployment() }, Policy::Module, 1);
+        assert!(refused.expect_err("it is bad").to_string().contains("trace"));
+    }
+    let bad =
+        Scenario { report_faults: ReportFaults { wrong: 1.5, ..ReportFaults::default() }, ..deployment() };
+    assert!(play(&bad, Policy::Module, 1).expect_err("it is bad").to_string().contains("report_faults"));
+}
--- a/crates/model/tests/theory.rs
+++ b/crates/model/tests/theory.rs
@@ -26,6 +26,7 @@
         zipf: 0.0,
         attempts: 1,
         reports: Reports::None,
+        report_faults: ReportFaults::default(),
         list_delay: 0.0,
         troubles: Vec::new(),
     }
