Test: a receiver's body without end costs its connection and nothing else

Need: with the bound on an answer's body taken out no test failed; the stand-in's body ended.

Change: tries under such a body come over a new connection each, a whole answer keeps its own.

Measured: passes; without the bound it fails. Giving up the exchange that is out when the receiver moves is not seen by any test: the next request replaces it in any case.

--- a/crates/agent/tests/telemetry.rs
+++ b/crates/agent/tests/telemetry.rs
@@ -309,3 +309,21 @@
     let all = store.sum("bellcroft_server_attempts_total", &[]);
     assert_eq!(all, store.sum("bellcroft_attempts_total", &[]), "nothing of the count is lost");
 }
+
+/// An answer is read up to a bound and no further: what goes on costs its connection, or a receiver could keep the agent
+/// reading.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_without_end_costs_its_connection() {
+    let stage = Stage::set().await;
+    stage.receiver.taking.send_replace(Taking::Endless);
+    let agent = stage.agent("n0", "").await;
+    stage.receiver.until("four tries", |_, posted| posted.len() >= 4).await;
+    let connections: Vec<usize> = stage.receiver.posted().iter().take(4).map(|p| p.connection).collect();
+    assert_eq!(connections, [0, 1, 2, 3]);
+    stage.receiver.taking.send_replace(Taking::All);
+    stage.receiver.until("two taken", |_, p| p.iter().filter(|p| p.samples.is_some()).count() >= 2).await;
+    let taken: Vec<usize> =
+        stage.receiver.posted().iter().filter(|p| p.samples.is_some()).map(|p| p.connection).collect();
+    assert_eq!(taken[0], taken[1], "a whole answer keeps its connection");
+    drop(agent);
+}
