Read once more: one place for unwritten attempts in the model, one stale marker in the rig

Need: the model called off what was not written in two loops, and the rig spelt the stale marker's bits twice.

Change: stop_unwritten serves an answer and a client's leaving; the rig's unit tests of rules take the store's constant. Behaviour is as it was.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -562,9 +562,6 @@
         }
         self.judge.answered(self.now, id);
         let (class, took) = (asked.class, self.now.since(asked.at));
-        let unwritten: Vec<u32> = (0..asked.attempts.len() as u32)
-            .filter(|n| asked.attempts[*n as usize].phase == Phase::Connecting)
-            .collect();
         if asked.counted {
             let own = &mut self.outcome.classes[class];
             let before = own.served;
@@ -577,10 +574,18 @@
                 let _ = self.all_times.record(took.0.max(1));
             }
         }
+        self.stop_unwritten(id);
+        self.settle(id);
+    }
+
+    /// What of a request has not been written stays unwritten.
+    fn stop_unwritten(&mut self, id: u64) {
+        let Some(asked) = self.asked.get(&id) else { return };
+        let numbers = (0..).zip(&asked.attempts).filter(|(_, a)| a.phase == Phase::Connecting);
+        let unwritten: Vec<u32> = numbers.map(|(number, _)| number).collect();
         for number in unwritten {
             self.over(id, number, Ended::NotSent, None);
         }
-        self.settle(id);
     }
 
     /// Forgets a request that is answered and has no attempt out.
@@ -617,12 +622,7 @@
                 }
                 let (instance, class, counted) = (asked.instance, asked.class, asked.counted);
                 self.outcome.classes[class].left += u64::from(counted);
-                let connecting: Vec<u32> = (0..asked.attempts.len() as u32)
-                    .filter(|n| asked.attempts[*n as usize].phase == Phase::Connecting)
-                    .collect();
-                for number in connecting {
-                    self.over(id, number, Ended::NotSent, None);
-                }
+                self.stop_unwritten(id);
                 self.settle(id);
                 self.tell(instance, Event::ClientGone { request: RequestId(id) });
             }
--- a/crates/rig/src/metrics/store.rs
+++ b/crates/rig/src/metrics/store.rs
@@ -7,7 +7,7 @@
 pub type Labels = BTreeMap<String, String>;
 
 /// The value that ends a series (Remote-Write 1.0 specification, "Stale Markers").
-const STALE: u64 = 0x7ff0_0000_0000_0002;
+pub(super) const STALE: u64 = 0x7ff0_0000_0000_0002;
 
 /// Series and their samples, in the order of their times; refuses what a strict receiver refuses.
 #[derive(Debug, Clone, Default)]
--- a/crates/rig/src/metrics/unit.rs
+++ b/crates/rig/src/metrics/unit.rs
@@ -2,7 +2,7 @@
 
 use super::promql::{evaluate, Value};
 use super::rules::{Alerting, RuleFile};
-use super::store::{Labels, Store};
+use super::store::{Labels, Store, STALE};
 use promql_parser::label::MatchOp;
 use promql_parser::parser::Expr;
 use promql_parser::util::parse_duration;
@@ -111,7 +111,7 @@
     for word in text.split_whitespace() {
         let wrong = || format!("{word} is no value");
         if word == "stale" {
-            values.push(Some(f64::from_bits(0x7ff0_0000_0000_0002)));
+            values.push(Some(f64::from_bits(STALE)));
             continue;
         }
         let (what, times) = match word.split_once('x') {
