A second address with figures and drain; a new process takes the listening socket

The listening socket itself passes to the new process, so no connection can be reset in a closed queue; descriptors are halved while both live.

Five loopback tests.

--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -24,6 +24,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators ask, if anywhere.
+    pub console: Option<SocketAddr>,
     /// The seed for random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -53,6 +55,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    console: Option<String>,
+    #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -165,6 +169,14 @@
         };
         let listen = address("PROXY_LISTEN", "listen", operator.instance.listen, file.listen);
         let discovery = address("PROXY_DISCOVERY", "discovery", operator.instance.discovery, file.discovery);
+        // Nobody must be able to ask: without it there is no second address.
+        let named = var("PROXY_CONSOLE").is_some() || file.console.is_some();
+        let console = operator.instance.console;
+        let console = if named || console.is_some() {
+            address("PROXY_CONSOLE", "console", console, file.console)
+        } else {
+            None
+        };
         let mut settings = micasail_settings::settings(&file.settings);
         // `Retry-After` may stand in any refusal on these sockets; the setting speaks of the simulator's clients.
         settings.retry_after = true;
@@ -202,6 +214,7 @@
                 .unwrap_or_else(|| "agent".into()),
             listen,
             discovery,
+            console,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
@@ -229,6 +242,7 @@
         let same = [
             ("name", self.name == newer.name),
             ("listen", self.listen == newer.listen),
+            ("console", self.console == newer.console),
             ("limits.sockets", self.sockets == newer.sockets),
             ("settings", self.settings == newer.settings && self.names == newer.names),
             ("daemon.state", self.daemon.state == newer.daemon.state),
--- /dev/null
+++ b/crates/agent/src/daemon/console.rs
@@ -0,0 +1,123 @@
+//! The second address, for operators: one line asks, one answer follows (`bellcroft_operations::console` reads and words
+//! them). It never waits for a request, and no request for it.
+
+use crate::driver::Clock;
+use bellcroft_operations::console::{answer, read, BadCall, Call, Callers, LINE_MOST};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// How often callers that say nothing are looked at.
+const LOOK: Duration = Duration::from_millis(500);
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A second address that is being served, until this is dropped.
+pub struct Console(JoinHandle<()>);
+
+impl Drop for Console {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Default)]
+struct Room {
+    callers: Callers,
+    tasks: HashMap<u64, AbortHandle>,
+}
+
+impl Room {
+    fn let_go(&mut self, number: u64) {
+        self.callers.left(number);
+        if let Some(task) = self.tasks.remove(&number) {
+            task.abort();
+        }
+    }
+}
+
+impl Console {
+    /// Listens on an address and answers what is asked there.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub async fn serve(
+        address: SocketAddr,
+        clock: Clock,
+        answers: impl Fn(Call) -> String + 'static,
+    ) -> io::Result<(Self, SocketAddr)> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::task::spawn_local(accept(listener, clock, Rc::new(answers)));
+        Ok((Console(task), address))
+    }
+}
+
+async fn accept(listener: TcpListener, clock: Clock, answers: Rc<dyn Fn(Call) -> String>) {
+    let room = Rc::new(RefCell::new(Room::default()));
+    let mut look = tokio::time::interval(LOOK);
+    loop {
+        let stream = tokio::select! {
+            taken = listener.accept() => match taken {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            _ = look.tick() => {
+                let mut room = room.borrow_mut();
+                let overdue = room.callers.overdue(clock.now());
+                overdue.into_iter().for_each(|number| room.let_go(number));
+                continue;
+            }
+        };
+        let (number, spared) = room.borrow_mut().callers.came(clock.now());
+        if let Some(spared) = spared {
+            room.borrow_mut().let_go(spared);
+        }
+        let (answers, own) = (answers.clone(), room.clone());
+        let task = tokio::task::spawn_local(async move {
+            // A caller that leaves or says nothing is nobody's trouble.
+            let _ = caller(stream, &*answers).await;
+            let mut room = own.borrow_mut();
+            room.callers.left(number);
+            room.tasks.remove(&number);
+        });
+        // The task cannot have run yet: this one has not waited since.
+        room.borrow_mut().tasks.insert(number, task.abort_handle());
+    }
+}
+
+async fn caller(mut stream: TcpStream, answers: &dyn Fn(Call) -> String) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut line = Vec::with_capacity(LINE_MOST);
+    let call = loop {
+        if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
+            break read(&line[..end]);
+        }
+        if line.len() > LINE_MOST {
+            break Err(BadCall::NotALine);
+        }
+        let mut chunk = [0; LINE_MOST];
+        match stream.read(&mut chunk).await? {
+            // Whoever ends its side behind its word has said it.
+            0 if !line.is_empty() => break read(&line),
+            0 => return Ok(()),
+            n => line.extend_from_slice(&chunk[..n]),
+        }
+    };
+    let text = match call {
+        Ok(call) => answers(call),
+        Err(bad) => answer(false, bad),
+    };
+    stream.write_all(text.as_bytes()).await?;
+    stream.shutdown().await
+}
--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -115,12 +115,12 @@
 }
 
 /// Whether a user may command the process of another: its own may, and root.
-fn admits(own: u32, peer: u32) -> bool {
+pub(super) fn admits(own: u32, peer: u32) -> bool {
     peer == own || peer == 0
 }
 
 /// Writes all of `text`; the descriptor goes with its first byte.
-async fn write(stream: &UnixStream, text: &[u8], descriptor: Option<OwnedFd>) -> io::Result<()> {
+pub(super) async fn write(stream: &UnixStream, text: &[u8], descriptor: Option<OwnedFd>) -> io::Result<()> {
     let mut descriptor = descriptor;
     let mut rest = text;
     while !rest.is_empty() {
@@ -142,7 +142,7 @@
 }
 
 /// Reads up to a line's end, and the descriptor that came along.
-async fn read_line(stream: &UnixStream, most: usize) -> io::Result<(Vec<u8>, Option<OwnedFd>)> {
+pub(super) async fn read_line(stream: &UnixStream, most: usize) -> io::Result<(Vec<u8>, Option<OwnedFd>)> {
     let mut line = Vec::new();
     let mut descriptor = None;
     loop {
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -1,16 +1,21 @@
 //! One instance's life: its start, its reload, its end, and what it tells of itself meanwhile.
 
 pub(crate) mod config;
+pub(crate) mod console;
 pub(crate) mod control;
 pub(crate) mod notify;
 pub(crate) mod state;
 pub(crate) mod status;
+pub(crate) mod succession;
 
 use crate::driver::Driver;
 use crate::exit;
 use crate::front::{self, Server};
 use crate::log::say;
 use crate::telemetry;
+use bellcroft_operations::console::{answer, Call, ClassFigures, Figures};
+use bellcroft_operations::service::Duty;
+use bellcroft_operations::succession::{News, Succession};
 use bellcroft_telemetry::{families, Owner, Remote};
 use config::Config;
 pub(crate) use config::Sources;
@@ -19,14 +24,14 @@
 use state::{Refused, StateDir, Writer};
 use status::{ConfigStatus, Phase, Status};
 use std::cell::{Cell, RefCell};
-use std::os::fd::OwnedFd;
-use std::path::PathBuf;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
@@ -88,15 +93,35 @@
     }
 }
 
-async fn listen(config: &Config) -> Result<(TcpListener, bool), String> {
+/// Where an instance's listening socket is from.
+enum Origin {
+    /// It was made here.
+    Own,
+    /// A service manager or a supervisor handed it over.
+    Given,
+    /// The process that this one is to take the place of gave it.
+    Predecessor(succession::Tie),
+}
+
+async fn listen(config: &Config, meet: Option<&Path>) -> Result<(TcpListener, Origin), String> {
     let listen = config.listen;
-    let Some(given) = inherited()? else {
-        let listener =
-            TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-        return Ok((listener, false));
+    let adopt = |given: std::net::TcpListener| {
+        given.set_nonblocking(true).and_then(|()| TcpListener::from_std(given))
     };
-    let taken = given.set_nonblocking(true).and_then(|()| TcpListener::from_std(given));
-    taken.map(|listener| (listener, true)).map_err(|e| format!("LISTEN_FDS: {e}"))
+    if let Some(given) = inherited()? {
+        let listener = adopt(given).map_err(|e| format!("LISTEN_FDS: {e}"))?;
+        return Ok((listener, Origin::Given));
+    }
+    let predecessor = match meet {
+        Some(file) => succession::ask(file).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?,
+        None => None,
+    };
+    if let Some((given, tie)) = predecessor {
+        let listener = adopt(given).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+        return Ok((listener, Origin::Predecessor(tie)));
+    }
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    Ok((listener, Origin::Own))
 }
 
 /// An instance as its status, its control socket and its signals see it.
@@ -122,6 +147,12 @@
     told: tokio::sync::Notify,
     /// Sends what is counted, if anybody wants it.
     remote: RefCell<Option<Remote>>,
+    /// Its part in the replacement of a process.
+    succession: Cell<Succession>,
+    /// Files that were turned down at a reload.
+    turned_down: Cell<u64>,
+    /// Connections of clients and to servers that it may hold alone.
+    places: (usize, usize),
 }
 
 fn unix_ms() -> u64 {
@@ -180,6 +211,76 @@
         }
     }
 
+    /// Takes in what has become known of the process before or after this one.
+    fn hear(&self, news: News) {
+        let mut succession = self.succession.get();
+        if succession.hear(news) {
+            let what = match (news, succession.role()) {
+                (News::Asked, _) => {
+                    "another process takes the clients' address too; it has half of all places"
+                }
+                (News::Gave, _) => "the clients' address is from the process that served; half of all places",
+                (News::Ended, _) => "the other process has ended; all places are here",
+            };
+            info!("{}: {what}", self.name());
+            let (clients, servers) = self.places;
+            self.server.hold_at_most(succession.share(clients));
+            self.driver.hold_at_most(succession.share(servers));
+        }
+        self.succession.set(succession);
+    }
+
+    /// The figures as they are now.
+    fn figures(&self) -> Figures {
+        let (classes, _) = self.server.tally.counts();
+        let servers = self.driver.servers();
+        let named = self.driver.names.classes.iter().cloned().zip(&classes);
+        Figures {
+            classes: named
+                .map(|(name, counts)| ClassFigures {
+                    name,
+                    passed: counts.served,
+                    dropped: counts.refused,
+                    bad_gateway: counts.failed,
+                })
+                .collect(),
+            upstream_tries: self.driver.tries(),
+            in_progress: classes.iter().map(|counts| counts.open).sum(),
+            known_backends: (servers.up + servers.draining) as u64,
+            skipped_backends: self.driver.avoided() as u64,
+            loads: self.generation.get() - 1,
+            load_errors: self.turned_down.get(),
+        }
+    }
+
+    /// Answers a call over the second address.
+    fn call(&self, call: Call) -> String {
+        let now = self.driver.clock.now();
+        match call {
+            Call::Ready if self.phase.get() == Phase::Ready && self.server.ready() => answer(true, "yes"),
+            Call::Ready => answer(false, "no"),
+            Call::ShowStat => self.figures().answer(),
+            Call::Drain => {
+                let taken = self.server.change(|service| service.drain(now));
+                if taken {
+                    info!("{}: out of service by an operator's call", self.name());
+                }
+                match self.server.duty() {
+                    Duty::End { .. } => answer(false, "it is ending"),
+                    Duty::Serve | Duty::Drain(_) => answer(true, "draining"),
+                }
+            }
+            Call::Resume => {
+                if self.server.change(|service| service.resume()) {
+                    info!("{}: in service by an operator's call", self.name());
+                    answer(true, "serving")
+                } else {
+                    answer(false, "it is ending")
+                }
+            }
+        }
+    }
+
     /// Sets the gauges that others keep, before each sample.
     fn gauges(&self, clients: usize) {
         let Some(telemetry) = &self.driver.telemetry else { return };
@@ -207,6 +308,7 @@
             }
             Err(why) => {
                 warn!("{}: reload: {why}; all stays as it was", self.name());
+                self.turned_down.set(self.turned_down.get() + 1);
                 if let Some(telemetry) = &self.driver.telemetry {
                     telemetry.registry.counter(&families::RELOADS_REFUSED, &[]).inc();
                 }
@@ -286,7 +388,11 @@
 ) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
-    let (listener, given) = listen(&config).await?;
+    // A state directory has a lock and a supervisor's way of its own.
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from).filter(|_| state.is_none());
+    let meet = succession::place(folder, &config.name, config.listen);
+    let (listener, origin) = listen(&config, meet.as_deref()).await?;
+    let given = matches!(origin, Origin::Given);
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let longest = Duration::from_micros(longest.0);
@@ -300,10 +406,8 @@
         Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), clients);
-    let copy = state.as_ref().and_then(|_| {
-        use std::os::fd::AsFd;
-        listener.as_fd().try_clone_to_owned().ok()
-    });
+    let copy = || listener.as_fd().try_clone_to_owned().ok();
+    let (copy, heirs_copy) = (state.as_ref().and_then(|_| copy()), meet.as_ref().and_then(|_| copy()));
     let writer = state.as_ref().and_then(|state| match Writer::start(state.path()) {
         Ok(writer) => Some(writer),
         Err(e) => {
@@ -350,7 +454,34 @@
         told_to_end: Cell::new(None),
         told: tokio::sync::Notify::new(),
         remote: RefCell::default(),
+        succession: Cell::default(),
+        turned_down: Cell::new(0),
+        places: (clients, sockets - clients),
     });
+    let heir = |instance: &Rc<Instance>, meet: PathBuf, listener: OwnedFd| {
+        let told = instance.clone();
+        succession::Heirs::serve(meet, listener, move |news| told.hear(news))
+    };
+    let heirs = match meet.zip(heirs_copy).map(|(meet, copy)| heir(&instance, meet, copy)) {
+        Some(Ok(heirs)) => Some(heirs),
+        Some(Err(e)) => {
+            warn!("{}: no process can take this one's place: {e}", instance.name());
+            None
+        }
+        None => None,
+    };
+    let console = match instance.config.borrow().console {
+        Some(address) => {
+            let told = instance.clone();
+            let console =
+                console::Console::serve(address, instance.driver.clock, move |call| told.call(call));
+            let (console, address) =
+                console.await.map_err(|e| format!("cannot listen on {address} (console): {e}"))?;
+            info!("{}: operators are answered on {address}", instance.name());
+            Some(console)
+        }
+        None => None,
+    };
     if let Some((remote, counted)) = remote.zip(counted) {
         let (clock, refreshed) = (instance.driver.clock, instance.clone());
         let owner = Owner {
@@ -365,7 +496,16 @@
     let name = instance.name();
     *handler.borrow_mut() = Some(instance.clone());
     instance.write();
-    let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    // A process that is to take another's place leaves the clients to it until it can serve them itself.
+    let (mut listener, mut accepting) = (Some(listener), None);
+    if let Origin::Predecessor(tie) = origin {
+        instance.hear(News::Gave);
+        let told = instance.clone();
+        tie.watch(move || told.hear(News::Ended));
+    } else {
+        let taking = server.clone().accept(listener.take().unwrap_or_else(|| unreachable!("it is here")));
+        accepting = Some(tokio::task::spawn_local(taking));
+    }
     info!("{name}: listening on {address}");
 
     let mut next_write = Instant::now() + status_every;
@@ -373,6 +513,9 @@
     let mut next_alive = alive_every.map(|every| Instant::now() + every);
     loop {
         if instance.phase.get() == Phase::Starting && instance.driver.ready() {
+            if let Some(listener) = listener.take() {
+                accepting = Some(tokio::task::spawn_local(server.clone().accept(listener)));
+            }
             instance.ready_ms.set(Some(unix_ms()));
             instance.enter(Phase::Ready);
             instance.notify.ready("serving");
@@ -401,18 +544,31 @@
             () = tokio::time::sleep_until(wake) => {}
         }
     }
-    let handover = given && instance.told_to_end.get() == Some(true);
+    let replaced = instance.succession.get().replaced();
+    if let Some(heirs) = &heirs {
+        heirs.inherited.set(replaced);
+    }
+    let handover = replaced || (given && instance.told_to_end.get() == Some(true));
     instance.notify.stopping();
     instance.enter(Phase::Draining);
     let told = Instant::now();
-    server.drain();
+    let now = instance.driver.clock.now();
+    server.change(|service| service.end(now, replaced));
     if handover {
-        // Whoever handed the socket over keeps it: what connects from now on waits there for the next process.
+        // Whoever handed the socket over, or has taken it over, keeps it: what connects from now on waits there.
         server.stop_accepting();
-        let _ = accepting.await;
+        if let Some(accepting) = accepting {
+            let _ = accepting.await;
+        }
+        // Clients have a moment to use what is open once more and to be told by the answer that it was the last time.
+        if let Some(at) = server.idle_closes() {
+            sleep_until(at).await;
+        }
     } else {
         sleep(front::ACCEPT_ON).await;
-        accepting.abort();
+        if let Some(accepting) = accepting {
+            accepting.abort();
+        }
         // The kernel would go on taking connections that nobody serves.
         instance.listener.borrow_mut().take();
     }
@@ -444,7 +600,7 @@
     if let Some(writer) = writer {
         writer.finish(instance.text()).await;
     }
-    drop(control);
+    drop((control, console, heirs));
     if state.is_some() {
         // The next process begins to count anew, and its status takes this one's place.
         let totals = serde_json::to_string(&instance.status().requests).unwrap_or_default();
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -256,6 +256,21 @@
         self.pump();
     }
 
+    /// Servers of the list that get nothing at present, or less than their share.
+    pub fn avoided(&self) -> usize {
+        self.state.borrow().balancer.avoided(self.clock.now())
+    }
+
+    /// Attempts that were written whole to a server.
+    pub fn tries(&self) -> u64 {
+        self.upstream.tries()
+    }
+
+    /// From now on it may hold so many connections to servers.
+    pub fn hold_at_most(&self, connections: usize) {
+        self.upstream.hold_at_most(connections);
+    }
+
     /// Connections to servers, and how many there may be.
     pub fn connections(&self) -> (usize, usize) {
         self.upstream.connections()
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -6,6 +6,7 @@
 use crate::driver::{Answer, Arrival, Driver};
 use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
 use crate::upstream::{forwarded, BODY_MOST};
+use bellcroft_operations::service::{Duty, Service};
 use bellcroft_telemetry::Over;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,7 +17,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
@@ -70,9 +71,11 @@
     driver: Rc<Driver>,
     /// What became of the requests.
     pub tally: Tally,
-    draining: watch::Sender<bool>,
+    service: Cell<Service>,
+    /// Told of each change of the above.
+    changed: watch::Sender<()>,
     accepting: watch::Sender<bool>,
-    most: usize,
+    most: Cell<usize>,
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
     /// Ids of the requests that are open.
@@ -85,9 +88,10 @@
         Rc::new(Server {
             tally: Tally::new(driver.names.classes.len()),
             driver,
-            draining: watch::Sender::new(false),
+            service: Cell::default(),
+            changed: watch::Sender::new(()),
             accepting: watch::Sender::new(true),
-            most: connections,
+            most: Cell::new(connections),
             held: RefCell::default(),
             freed: Notify::new(),
             ids: RefCell::default(),
@@ -111,7 +115,7 @@
                     Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
             };
-            while self.held.borrow().len() >= self.most {
+            while self.held.borrow().len() >= self.most.get() {
                 self.give_way();
                 // A connection that leaves frees its place; one that may leave soon is found by looking again.
                 let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
@@ -143,9 +147,33 @@
         }
     }
 
-    /// Says `Connection: close` from now on and closes what is idle.
-    pub fn drain(&self) {
-        self.draining.send_replace(true);
+    /// What it is there for at present.
+    pub fn duty(&self) -> Duty {
+        self.service.get().duty()
+    }
+
+    /// Whether it says yes to those who ask if they may send it clients.
+    pub fn ready(&self) -> bool {
+        self.driver.ready() && self.service.get().ready()
+    }
+
+    /// When connections that are idle close for the sake of its duty, if they do.
+    pub fn idle_closes(&self) -> Option<Instant> {
+        self.service.get().close_idle_at().map(|at| self.driver.clock.instant(at))
+    }
+
+    /// Changes what it is there for; connections look at it at once.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Service) -> T) -> T {
+        let mut service = self.service.get();
+        let told = change(&mut service);
+        self.service.set(service);
+        self.changed.send_replace(());
+        told
+    }
+
+    /// From now on it serves so many connections at a time; those that it has go on.
+    pub fn hold_at_most(&self, connections: usize) {
+        self.most.set(connections);
     }
 
     /// Takes no new connection from now on: another process has the listening socket.
@@ -170,7 +198,7 @@
 
     /// Whether so large a share of the places is taken.
     fn taken(&self, share: f64) -> bool {
-        self.held.borrow().len() as f64 >= share * self.most as f64
+        self.held.borrow().len() as f64 >= share * self.most.get() as f64
     }
 
     /// Until when a connection may go on as it is.
@@ -182,7 +210,10 @@
             (Phase::Arriving, since) => since + READ_MOST,
             // A request that is whole ends by its deadline.
             (Phase::Open, _) => Instant::now() + LOOK,
-            (Phase::Idle, since) => since + if short { IDLE_LEAST } else { IDLE_MOST },
+            (Phase::Idle, since) => {
+                let own = since + if short { IDLE_LEAST } else { IDLE_MOST };
+                self.idle_closes().map_or(own, |at| own.min(at))
+            }
         }
     }
 
@@ -192,13 +223,12 @@
             return;
         }
         let taken = Instant::now();
-        let mut draining = self.draining.subscribe();
+        let mut changed = self.changed.subscribe();
         let (server, read) = (self.clone(), line.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
         let mut connection = pin!(builder.serve_connection(Framed::new(stream, line.clone()), service));
-        let mut told = false;
         loop {
             let until = self.until(&line, taken);
             if Instant::now() >= until {
@@ -210,13 +240,8 @@
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return,
                 () = leave.notified() => return,
-                _ = draining.wait_for(|on| *on), if !told => {
-                    told = true;
-                    // A request that is on its way, or is the first, is still answered; that closes.
-                    if line.phase().0 == Phase::Idle {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
+                // What is idle may have to close; a request that is on its way, or is the first, is still answered.
+                _ = changed.changed() => {}
                 () = sleep_until(until.min(Instant::now() + LOOK)) => {}
             }
         }
@@ -228,7 +253,7 @@
         line: Rc<Line>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, *self.draining.borrow() || self.taken(CROWDED)),
+            Ok(answer) => (answer, self.service.get().last_answers() || self.taken(CROWDED)),
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => {
                 self.tally.bad();
@@ -254,8 +279,7 @@
             return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
         }
         if request.uri().path() == "/ready" {
-            let ready = self.driver.ready() && !*self.draining.borrow();
-            return Ok(if ready {
+            return Ok(if self.ready() {
                 plain(StatusCode::OK, "ready")
             } else {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -53,6 +53,10 @@
     begin: Cell<Option<(u64, Instant)>>,
     /// Who is told when the next byte leaves.
     first: Cell<Option<FirstByte>>,
+    /// An attempt has been written whole at this count of bytes; none is on its way at the highest.
+    whole: Cell<u64>,
+    /// Attempts that have been, over all connections.
+    tries: Rc<Cell<u64>>,
 }
 
 /// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
@@ -67,6 +71,10 @@
         if let Some(first) = self.wire.first.take().filter(|_| n > 0) {
             first.left();
         }
+        if self.wire.written.get() >= self.wire.whole.get() {
+            self.wire.whole.set(u64::MAX);
+            self.wire.tries.set(self.wire.tries.get() + 1);
+        }
         n
     }
 
@@ -233,7 +241,9 @@
     /// Who was last named at an address.
     dials: RefCell<HashMap<SocketAddr, ServerId>>,
     held: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
+    /// Attempts that were written whole.
+    tries: Rc<Cell<u64>>,
     connect_timeout: Duration,
     idle_most: Duration,
     fields: Vec<String>,
@@ -247,7 +257,8 @@
             lives: Cell::new(0),
             dials: RefCell::default(),
             held: Rc::default(),
-            most,
+            most: Cell::new(most),
+            tries: Rc::default(),
             connect_timeout,
             idle_most: keepalive.mul_f64(IDLE_SHARE),
             fields,
@@ -323,7 +334,18 @@
 
     /// Connections that it holds, and may hold.
     pub fn connections(&self) -> (usize, usize) {
-        (self.held.get(), self.most)
+        (self.held.get(), self.most.get())
+    }
+
+    /// From now on it may hold so many connections; what is out beyond that goes on.
+    pub fn hold_at_most(&self, most: usize) {
+        self.most.set(most);
+        while self.held.get() > most && self.spare() {}
+    }
+
+    /// Attempts that were written whole to a backend.
+    pub fn tries(&self) -> u64 {
+        self.tries.get()
     }
 
     /// Closes the connections that have been idle for too long.
@@ -352,7 +374,7 @@
         let (tell, told) = oneshot::channel();
         let upstream = self.clone();
         tokio::task::spawn_local(async move {
-            let opened = timeout(upstream.connect_timeout, open(dial)).await;
+            let opened = timeout(upstream.connect_timeout, open(dial, upstream.tries.clone())).await;
             let opened = opened.ok().and_then(Result::ok).map(|(sender, task, wire)| Connection {
                 sender,
                 task,
@@ -371,16 +393,20 @@
 
     /// A place for one more connection; an idle one of another backend gives way if all are taken.
     fn place(&self) -> Option<Place> {
-        if self.held.get() >= self.most {
-            let mut remotes = self.remotes.borrow_mut();
-            let oldest =
-                remotes.values_mut().filter(|r| !r.idle.is_empty()).min_by_key(|r| r.idle[0].idle_since);
-            oldest?.idle.remove(0);
+        if self.held.get() >= self.most.get() && !self.spare() {
+            return None;
         }
         self.held.set(self.held.get() + 1);
         Some(Place(self.held.clone()))
     }
 
+    /// Closes the connection that has been idle longest; false if none is.
+    fn spare(&self) -> bool {
+        let mut remotes = self.remotes.borrow_mut();
+        let oldest = remotes.values_mut().filter(|r| !r.idle.is_empty()).min_by_key(|r| r.idle[0].idle_since);
+        oldest.map(|remote| remote.idle.remove(0)).is_some()
+    }
+
     fn park(&self, mut connection: Connection) {
         let mut remotes = self.remotes.borrow_mut();
         let Some(remote) = remotes.get_mut(&connection.server) else { return };
@@ -419,6 +445,7 @@
             let written = connection.wire.written.get();
             connection.wire.begin.set(Some((written, limits.write_by)));
             connection.wire.first.set(progress.first.take());
+            connection.wire.whole.set(written + length(&request));
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), written + length(&request)));
             let wire = connection.wire.clone();
             let ended = self.exchange(connection, request, limits.first_byte).await;
@@ -459,6 +486,7 @@
             };
             connection.wire.begin.set(None);
             connection.wire.first.set(None);
+            connection.wire.whole.set(u64::MAX);
             let ended = self.exchange(connection, request, None).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
@@ -527,10 +555,13 @@
     }
 }
 
-async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
+async fn open(
+    dial: SocketAddr,
+    tries: Rc<Cell<u64>>,
+) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
     let stream = TcpStream::connect(dial).await?;
     stream.set_nodelay(true)?;
-    let wire = Rc::<Wire>::default();
+    let wire = Rc::new(Wire { whole: Cell::new(u64::MAX), tries, ..Wire::default() });
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
     let mut builder = Builder::new();
     builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
--- /dev/null
+++ b/crates/agent/tests/operations.rs
@@ -0,0 +1,280 @@
+//! Day to day: the second address, out of service and back, and a process that takes another's place.
+
+use rig::*;
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// A configuration with a second address.
+fn operated(directory: &Directory, hosts: &[Value]) -> Value {
+    let mut config = config(directory.address, hosts);
+    config["console"] = json!("127.0.0.1:0");
+    config
+}
+
+#[tokio::test]
+async fn figures_are_what_clients_and_servers_saw() {
+    let backend = Backend::start(|m| match m.target() {
+        "/read/full" => {
+            Reply::Bytes(b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec())
+        }
+        "/pay/odd" => Reply::Bytes(b"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n".to_vec()),
+        "/pay/slow" => Reply::Mute,
+        _ => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("s", backend.address, "up"), host("t", nobody().await, "draining")];
+    let agent = Agent::with(operated(&directory, &hosts), |_| {}).await;
+    agent.ready().await;
+    assert!(agent.call("ready").await.starts_with("200 "));
+    for _ in 0..5 {
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+    let pay = |path: &str| request("POST", path, "2000m", "b");
+    assert_eq!(agent.client().await.ask(&pay("/pay/odd")).await.status(), 502);
+    assert_eq!(agent.get("/read/full").await.status(), 429);
+    let mut open = agent.client().await;
+    open.send(&pay("/pay/slow")).await;
+    soon("the attempt", async {
+        while agent.figure("svc.in_progress").await == 0 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    for (name, value) in [
+        ("svc.handled.read.passed", 5),
+        ("svc.handled.read.dropped", 1),
+        ("svc.handled.pay.bad_gateway", 1),
+        ("svc.handled.save.passed", 0),
+        ("svc.in_progress", 1),
+        ("svc.known_backends", 2),
+        ("svc.skipped_backends", 1),
+        ("svc.loads", 0),
+        ("svc.load_errors", 0),
+    ] {
+        assert_eq!(agent.figure(name).await, value, "{name}");
+    }
+    // Whether the turned-away one was tried again is the decisions' to say; the server's own count is the truth.
+    let tries = 5 + 1 + 1;
+    assert!(agent.figure("svc.upstream_tries").await > tries);
+    agent.replace("");
+    agent.hang_up().await;
+    soon("the refusal", async {
+        while agent.figure("svc.load_errors").await != 1 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+}
+
+/// Callers that say nothing, half of something, too much or nonsense keep out nobody, and are told or let go.
+#[tokio::test]
+async fn bad_callers_keep_out_nobody() {
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::with(operated(&directory, &[]), |_| {}).await;
+    assert!(agent.call("ready").await.starts_with("400 "), "there is no server");
+    for line in ["", "stop", "drain all", "GET / HTTP/1.1", &"x".repeat(5000)] {
+        assert!(agent.call(line).await.starts_with("400 "), "{line}");
+    }
+    let mut silent = Vec::new();
+    for n in 0..40 {
+        let mut stream = TcpStream::connect(agent.console()).await.expect("it is taken");
+        if n % 2 == 0 {
+            stream.write_all(b"show-st").await.expect("it reads");
+        }
+        silent.push(stream);
+    }
+    assert!(agent.call("show-stat").await.ends_with("EOF\n"));
+    let mut rest = Vec::new();
+    let gone = soon("the first one's end", silent[0].read_to_end(&mut rest)).await;
+    assert!(matches!(gone, Ok(0) | Err(_)), "the one that waited longest gave way");
+}
+
+/// Out of service: the front is told no, answers say that they are the last, what is idle is closed; and back.
+#[tokio::test]
+async fn an_instance_is_taken_out_of_service_and_put_back() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.head.contains("/pay") {
+        true => Reply::When(gate.clone(), ok("x")),
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("s", backend.address, "up")];
+    let mut agent = Agent::with(operated(&directory, &hosts), |_| {}).await;
+    agent.ready().await;
+    let (mut idle, mut kept, mut open) = (agent.client().await, agent.client().await, agent.client().await);
+    let read = || request("GET", "/read", "2000m", "");
+    for client in [&mut idle, &mut kept] {
+        let answer = client.ask(&read()).await;
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+        backend.next().await;
+    }
+    open.send(&request("POST", "/pay", "2400m", "b")).await;
+    backend.next().await;
+    assert!(agent.call("drain").await.starts_with("200 "));
+    assert!(agent.call("drain").await.starts_with("200 "), "a second word is no fault");
+    assert!(agent.call("ready").await.starts_with("400 "));
+    assert_eq!(agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+    let answer = kept.ask(&read()).await;
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "once more, and told");
+    kept.closed().await;
+    let mut late = agent.client().await;
+    assert_eq!(late.ask(&read()).await.status(), 200, "whoever was told yes a moment ago is served");
+    idle.closed().await;
+    word.notify_one();
+    let answer = open.answer().await;
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(agent.child.try_wait().expect("a state").is_none(), "it does not end");
+    assert!(agent.call("resume").await.starts_with("200 "));
+    agent.ready().await;
+    let mut again = agent.client().await;
+    let answer = again.ask(&read()).await;
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    agent.term().await;
+    // Nothing undoes an end; the last call may come too late to be answered at all.
+    if let Ok(mut stream) = TcpStream::connect(agent.console()).await {
+        let mut answer = String::new();
+        if stream.write_all(b"resume\n").await.is_ok() && stream.read_to_string(&mut answer).await.is_ok() {
+            assert!(answer.is_empty() || answer.starts_with("400 "), "{answer}");
+        }
+    }
+    assert!(agent.end().await.success());
+}
+
+/// An address that no other test uses: a process that is replaced must have one that its successor can name.
+async fn own_address(place: u8) -> String {
+    format!("127.77.0.{place}:{}", nobody().await.port())
+}
+
+/// Clients that ask one request after another, on the connection that they have for as long as it stays open.
+async fn ask_on(address: String, stop: Arc<AtomicBool>, served: Arc<AtomicUsize>) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut kept: Option<TcpStream> = None;
+    while !stop.load(Ordering::SeqCst) && wrong.is_empty() {
+        let fresh = kept.is_none();
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => match TcpStream::connect(&address).await {
+                Ok(stream) => stream,
+                Err(e) => return vec![format!("not taken: {e}")],
+            },
+        };
+        let asked = stream.write_all(request("GET", "/read", "5000m", "").as_bytes()).await;
+        let answer = match asked {
+            Ok(()) => read_message(&mut stream, 0).await,
+            Err(_) => None,
+        };
+        match answer {
+            Some(answer) if answer.status() == 200 => {
+                served.fetch_add(1, Ordering::SeqCst);
+                kept = (!answer.last()).then_some(stream);
+            }
+            Some(answer) => wrong.push(answer.first_line().to_owned()),
+            // A kept connection may close between two requests; a fresh one may not.
+            None if fresh => wrong.push("a fresh connection ended with no answer".into()),
+            None => wrong.push("a kept connection ended with no word and no answer".into()),
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    wrong
+}
+
+/// Three times over, under load: the new process takes the old one's place and no request notices.
+#[tokio::test]
+async fn a_process_is_replaced_under_load_and_no_request_notices() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let folder = Folder::new();
+    let mut config = operated(&directory, &[host("s", backend.address, "up")]);
+    config["listen"] = json!(own_address(1).await);
+    let start = || {
+        Agent::with(config.clone(), |command| {
+            command.env("TMPDIR", folder.path());
+        })
+    };
+    let mut old = start().await;
+    old.ready().await;
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let clients: Vec<_> =
+        (0..8).map(|_| tokio::spawn(ask_on(old.address.to_string(), stop.clone(), served.clone()))).collect();
+    let some_more = |than: usize| {
+        let served = served.clone();
+        async move {
+            soon("more answers", async {
+                while served.load(Ordering::SeqCst) < than + 200 {
+                    tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+                }
+            })
+            .await;
+        }
+    };
+    some_more(0).await;
+    for _ in 0..3 {
+        let new = start().await;
+        soon("the new one's yes", async {
+            while !new.call("ready").await.starts_with("200 ") {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        assert!(old.call("ready").await.starts_with("200 "), "both serve until the old one is told");
+        some_more(served.load(Ordering::SeqCst)).await;
+        old.term().await;
+        assert!(old.end().await.success());
+        some_more(served.load(Ordering::SeqCst)).await;
+        assert_eq!(new.logged("half of all places"), 1);
+        assert_eq!(new.logged("all places are here"), 1, "the whole is its own once the old one has ended");
+        old = new;
+    }
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        assert_eq!(client.await.expect("no panic"), Vec::<String>::new());
+    }
+    old.term().await;
+    assert!(old.end().await.success());
+}
+
+/// A new process that fails before it has taken over leaves all as it was, at the old one's end too.
+#[tokio::test]
+async fn a_successor_that_fails_costs_nothing() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let folder = Folder::new();
+    let mut config = operated(&directory, &[host("s", backend.address, "up")]);
+    config["listen"] = json!(own_address(2).await);
+    let start = |config: Value| {
+        Agent::with(config, |command| {
+            command.env("TMPDIR", folder.path());
+        })
+    };
+    let mut old = start(config.clone()).await;
+    // It knows no server, so it can never say yes, and the clients stay the old one's.
+    let mut lame = config.clone();
+    lame["known"] = json!({"seq": 1, "whole": true, "hosts": []});
+    let mut new = start(lame).await;
+    for _ in 0..50 {
+        assert_eq!(old.get("/read").await.status(), 200, "the one that is not ready takes nobody");
+    }
+    new.child.kill().await.expect("it is ours");
+    soon("the end is known", async {
+        while old.logged("all places are here") == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    old.term().await;
+    assert_eq!(old.get("/read").await.status(), 200, "what still connects has nobody else");
+    assert!(old.end().await.success());
+    // The address and the meeting place are free again.
+    let mut next = start(config).await;
+    assert_eq!(next.logged("half of all places"), 0);
+    assert_eq!(next.get("/read").await.status(), 200);
+    next.term().await;
+    assert!(next.end().await.success());
+}
--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -32,6 +32,8 @@
     pub listen: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: Option<SocketAddr>,
+    /// Where operators ask; nowhere without.
+    pub console: Option<SocketAddr>,
 }
 
 /// `[daemon]`: its state and its end.
@@ -77,6 +79,7 @@
             config: section.path("config"),
             listen: section.address("listen"),
             discovery: section.address("discovery"),
+            console: section.address("console"),
         };
         let section = top.section("daemon");
         let standard = Daemon::default();
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -33,7 +33,7 @@
     pub address: SocketAddr,
     /// The process.
     pub child: Child,
-    /// What it has written to its log since it began to listen.
+    /// What it has written to its log.
     pub log: Arc<Mutex<Vec<String>>>,
     file: PathBuf,
 }
@@ -96,14 +96,17 @@
         adapt(&mut command);
         let mut child = command.spawn().expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let mut first = Vec::new();
         let address = loop {
             let line = soon("the agent's start", log.next_line()).await.expect("a log").expect("a line");
-            if let Some((_, address)) = line.split_once("listening on ") {
-                break address.trim().parse().expect("an address");
+            let address = line.split_once("listening on ").map(|(_, address)| address.trim().parse());
+            first.push(line);
+            if let Some(address) = address {
+                break address.expect("an address");
             }
         };
         // Someone must read on, or a full pipe would stop the agent.
-        let lines = Arc::<Mutex<Vec<String>>>::default();
+        let lines = Arc::new(Mutex::new(first));
         let kept = lines.clone();
         tokio::spawn(async move {
             while let Ok(Some(line)) = log.next_line().await {
@@ -126,6 +129,29 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner).iter().filter(|l| l.contains(text)).count()
     }
 
+    /// Asks its second address, the port of which the configuration leaves to the kernel.
+    pub async fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.console()).await.expect("the second address");
+        stream.write_all(format!("{line}\n").as_bytes()).await.expect("it reads");
+        let mut answer = String::new();
+        soon("an answer", stream.read_to_string(&mut answer)).await.expect("an answer");
+        answer
+    }
+
+    /// Where operators ask.
+    pub fn console(&self) -> SocketAddr {
+        let lines = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = lines.iter().find_map(|line| line.split_once("operators are answered on "));
+        found.expect("it has a second address").1.trim().parse().expect("an address")
+    }
+
+    /// A figure by its name, such as `svc.in_progress`.
+    pub async fn figure(&self, name: &str) -> u64 {
+        let text = self.call("show-stat").await;
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('='));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a number")
+    }
+
     /// A new connection to it.
     pub async fn client(&self) -> Client {
         Client { stream: TcpStream::connect(self.address).await.expect("a connection") }
--- a/src/records.rs
+++ b/src/records.rs
@@ -276,6 +276,19 @@
         }
     }
 
+    /// Listed servers that get no request at present, or less than their share: those that drain, and those that are
+    /// taken to be slow, failing, silent or cut off.
+    pub fn avoided(&self, now: Time) -> usize {
+        let cut = |s: &Server| self.zones.get(&s.listed.zone).is_some_and(|zone| now < zone.1);
+        let out = |s: &Server| match (s.listed.status, self.blind) {
+            (Status::Gone, _) => false,
+            (Status::Draining, _) => true,
+            (Status::Serving, true) => now < s.doubted_until || cut(s),
+            (Status::Serving, false) => s.suspicion.is_some(),
+        };
+        self.index.values().filter(|&&i| out(&self.servers[i])).count()
+    }
+
     /// Takes in a server that the list names for the first time.
     pub(crate) fn admit(&mut self, server: Server) {
         let id = server.listed.server;
