--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -11,6 +11,7 @@
 
 /// Descriptors and memory are for small machines; a configuration that is silent about them means these.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: f64 = 64.0;
 /// Fewer leave no room to serve; more than this no process may hold.
 const SOCKETS_LEAST: usize = 80;
 const SOCKETS_MOST: usize = 1 << 20;
@@ -30,6 +31,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may take.
+    pub memory: usize,
     /// What the decisions go by.
     pub settings: Settings,
     /// The names in the settings and the limits of sockets.
@@ -69,6 +72,7 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// A file's bytes, read once, and what stands in them.
@@ -218,6 +222,7 @@
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
+            memory: (file.limits.memory_mb.unwrap_or(MEMORY_MB).max(0.0) * 1e6) as usize,
             settings,
             names,
             known,
@@ -244,6 +249,7 @@
             ("listen", self.listen == newer.listen),
             ("console", self.console == newer.console),
             ("limits.sockets", self.sockets == newer.sockets),
+            ("limits.memory_mb", self.memory == newer.memory),
             ("settings", self.settings == newer.settings && self.names == newer.names),
             ("daemon.state", self.daemon.state == newer.daemon.state),
             // The observer must have seen a request from its begin, and a server's name from its first line.
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -405,7 +405,7 @@
     let driver =
         Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
-    let server = Server::new(driver.clone(), clients);
+    let server = Server::new(driver.clone(), clients, config.memory);
     let copy = || listener.as_fd().try_clone_to_owned().ok();
     let (copy, heirs_copy) = (state.as_ref().and_then(|_| copy()), meet.as_ref().and_then(|_| copy()));
     let writer = state.as_ref().and_then(|state| match Writer::start(state.path()) {
--- a/crates/agent/src/daemon/status.rs
+++ b/crates/agent/src/daemon/status.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// The form of [`Status`]; a reader of a higher one finds keys that it does not know, and the old ones as they were.
 pub const VERSION: u32 = 1;
@@ -121,22 +122,26 @@
 /// Counts requests by class and outcome.
 #[derive(Debug)]
 pub struct Tally {
-    classes: RefCell<Vec<Counts>>,
+    classes: Rc<RefCell<Vec<Counts>>>,
     bad: std::cell::Cell<u64>,
 }
 
 impl Tally {
     /// A tally of this many classes.
     pub fn new(classes: usize) -> Self {
-        Tally { classes: RefCell::new(vec![Counts::default(); classes]), bad: std::cell::Cell::new(0) }
+        Tally {
+            classes: Rc::new(RefCell::new(vec![Counts::default(); classes])),
+            bad: std::cell::Cell::new(0),
+        }
     }
 
     /// A request of the class has been taken; how it ended is told to what this returns.
-    pub fn taken(&self, class: usize) -> Owed<'_> {
+    pub fn taken(&self, class: usize) -> Owed {
         let mut classes = self.classes.borrow_mut();
         classes[class].taken += 1;
         classes[class].open += 1;
-        Owed { tally: self, class, ended: Ended::Left }
+        drop(classes);
+        Owed { classes: self.classes.clone(), class, ended: Ended::Left }
     }
 
     /// A request was wrong.
@@ -151,22 +156,23 @@
 }
 
 /// A request that has been counted as taken. If this ends with nothing said, its client had left.
-pub struct Owed<'a> {
-    tally: &'a Tally,
+#[derive(Debug)]
+pub struct Owed {
+    classes: Rc<RefCell<Vec<Counts>>>,
     class: usize,
     ended: Ended,
 }
 
-impl Owed<'_> {
+impl Owed {
     /// How it ended.
     pub fn ended(mut self, how: Ended) {
         self.ended = how;
     }
 }
 
-impl Drop for Owed<'_> {
+impl Drop for Owed {
     fn drop(&mut self) {
-        let mut classes = self.tally.classes.borrow_mut();
+        let mut classes = self.classes.borrow_mut();
         let counts = &mut classes[self.class];
         counts.open -= 1;
         match self.ended {
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -6,12 +6,12 @@
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
+use crate::passing::{Load, Upload};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
-use crate::upstream::{AttemptLimits, Ended, Progress, Upstream};
+use crate::upstream::{AttemptLimits, Content, Ended, Progress, Upstream};
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
 use bellcroft_telemetry::{Instance, Line};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
 use hyper::{Method, Request, StatusCode, Uri};
 use micasail::*;
@@ -67,7 +67,28 @@
     }
 }
 
-/// A request as the application sent it, whole.
+/// A request's body.
+pub enum Given {
+    /// It has come whole.
+    Whole(Bytes),
+    /// It is coming, and passed on as it comes.
+    Coming(Rc<Upload>),
+}
+
+impl Given {
+    /// One that is still coming.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Given::Whole(_) => None,
+            Given::Coming(upload) => Some(upload),
+        }
+    }
+}
+
+/// The longest that a request's body may be on its way; it must keep coming all that time.
+pub const COMING_MOST: Duration = Duration::from_secs(900);
+
+/// A request as the application sent it.
 pub struct Arrival {
     /// Its method.
     pub method: Method,
@@ -76,7 +97,7 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Given,
     /// Its class.
     pub class: ClassId,
     /// Its tenant.
@@ -87,9 +108,11 @@
     pub cost_hint: Option<Span>,
     /// The client says that it is a repeat.
     pub repeat: bool,
-    /// When its answer must be on its way.
+    /// When its answer must be on its way; of one that is coming, when it must have come.
     pub deadline: Instant,
-    /// When it had come whole.
+    /// How long its answer may take from its last byte on.
+    pub wait: Duration,
+    /// When it had come whole, or as much of it as is taken before it goes on.
     pub whole: Instant,
     /// Until when its client waits.
     pub client_waits: Instant,
@@ -99,8 +122,8 @@
 
 /// The one final answer to a request.
 pub enum Answer {
-    /// A backend's answer, whole: its content type and its body.
-    Served(Option<HeaderValue>, Bytes),
+    /// A backend's answer: its content type and its body.
+    Served(Option<HeaderValue>, Content),
     /// Refused by the balancer; trying again is harmless, and makes sense after this long.
     Refused(Option<Span>),
     /// Failed, with no promise.
@@ -292,12 +315,18 @@
                 key: arrival.key,
                 cost_hint: arrival.cost_hint,
                 repeat: arrival.repeat,
+                coming: arrival.body.upload().is_some(),
                 limits: arrival.route.as_ref().map(|route| route.limits.clone()),
-                second_copy_after: arrival.route.as_ref().and_then(|route| match route.second_copy_after {
-                    SecondCopy::Never => None,
-                    SecondCopy::After(after) => Some(after),
-                    SecondCopy::Percentile(p) => state.recent[arrival.class.0].percentile(p),
-                }),
+                // What is coming can go one way at a time.
+                second_copy_after: arrival
+                    .route
+                    .as_ref()
+                    .filter(|_| arrival.body.upload().is_none())
+                    .and_then(|route| match route.second_copy_after {
+                        SecondCopy::Never => None,
+                        SecondCopy::After(after) => Some(after),
+                        SecondCopy::Percentile(p) => state.recent[arrival.class.0].percentile(p),
+                    }),
                 ..micasail::Request::new(id, arrival.class, time_left)
             };
             let owing = self.telemetry.clone().map(|telemetry| {
@@ -314,6 +343,22 @@
         (id, receiver, owing)
     }
 
+    /// The last byte of a request that was coming has come; its answer must be on its way by `deadline`.
+    pub fn whole(self: &Rc<Self>, id: RequestId, deadline: Instant) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(sends) = state.open.get(&id).map(|open| open.sends) else { return };
+            for attempt in 0..sends {
+                if let Some(progress) = state.attempts.get(&(id, attempt)) {
+                    progress.end_by(deadline);
+                }
+            }
+            let time_left = self.clock.at(deadline).since(self.clock.now());
+            state.queue.push_back(Event::Whole { request: id, time_left });
+        }
+        self.pump();
+    }
+
     /// The client no longer waits, or must not wait longer. Attempts that are out whole go on, and their
     /// outcomes still count; what has not been written stays unwritten.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
@@ -441,7 +486,9 @@
         open.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
-        let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
+        let upload = open.parts.body.upload().cloned();
+        let wait = until.saturating_duration_since(sent);
+        let outgoing = outgoing(&open.parts, if upload.is_some() { wait.min(open.parts.wait) } else { wait });
         let time = |span: Span| Duration::from_micros(span.0);
         let route = open.parts.route.as_ref();
         let limits = AttemptLimits {
@@ -456,11 +503,14 @@
             telemetry.attempt(server.0, route_of(&open.parts), attempt, another_out);
             FirstByte { instance: telemetry, clock: self.clock, request, attempt, server }
         });
-        let progress = Rc::new(Progress::new(first));
+        let progress = Rc::new(Progress::new(first, upload.clone()));
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = driver.upstream.attempt(server, outgoing, &limits, &progress).await;
+            // The backend's time begins with the last byte of what it is to do.
+            let sent =
+                upload.as_ref().map_or(sent, |upload| upload.whole().unwrap_or_else(Instant::now).max(sent));
             driver.ended((request, attempt), (class, server), ended, sent);
         });
     }
@@ -489,6 +539,10 @@
             if let Some(open) = state.open.get_mut(&key.0) {
                 open.timed_out = ended.outcome == Outcome::TimedOut;
             }
+            let spent = |open: &Open| open.parts.body.upload().is_some_and(|upload| upload.spent());
+            if state.open.get(&key.0).is_some_and(spent) {
+                state.queue.push_back(Event::Spent { request: key.0 });
+            }
             let closed = !state.open.contains_key(&key.0);
             state.queue.push_back(Event::Outcome {
                 request: key.0,
@@ -658,16 +712,22 @@
 }
 
 /// What goes to a backend: the request unchanged, and how long the agent will wait.
-fn outgoing(parts: &Arrival, wait: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(parts.body.clone()));
+fn outgoing(parts: &Arrival, wait: Duration) -> Request<Load> {
+    let (load, length) = match &parts.body {
+        Given::Whole(bytes) => (Load::Whole(bytes.clone()), Some(bytes.len() as u64)),
+        Given::Coming(upload) => (Load::coming(upload), upload.length()),
+    };
+    let mut request = Request::new(load);
     *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = parts.uri.clone();
+    // A client may name the whole address (RFC 9112, section 3.2.2); a backend is told the path.
+    let path = parts.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
+    *request.uri_mut() = path;
     *request.headers_mut() = parts.headers.clone();
     let wait = HeaderValue::from_str(&format!("{}u", wait.as_micros().max(1)));
     let headers = request.headers_mut();
     headers.extend(wait.ok().map(|wait| (hyper::header::HeaderName::from_static("x-timeout"), wait)));
-    if parts.method != Method::GET || !parts.body.is_empty() {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(parts.body.len()));
+    if let Some(length) = length.filter(|length| parts.method != Method::GET || *length > 0) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
     }
     request
 }
--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -6,14 +6,18 @@
 //! then the bytes that its length gives and nothing behind them until the request has its answer.
 
 use crate::telemetry::Owing;
+use bellcroft_operations::chunks::{Chunks, NotChunked};
+use bellcroft_operations::passage::Patience;
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use micasail::Time;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -22,15 +26,17 @@
 /// Header lines that a head may have; hyper's own bound.
 const LINES_MOST: usize = 100;
 /// Read at a time.
-const CHUNK: usize = 4 << 10;
+const CHUNK: usize = 16 << 10;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// Nothing has come over it yet.
     Mute,
-    /// A request is on its way.
+    /// A request's head is on its way.
     Arriving,
+    /// Its body is.
+    Coming,
     /// A request is whole and has no answer yet.
     Open,
     /// All that came has its answer.
@@ -42,9 +48,20 @@
     phase: Cell<(Phase, Instant)>,
     ambiguous: Cell<bool>,
     answered: Cell<bool>,
+    /// The body of the present answer has been handed over; its last bytes may not be out.
+    body_over: Cell<bool>,
+    /// How long more of a body is waited for, and since when the client takes nothing.
+    patience: Cell<Patience>,
+    /// The begin of the connection, which the patience counts from.
+    begin: Instant,
+    stuck: Cell<Option<Instant>>,
+    /// Since when the rest of what was not wanted is read away.
+    lingers: Cell<Option<Instant>>,
     waker: RefCell<Option<Waker>>,
     /// The answer whose last byte has not left.
     owing: Cell<Option<Owing>>,
+    /// A request has been answered over it.
+    used: Cell<bool>,
 }
 
 impl Line {
@@ -54,8 +71,14 @@
             phase: Cell::new((Phase::Mute, Instant::now())),
             ambiguous: Cell::new(false),
             answered: Cell::new(false),
+            body_over: Cell::new(false),
+            patience: Cell::default(),
+            begin: Instant::now(),
+            stuck: Cell::new(None),
+            lingers: Cell::new(None),
             waker: RefCell::new(None),
             owing: Cell::new(None),
+            used: Cell::new(false),
         })
     }
 
@@ -75,27 +98,63 @@
         self.ambiguous.get()
     }
 
-    /// The present request has come whole, which of a chunked body only its reader knows.
+    /// No request has come whole over it yet.
+    pub fn first(&self) -> bool {
+        !self.used.get()
+    }
+
+    /// Until when more of a body is waited for, if it is.
+    pub fn body_until(&self) -> Option<Instant> {
+        self.patience.get().until().map(|at| self.begin + Duration::from_micros(at.0))
+    }
+
+    /// Since when the client takes nothing of its answer.
+    pub fn stuck(&self) -> Option<Instant> {
+        self.stuck.get()
+    }
+
+    /// Since when it is waited for to hear that nobody wants the rest.
+    pub fn lingers(&self) -> Option<Instant> {
+        self.lingers.get()
+    }
+
+    fn body(&self, change: impl FnOnce(&mut Patience, Time)) {
+        let mut patience = self.patience.get();
+        change(&mut patience, Time(self.begin.elapsed().as_micros() as u64));
+        self.patience.set(patience);
+    }
+
+    /// The present request has come whole.
     pub fn whole(&self) {
         self.enter(Phase::Open);
     }
 
+    /// The present answer's body has been handed over.
+    pub fn body_over(&self) {
+        self.body_over.set(true);
+    }
+
     /// The present request's answer is the next that is written.
     pub fn owe(&self, owing: Owing) {
         self.owing.set(Some(owing));
     }
 
-    /// So much of what was to be written has been; an answer is out with the last byte that there was.
-    fn wrote(&self, written: usize, of: usize) {
-        if written == of {
-            if let Some(owing) = self.owing.take() {
-                owing.left();
-            }
-        }
+    /// Something was to be written: whether any of it has been.
+    fn wrote(&self, some: bool) {
+        let since = (!some).then(|| self.stuck.get().unwrap_or_else(Instant::now));
+        self.stuck.set(since);
     }
 
-    /// The present request has its answer; the next one may be read.
-    pub fn answered(&self) {
+    /// All that was handed over is out. With the last of an answer, the next request may be read.
+    fn flushed(&self) {
+        self.stuck.set(None);
+        if !self.body_over.take() {
+            return;
+        }
+        if let Some(owing) = self.owing.take() {
+            owing.left();
+        }
+        self.used.set(true);
         self.enter(Phase::Idle);
         self.answered.set(true);
         if let Some(waker) = self.waker.borrow_mut().take() {
@@ -110,6 +169,8 @@
     Head,
     /// This much of its body is yet to be passed on.
     Body(u64),
+    /// Its body comes in chunks.
+    Chunked(Chunks),
     /// It is whole; what comes now belongs to the next one, or is the client's leaving.
     Whole,
     /// Nothing that comes is a request any more.
@@ -154,6 +215,9 @@
             match self.io.inner().try_read(&mut chunk) {
                 Ok(n) => {
                     self.ahead.extend_from_slice(&chunk[..n]);
+                    if matches!(self.stage, Stage::Body(_) | Stage::Chunked(_)) {
+                        self.line.body(|patience, now| patience.came(n, now));
+                    }
                     self.ended = n == 0;
                     return Poll::Ready(Ok(n > 0));
                 }
@@ -185,8 +249,16 @@
                 (self.pass, self.stage) = (head, Stage::Whole);
                 self.line.enter(Phase::Open);
             }
-            Frame::Sized(head, body) => (self.pass, self.stage) = (head, Stage::Body(body)),
-            Frame::Chunked(head) => (self.pass, self.stage) = (head, Stage::Body(u64::MAX)),
+            Frame::Sized(head, body) => {
+                self.line.patience.take();
+                (self.pass, self.stage) = (head, Stage::Body(body));
+                self.line.enter(Phase::Coming);
+            }
+            Frame::Chunked(head) => {
+                self.line.patience.take();
+                (self.pass, self.stage) = (head, Stage::Chunked(Chunks::default()));
+                self.line.enter(Phase::Coming);
+            }
         }
         true
     }
@@ -195,10 +267,26 @@
     fn turn(&mut self) {
         self.stage = match self.stage {
             Stage::Whole | Stage::Head => Stage::Head,
-            Stage::Body(_) | Stage::Shut => Stage::Shut,
+            Stage::Body(_) | Stage::Chunked(_) | Stage::Shut => Stage::Shut,
         };
         self.parsed = 0;
     }
+
+    /// Reads away what comes of a request that nobody wants any more, until its client has nothing left to say: were the
+    /// socket closed on unread bytes, the kernel would take back the answer that tells the client so.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.line.lingers.get().is_none() {
+            self.line.lingers.set(Some(Instant::now()));
+        }
+        loop {
+            self.ahead.clear();
+            match ready!(self.poll_fill(cx)) {
+                Ok(true) => {}
+                // It has nothing left to say, or has left.
+                Ok(false) | Err(_) => return Poll::Ready(Ok(())),
+            }
+        }
+    }
 }
 
 impl Read for Framed {
@@ -234,13 +322,31 @@
                     }
                     continue;
                 }
+                Stage::Chunked(mut chunks) if !this.ahead.is_empty() => {
+                    match chunks.take(&this.ahead) {
+                        Ok(n) => {
+                            this.pass = n;
+                            this.stage = Stage::Chunked(chunks);
+                            if chunks.over() {
+                                this.stage = Stage::Whole;
+                                this.line.enter(Phase::Open);
+                            }
+                        }
+                        // hyper may read it otherwise, and must not get the chance.
+                        Err(NotChunked) => {
+                            this.stage = Stage::Shut;
+                            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+                        }
+                    }
+                    continue;
+                }
                 Stage::Shut => return Poll::Pending,
                 // Enough has been read ahead; the answer to the present request wakes this again.
                 Stage::Whole if this.ahead.len() >= HEAD_MOST || (this.ended && !this.ahead.is_empty()) => {
                     *this.line.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
-                Stage::Body(_) | Stage::Whole => {}
+                Stage::Body(_) | Stage::Chunked(_) | Stage::Whole => {}
             }
             match this.poll_fill(cx) {
                 Poll::Ready(Ok(true)) => {}
@@ -248,6 +354,9 @@
                 Poll::Ready(Ok(false)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
                 Poll::Pending => {
+                    if matches!(this.stage, Stage::Body(_) | Stage::Chunked(_)) {
+                        this.line.body(Patience::waits);
+                    }
                     *this.line.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
@@ -258,17 +367,26 @@
 
 impl Write for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
-        self.line.wrote(n, buf.len());
-        Poll::Ready(Ok(n))
+        let wrote = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.line.wrote(wrote.is_ready());
+        wrote
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
+        // hyper flushes only once it has written all that it had.
+        self.line.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.line.lingers.get().is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+        }
+        match self.stage {
+            Stage::Body(_) | Stage::Chunked(_) => self.poll_linger(cx),
+            Stage::Head | Stage::Whole | Stage::Shut => Poll::Ready(Ok(())),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -280,9 +398,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
-        self.line.wrote(n, bufs.iter().map(|b| b.len()).sum());
-        Poll::Ready(Ok(n))
+        let wrote = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.line.wrote(wrote.is_ready());
+        wrote
     }
 }
 
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -1,15 +1,18 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
 pub mod framing;
+mod reply;
 
 use crate::daemon::status::{Ended, Tally};
-use crate::driver::{Answer, Arrival, Driver};
+use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
 use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
-use crate::upstream::{forwarded, BODY_MOST};
+use crate::front::reply::{Ending, Reply};
+use crate::passing::{Kept, Upload};
+use crate::upstream::{forwarded, join, Content};
+use bellcroft_operations::passage::{self, Store, Way, BODY_MOST};
 use bellcroft_operations::service::{Duty, Service};
-use bellcroft_telemetry::Over;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -31,9 +34,15 @@
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
 const WAIT_MOST: Duration = Duration::from_secs(600);
-/// A request must have come whole within this of its first byte, and a connection's first request within this of
-/// the connect: what connects and says nothing, or half of something, holds a place that others need.
-const READ_MOST: Duration = Duration::from_millis(2_300);
+/// A request's head must have come within this of its first byte: what says half of something holds a place that others
+/// need. Slow clients take 2 s.
+const READ_MOST: Duration = Duration::from_millis(2_400);
+/// A connection's first one must have come within this of the connect, however late it began.
+const FIRST_MOST: Duration = Duration::from_millis(2_800);
+/// A client that takes nothing of its answer for this long has left without a word.
+const TAKE_GAP: Duration = Duration::from_secs(20);
+/// A client that is told before it has said all has this long to hear it.
+const LINGER_MOST: Duration = Duration::from_millis(1_500);
 /// An idle connection is closed after this; much sooner where places run short, and then it must have been idle
 /// for as long as clients are promised.
 const IDLE_MOST: Duration = Duration::from_secs(10);
@@ -79,12 +88,14 @@
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
     /// Ids of the requests that are open.
-    ids: RefCell<HashSet<Box<str>>>,
+    ids: Rc<RefCell<HashSet<Box<str>>>>,
+    /// What the begins of bodies that are coming may take.
+    store: Rc<RefCell<Store>>,
 }
 
 impl Server {
     /// Serves at most `connections` at a time.
-    pub fn new(driver: Rc<Driver>, connections: usize) -> Rc<Self> {
+    pub fn new(driver: Rc<Driver>, connections: usize, memory: usize) -> Rc<Self> {
         Rc::new(Server {
             tally: Tally::new(driver.names.classes.len()),
             driver,
@@ -94,7 +105,8 @@
             most: Cell::new(connections),
             held: RefCell::default(),
             freed: Notify::new(),
-            ids: RefCell::default(),
+            ids: Rc::default(),
+            store: Rc::new(RefCell::new(Store::new(memory))),
         })
     }
 
@@ -137,11 +149,13 @@
     fn give_way(&self) {
         let held = self.held.borrow();
         let spare = |h: &&Held| match h.line.phase() {
+            _ if h.line.lingers().is_some() => true,
             (Phase::Mute, since) => since.elapsed() >= MUTE_LEAST,
             (Phase::Idle, since) => since.elapsed() >= IDLE_LEAST,
-            (Phase::Arriving | Phase::Open, _) => false,
+            (Phase::Arriving | Phase::Coming | Phase::Open, _) => false,
         };
-        let rank = |h: &&Held| (h.line.phase().0 == Phase::Idle, h.line.phase().1);
+        let rank =
+            |h: &&Held| (h.line.lingers().is_none(), h.line.phase().0 == Phase::Idle, h.line.phase().1);
         if let Some(held) = held.values().filter(spare).min_by_key(rank) {
             held.leave.notify_one();
         }
@@ -204,11 +218,19 @@
     /// Until when a connection may go on as it is.
     fn until(&self, line: &Line, taken: Instant) -> Instant {
         let short = self.taken(SHORT);
+        if let Some(since) = line.lingers() {
+            return since + LINGER_MOST;
+        }
+        if let Some(since) = line.stuck() {
+            return since + TAKE_GAP;
+        }
         match line.phase() {
             (Phase::Mute, _) => taken + READ_MOST,
-            (Phase::Arriving, since) if since.duration_since(taken) < READ_MOST => taken + READ_MOST,
+            (Phase::Arriving, since) if line.first() => (since + READ_MOST).min(taken + FIRST_MOST),
             (Phase::Arriving, since) => since + READ_MOST,
-            // A request that is whole ends by its deadline.
+            // A body comes as slowly as it likes, and is read as slowly as its server does; only silence is bounded.
+            (Phase::Coming, _) => line.body_until().unwrap_or_else(|| Instant::now() + LOOK),
+            // A request that is whole ends by its deadline, or its answer is on its way.
             (Phase::Open, _) => Instant::now() + LOOK,
             (Phase::Idle, since) => {
                 let own = since + if short { IDLE_LEAST } else { IDLE_MOST };
@@ -251,7 +273,7 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         line: Rc<Line>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Response<Reply>, Infallible> {
         let (mut answer, close) = match self.take(request, &line).await {
             Ok(answer) => (answer, self.service.get().last_answers() || self.taken(CROWDED)),
             // Who cannot word a request is not trusted with the rest of the connection.
@@ -266,7 +288,7 @@
         if close {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        line.answered();
+        answer.body_mut().goes_over(&line);
         Ok(answer)
     }
 
@@ -274,7 +296,7 @@
         &self,
         request: Request<Incoming>,
         line: &Line,
-    ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    ) -> Result<Response<Reply>, Response<Reply>> {
         if line.ambiguous() {
             return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
         }
@@ -286,16 +308,37 @@
             });
         }
         let arrival = self.read(request).await?;
-        line.whole();
-        let Some(_open) = self.open(&arrival) else {
+        let Some(open) = self.open(&arrival) else {
             return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
-        let deadline = arrival.deadline;
+        let (mut deadline, wait) = (arrival.deadline, arrival.wait);
+        let upload = arrival.body.upload().cloned();
+        if upload.is_none() {
+            line.whole();
+        }
         let counted = self.tally.taken(arrival.class.0);
-        let (id, answer, owing) = self.driver.submit(arrival);
+        let (id, mut answer, owing) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
-        let (how, response) = match timeout_at(deadline + OVERDUE, answer).await {
+        let mut early = None;
+        if let Some(upload) = upload {
+            tokio::select! {
+                biased;
+                answer = &mut answer => early = Some(Ok(answer)),
+                () = upload.ended() => {
+                    if let Some(whole) = upload.whole() {
+                        line.whole();
+                        deadline = whole + wait;
+                        self.driver.whole(id, deadline);
+                    }
+                }
+            }
+        }
+        let answer = match early {
+            Some(answer) => answer,
+            None => timeout_at(deadline + OVERDUE, answer).await,
+        };
+        let (how, mut response) = match answer {
             Ok(Ok(answer)) => (
                 match answer {
                     Answer::Served(..) => Ended::Served,
@@ -307,29 +350,20 @@
             Ok(Err(_)) => (Ended::Failed, plain(StatusCode::BAD_GATEWAY, "no answer was decided")),
             Err(_) => (Ended::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
         };
-        counted.ended(how);
-        if let Some(mut owing) = owing {
-            owing.decided(match how {
-                Ended::Served => Over::Served,
-                Ended::Refused => Over::Refused,
-                Ended::Failed => Over::Failed,
-                Ended::Left => Over::Left,
-            });
-            line.owe(owing);
-        }
+        response.body_mut().ends(Ending::new(counted, owing, how, open));
         Ok(response)
     }
 
     /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
     /// disturb the first.
-    fn open(&self, arrival: &Arrival) -> Option<OpenId<'_>> {
+    fn open(&self, arrival: &Arrival) -> Option<OpenId> {
         let id: Box<str> = text(&arrival.headers, "x-request-id").unwrap_or_default().into();
         let new = self.ids.borrow_mut().insert(id.clone());
-        new.then(|| OpenId(&self.ids, id))
+        new.then(|| OpenId(self.ids.clone(), id))
     }
 
-    /// Reads a request whole; the error is the answer to a bad one.
-    async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Full<Bytes>>> {
+    /// Reads a request, whole or as much of it as is taken before it goes on; the error is the answer to a bad one.
+    async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Reply>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let names = &self.driver.names;
@@ -366,16 +400,7 @@
         if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
             return Err(bad("this class needs an Idempotency-Key"));
         }
-        let large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB");
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(large());
-        }
-        let body = match timeout(READ_MOST, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
-            Ok(Err(_)) => return Err(bad("the body did not come whole")),
-            Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        };
+        let body = self.begin(body).await?;
         let room = ANSWER_ROOM.min(wait / 4);
         let whole = Instant::now();
         let query = head.uri.query().unwrap_or_default();
@@ -387,7 +412,8 @@
             key: key.map(|key| KeyId(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
-            deadline: whole + (wait - room),
+            deadline: whole + if body.upload().is_some() { COMING_MOST } else { wait - room },
+            wait: wait - room,
             whole,
             client_waits: whole + wait,
             route,
@@ -399,19 +425,51 @@
     }
 }
 
+impl Server {
+    /// Takes a body whole, or the begin of one that is passed on as it comes.
+    async fn begin(&self, mut body: Incoming) -> Result<Given, Response<Reply>> {
+        let length = body.size_hint().exact();
+        let way = passage::way(length).map_err(|_| {
+            let text = format!("a body holds at most {} MiB", BODY_MOST >> 20);
+            plain(StatusCode::PAYLOAD_TOO_LARGE, &text)
+        })?;
+        let kept = Kept::grant(&self.store);
+        // What says of itself that it is short is taken whole however little memory there is: it can be tried again.
+        let most = match (way, length) {
+            (Way::Gather, Some(length)) => length as usize,
+            (Way::Gather | Way::Pass, _) => kept.most(),
+        };
+        let (mut parts, mut gathered) = (Vec::new(), 0);
+        loop {
+            match body.frame().await {
+                None => return Ok(Given::Whole(join(parts))),
+                Some(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body did not come whole")),
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    gathered += data.len();
+                    parts.push(data);
+                }
+            }
+            if gathered > most || (way == Way::Pass && gathered >= most) {
+                return Ok(Given::Coming(Upload::new(length, join(parts), kept, body)));
+            }
+        }
+    }
+}
+
 /// Whether a connection that has been in this phase for so long may still owe an answer.
 fn awaited(phase: Phase, for_so_long: Duration) -> bool {
     match phase {
-        Phase::Arriving | Phase::Open => true,
+        Phase::Arriving | Phase::Coming | Phase::Open => true,
         Phase::Mute => for_so_long < FRESH,
         Phase::Idle => false,
     }
 }
 
 /// An id that is open as long as this is.
-struct OpenId<'a>(&'a RefCell<HashSet<Box<str>>>, Box<str>);
+struct OpenId(Rc<RefCell<HashSet<Box<str>>>>, Box<str>);
 
-impl Drop for OpenId<'_> {
+impl Drop for OpenId {
     fn drop(&mut self) {
         self.0.borrow_mut().remove(&self.1);
     }
@@ -445,10 +503,13 @@
     (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
 }
 
-fn word(answer: Answer) -> Response<Full<Bytes>> {
+fn word(answer: Answer) -> Response<Reply> {
     match answer {
-        Answer::Served(kind, body) => {
-            let mut response = Response::new(Full::new(body));
+        Answer::Served(kind, content) => {
+            let mut response = Response::new(match content {
+                Content::Whole(body) => Reply::whole(body),
+                Content::Passing(relay) => Reply::passing(relay),
+            });
             response.headers_mut().extend(kind.map(|kind| (CONTENT_TYPE, kind)));
             response
         }
@@ -463,8 +524,8 @@
     }
 }
 
-fn plain(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(format!("{why}\n"))));
+fn plain(status: StatusCode, why: &str) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::from(format!("{why}\n"))));
     *response.status_mut() = status;
     let kind: (HeaderName, HeaderValue) = (CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response.headers_mut().extend([kind]);
--- /dev/null
+++ b/crates/agent/src/front/reply.rs
@@ -0,0 +1,137 @@
+//! The body of an answer to a client, and what ends with its last byte.
+
+use super::framing::Line;
+use super::OpenId;
+use crate::daemon::status::{self, Ended};
+use crate::telemetry::Owing;
+use crate::upstream::Relay;
+use bellcroft_telemetry::Over;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+/// A request whose answer is on its way to its client: it is counted, and its id is free again, once that is out.
+pub struct Ending {
+    counted: Option<status::Owed>,
+    owing: Option<Owing>,
+    how: Ended,
+    _id: OpenId,
+}
+
+impl Ending {
+    /// An answer that is decided and ends like this, if it ends whole.
+    pub fn new(counted: status::Owed, owing: Option<Owing>, how: Ended, id: OpenId) -> Self {
+        Ending { counted: Some(counted), owing, how, _id: id }
+    }
+
+    /// The answer is over: `how` it ended; its last byte is on its way to the socket.
+    fn over(&mut self, how: Ended, line: &Line) {
+        if let Some(counted) = self.counted.take() {
+            counted.ended(how);
+        }
+        if let Some(mut owing) = self.owing.take() {
+            owing.decided(match how {
+                Ended::Served => Over::Served,
+                Ended::Refused => Over::Refused,
+                Ended::Failed => Over::Failed,
+                Ended::Left => Over::Left,
+            });
+            line.owe(owing);
+        }
+    }
+}
+
+enum Content {
+    Whole(Option<Bytes>),
+    Passing(Box<Relay>),
+}
+
+/// An answer's body.
+pub struct Reply {
+    content: Content,
+    ending: Option<Ending>,
+    /// Told once the body is over; none before it belongs to a connection.
+    line: Option<Rc<Line>>,
+}
+
+impl Reply {
+    /// A body that is here whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Reply { content: Content::Whole(Some(bytes)), ending: None, line: None }
+    }
+
+    /// One that is passed on as it comes.
+    pub fn passing(relay: Relay) -> Self {
+        Reply { content: Content::Passing(Box::new(relay)), ending: None, line: None }
+    }
+
+    /// What ends with it.
+    pub fn ends(&mut self, ending: Ending) {
+        self.ending = Some(ending);
+    }
+
+    /// It is the next that goes out over this connection. What is here whole is as good as on its way.
+    pub fn goes_over(&mut self, line: &Rc<Line>) {
+        self.line = Some(line.clone());
+        if let (Content::Whole(_), Some(mut ending)) = (&self.content, self.ending.take()) {
+            let how = ending.how;
+            ending.over(how, line);
+        }
+    }
+
+    fn over(&mut self, how: Option<Ended>) {
+        if let (Some(mut ending), Some(line)) = (self.ending.take(), &self.line) {
+            let how = how.unwrap_or(ending.how);
+            ending.over(how, line);
+        }
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        // A body that is dropped before its end belongs to a client that has left: its guards say so.
+        if let Some(line) = &self.line {
+            line.body_over();
+        }
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let next = match &mut self.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().filter(|b| !b.is_empty()).map(Ok)),
+            Content::Passing(relay) => relay.poll_next(cx),
+        };
+        match &next {
+            Poll::Ready(None) => self.over(None),
+            // The client can tell: its answer ends short of its length, or with no last chunk.
+            Poll::Ready(Some(Err(_))) => self.over(Some(Ended::Failed)),
+            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.over(None),
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        next.map(|next| next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Passing(relay) => relay.over(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Content::Passing(relay) => relay.length().map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,5 +13,6 @@
 mod fleet;
 mod front;
 mod log;
+mod passing;
 mod telemetry;
 mod upstream;
--- /dev/null
+++ b/crates/agent/src/passing.rs
@@ -0,0 +1,178 @@
+//! Bodies that are passed on as they come: a request's to a server ([`Upload`]), an answer's to a client. Neither side is
+//! read before the other one takes, so memory does not grow with a body's length.
+
+use bellcroft_operations::passage::{Passed, Store, TooLarge};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// What a request has kept of its begin, given back with it.
+pub struct Kept {
+    store: Rc<RefCell<Store>>,
+    granted: usize,
+}
+
+impl Kept {
+    /// What the next one may keep.
+    pub fn grant(store: &Rc<RefCell<Store>>) -> Self {
+        Kept { store: store.clone(), granted: store.borrow_mut().grant() }
+    }
+
+    /// How much that is.
+    pub fn most(&self) -> usize {
+        self.granted
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.store.borrow_mut().give_back(self.granted);
+    }
+}
+
+/// A request's body that is passed on as it comes. One attempt at a time reads it.
+pub struct Upload {
+    /// Its length, if it was told.
+    length: Option<u64>,
+    rest: RefCell<Incoming>,
+    /// What came first, as long as nothing behind it has been passed on.
+    first: RefCell<Option<(Bytes, Kept)>>,
+    passed: Cell<Passed>,
+    whole: Cell<Option<Instant>>,
+    broken: Cell<bool>,
+    /// Told when it is whole or broken.
+    ended: Notify,
+}
+
+impl Upload {
+    /// A body that has begun with `first`.
+    pub fn new(length: Option<u64>, first: Bytes, kept: Kept, rest: Incoming) -> Rc<Self> {
+        let mut passed = Passed::default();
+        // What has been gathered is far below what is carried.
+        let _ = passed.add(first.len());
+        Rc::new(Upload {
+            length,
+            rest: RefCell::new(rest),
+            first: RefCell::new(Some((first, kept))),
+            passed: Cell::new(passed),
+            whole: Cell::new(None),
+            broken: Cell::new(false),
+            ended: Notify::new(),
+        })
+    }
+
+    /// Its length, if it was told.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// When its last byte had come.
+    pub fn whole(&self) -> Option<Instant> {
+        self.whole.get()
+    }
+
+    /// It ended before it was whole, by its client's fault.
+    pub fn broken(&self) -> bool {
+        self.broken.get()
+    }
+
+    /// A part of it is gone: nothing can begin anew with it.
+    pub fn spent(&self) -> bool {
+        self.first.borrow().is_none()
+    }
+
+    /// Waits until it is whole or broken.
+    pub async fn ended(&self) {
+        while self.whole.get().is_none() && !self.broken.get() {
+            self.ended.notified().await;
+        }
+    }
+
+    fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        loop {
+            if self.whole.get().is_some() {
+                return Poll::Ready(None);
+            }
+            let frame = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx);
+            let ended = match frame {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => {
+                        let mut passed = self.passed.get();
+                        let fits = passed.add(data.len());
+                        self.passed.set(passed);
+                        // From here on what came first cannot be followed by this again.
+                        self.first.borrow_mut().take();
+                        match fits {
+                            Ok(()) => return Poll::Ready(Some(Ok(data))),
+                            Err(TooLarge) => Some(io::ErrorKind::InvalidData),
+                        }
+                    }
+                    // Trailers speak of the connection that they came over.
+                    Err(_) => continue,
+                },
+                Poll::Ready(Some(Err(_))) => Some(io::ErrorKind::UnexpectedEof),
+                Poll::Ready(None) => None,
+            };
+            match ended {
+                None => self.whole.set(Some(Instant::now())),
+                Some(_) => self.broken.set(true),
+            }
+            self.ended.notify_one();
+            return Poll::Ready(ended.map(|kind| Err(kind.into())));
+        }
+    }
+}
+
+/// What an attempt sends.
+pub enum Load {
+    /// A body that is here whole; none once it has been taken.
+    Whole(Bytes),
+    /// One that is coming; first what is kept of it.
+    Coming(Rc<Upload>, Option<Bytes>),
+}
+
+impl Load {
+    /// An attempt's view of a body that is coming. It begins with what is kept, and is for nothing if that is gone.
+    pub fn coming(upload: &Rc<Upload>) -> Self {
+        let first = upload.first.borrow().as_ref().map(|(first, _)| first.clone());
+        Load::Coming(upload.clone(), first)
+    }
+}
+
+impl Body for Load {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let next = match &mut *self {
+            Load::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Load::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Load::Coming(upload, first) => match first.take().filter(|first| !first.is_empty()) {
+                Some(first) => Poll::Ready(Some(Ok(first))),
+                None => upload.poll_rest(cx),
+            },
+        };
+        next.map(|next| next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Load::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Load::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Load::Coming(upload, _) => upload.length.map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -4,18 +4,21 @@
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
 use crate::discovery::{Health, Host};
+use crate::passing::{Load, Upload};
 use crate::telemetry::FirstByte;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use bellcroft_operations::passage::{way, Begin, Passed, BODY_MOST, WHOLE_MOST};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use micasail::{Outcome, ServerId};
+use micasail::{Outcome, ServerId, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -25,10 +28,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::JoinHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
 
-/// The longest body of either direction.
-pub const BODY_MOST: usize = 64 << 10;
 /// An idle connection is given up after this share of the time in the settings: one that the backend closes
 /// while a request is on its way to it costs that request a reset of which nobody knows whether it ran.
 const IDLE_SHARE: f64 = 0.7;
@@ -40,7 +41,13 @@
 const HEAD_MOST: usize = 16 << 10;
 /// All bytes that one answer may bring: its body, what its framing adds, and heads, those of 1xx answers ahead of
 /// it among them. A backend that goes on past that is noise, however well formed.
-const ANSWER_MOST: u64 = 2 * (BODY_MOST + HEAD_MOST) as u64;
+const ANSWER_MOST: u64 = 2 * (WHOLE_MOST + HEAD_MOST) as u64;
+/// The same for one that is passed on: pieces of a single byte each carry six of framing.
+const PASSED_MOST: u64 = 8 * BODY_MOST;
+/// A backend that has begun a long answer and says nothing for this long will not end it.
+const QUIET_MOST: Duration = Duration::from_secs(30);
+/// Read at a time.
+const CHUNK: usize = 16 << 10;
 
 /// What passes between a connection's task and its user: bytes written so far, those that may still be read, and
 /// leave to write more.
@@ -95,7 +102,7 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; 4 << 10];
+        let mut chunk = [0; CHUNK];
         let room = chunk.len().min(buf.remaining());
         let mut read = ReadBuf::new(&mut chunk[..room]);
         ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
@@ -145,17 +152,43 @@
     stop: Notify,
     /// Who is told of its first byte.
     first: Cell<Option<FirstByte>>,
+    /// Its body, if that is still coming when it begins.
+    upload: Option<Rc<Upload>>,
+    /// A time for its end that has become known since it began.
+    until: Cell<Option<Instant>>,
+    moved: Notify,
 }
 
 impl Progress {
     /// An attempt that has not begun.
-    pub fn new(first: Option<FirstByte>) -> Self {
-        Progress { first: Cell::new(first), ..Progress::default() }
+    pub fn new(first: Option<FirstByte>, upload: Option<Rc<Upload>>) -> Self {
+        Progress { first: Cell::new(first), upload, ..Progress::default() }
     }
 
     /// Its last byte may be out: from here on it may have run.
     pub fn may_have_run(&self) -> bool {
-        self.wire.borrow().as_ref().is_some_and(|(wire, whole)| wire.written.get() >= *whole)
+        // Of a body that did not tell its length, the last byte is known only when it has come.
+        let ended =
+            |whole: u64| whole == u64::MAX && self.upload.as_ref().is_some_and(|u| u.whole().is_some());
+        let out = |(wire, whole): &(Rc<Wire>, u64)| wire.written.get() >= *whole || ended(*whole);
+        self.wire.borrow().as_ref().is_some_and(out)
+    }
+
+    /// Its request is whole, and its time runs: it ends by then.
+    pub fn end_by(&self, until: Instant) {
+        self.until.set(Some(until));
+        self.moved.notify_one();
+    }
+
+    /// Waits for its time to be over.
+    async fn expired(&self, first: Instant) {
+        loop {
+            let at = self.until.get().unwrap_or(first);
+            tokio::select! {
+                () = sleep_until(at) => return,
+                () = self.moved.notified() => {}
+            }
+        }
     }
 
     /// Gives the attempt up. What has not been written stays unwritten.
@@ -186,8 +219,79 @@
     pub outcome: Outcome,
     /// The load report that came along.
     pub report: Option<Vec<f64>>,
-    /// The whole answer of a served request: its content type and its body.
-    pub answer: Option<(Option<HeaderValue>, Bytes)>,
+    /// The answer of a served request: its content type and its body.
+    pub answer: Option<(Option<HeaderValue>, Content)>,
+}
+
+/// The body of a served request's answer.
+pub enum Content {
+    /// It has come whole.
+    Whole(Bytes),
+    /// It is long, and has begun.
+    Passing(Relay),
+}
+
+/// A long answer that is passed on as it comes. Its connection serves the next attempt once it is over, and ends if it is
+/// dropped before.
+pub struct Relay {
+    first: Option<Bytes>,
+    rest: Incoming,
+    length: Option<u64>,
+    passed: Passed,
+    quiet: Pin<Box<Sleep>>,
+    /// None once it is over.
+    connection: Option<(Rc<Upstream>, Connection)>,
+}
+
+impl Relay {
+    /// Its length, if the backend told it.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// All of it has been passed on. Whoever takes a body of a known length need not ask for more to know.
+    pub fn over(&self) -> bool {
+        self.connection.is_none()
+    }
+
+    fn finish(&mut self) {
+        if let Some((upstream, connection)) = self.connection.take() {
+            upstream.settle(connection);
+        }
+    }
+
+    /// What comes next; an error, and the answer will not be whole.
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        loop {
+            match Pin::new(&mut self.rest).poll_frame(cx) {
+                Poll::Pending => {
+                    ready!(self.quiet.as_mut().poll(cx));
+                    return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+                }
+                Poll::Ready(None) => {
+                    self.finish();
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(_))) => {
+                    return Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if self.passed.add(data.len()).is_err() {
+                        return Poll::Ready(Some(Err(io::ErrorKind::InvalidData.into())));
+                    }
+                    if self.length == Some(self.passed.total()) {
+                        self.finish();
+                    }
+                    self.quiet.as_mut().reset(Instant::now() + QUIET_MOST);
+                    return Poll::Ready(Some(Ok(data)));
+                }
+            }
+        }
+    }
 }
 
 impl Ended {
@@ -198,7 +302,7 @@
 
 /// One open connection; dropping it closes it.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Load>,
     task: JoinHandle<()>,
     wire: Rc<Wire>,
     server: ServerId,
@@ -420,7 +524,7 @@
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
-        request: Request<Full<Bytes>>,
+        request: Request<Load>,
         limits: &AttemptLimits,
         progress: &Progress,
     ) -> Ended {
@@ -445,27 +549,36 @@
             let written = connection.wire.written.get();
             connection.wire.begin.set(Some((written, limits.write_by)));
             connection.wire.first.set(progress.first.take());
-            connection.wire.whole.set(written + length(&request));
-            *progress.wire.borrow_mut() = Some((connection.wire.clone(), written + length(&request)));
+            let whole = length(&request).map_or(u64::MAX, |length| written + length);
+            connection.wire.whole.set(whole);
+            *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
             let wire = connection.wire.clone();
-            let ended = self.exchange(connection, request, limits.first_byte).await;
+            // A body that is still coming takes its client's time, not the backend's.
+            let first_byte = limits.first_byte.filter(|_| progress.upload.is_none());
+            let ended = self.exchange(connection, request, first_byte).await;
+            if whole == u64::MAX && progress.may_have_run() {
+                self.tries.set(self.tries.get() + 1);
+            }
             let begun = wire.written.get() > written;
             if ended.is_none() && !begun && Instant::now() > limits.write_by {
                 return Some(Ended::without_answer(Outcome::NotSent));
             }
             ended
         };
-        let until = limits.until;
         let ended = tokio::select! {
             biased;
             () = progress.stop.notified() => Some(Outcome::Cancelled),
-            ended = timeout_at(until, exchange) => match ended {
-                Ok(Some(Ended { outcome: Outcome::TimedOut, .. })) => Some(Outcome::TimedOut),
-                Ok(Some(ended)) => return ended,
-                Ok(None) => None,
-                Err(_) => Some(Outcome::TimedOut),
+            ended = exchange => match ended {
+                Some(Ended { outcome: Outcome::TimedOut, .. }) => Some(Outcome::TimedOut),
+                Some(ended) => return ended,
+                None => None,
             },
+            () = progress.expired(limits.until) => Some(Outcome::TimedOut),
         };
+        if progress.upload.as_ref().is_some_and(|upload| upload.broken()) && !progress.may_have_run() {
+            // It is the client's fault, and no server's.
+            return Ended::without_answer(Outcome::NotSent);
+        }
         // Whether a broken attempt may have run rests on the bytes that went out and on nothing else.
         Ended::without_answer(match (progress.may_have_run(), ended) {
             (true, outcome) => outcome.unwrap_or(Outcome::ConnectionReset),
@@ -477,7 +590,7 @@
     /// Asks a backend for its health, and for its load where it tells that.
     pub async fn probe(self: &Rc<Self>, server: ServerId) -> Ended {
         let path = if self.fields.is_empty() { "/health" } else { "/status/load" };
-        let request = Request::get(path).header("host", "backend").body(Full::default());
+        let request = Request::get(path).header("host", "backend").body(Load::Whole(Bytes::new()));
         let exchange = async {
             let (connection, request) = match (self.connection(server).await, request) {
                 (Ok(connection), Ok(request)) => (connection, request),
@@ -489,7 +602,7 @@
             connection.wire.whole.set(u64::MAX);
             let ended = self.exchange(connection, request, None).await;
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
-            if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
+            if let (None, Some((_, Content::Whole(body)))) = (&ended.report, &ended.answer) {
                 ended.report =
                     std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields));
             }
@@ -498,11 +611,11 @@
         timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
     }
 
-    /// One request and its whole answer over a connection; `None` if that broke on the way.
+    /// One request and its answer over a connection, whole or well begun; `None` if that broke on the way.
     async fn exchange(
         self: &Rc<Self>,
         mut connection: Connection,
-        request: Request<Full<Bytes>>,
+        request: Request<Load>,
         first_byte: Option<Duration>,
     ) -> Option<Ended> {
         connection.wire.readable.set(ANSWER_MOST);
@@ -519,14 +632,39 @@
         // Two lengths are none: hyper would go by one of them, and what it then took for the answer need not be.
         let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
         let ambiguous = lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING));
-        if ambiguous || response.body().size_hint().lower() > BODY_MOST as u64 {
+        let length = response.body().size_hint().exact();
+        if ambiguous || way(length).is_err() {
             return None;
         }
         let (outcome, report) = self.judge(&response);
         let kind = headers.get(CONTENT_TYPE).cloned();
-        let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
-        // A connection that brings more than the answer is closed by hyper instead of becoming ready. The answer
-        // is good all the same and does not wait for that.
+        let mut rest = response.into_body();
+        let (first, whole) = gather(&mut rest, length).await?;
+        let content = if whole {
+            self.settle(connection);
+            Content::Whole(first)
+        } else if outcome == Outcome::Success {
+            connection.wire.readable.set(PASSED_MOST);
+            let mut passed = Passed::default();
+            passed.add(first.len()).ok()?;
+            Content::Passing(Relay {
+                first: Some(first),
+                rest,
+                length,
+                passed,
+                quiet: Box::pin(sleep(QUIET_MOST)),
+                connection: Some((self.clone(), connection)),
+            })
+        } else {
+            return None;
+        };
+        let answer = (outcome == Outcome::Success).then_some((kind, content));
+        Some(Ended { outcome, report, answer })
+    }
+
+    /// Keeps a connection whose answer is over for the next attempt. One that brings more than the answer is closed by
+    /// hyper instead of becoming ready. The answer is good all the same and does not wait for that.
+    fn settle(self: &Rc<Self>, mut connection: Connection) {
         if connection.sender.is_ready() {
             self.park(connection);
         } else if !connection.sender.is_closed() {
@@ -537,8 +675,6 @@
                 }
             });
         }
-        let answer = (outcome == Outcome::Success).then_some((kind, body));
-        Some(Ended { outcome, report, answer })
     }
 
     /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
@@ -555,10 +691,48 @@
     }
 }
 
+/// Reads the begin of a body: all of a short one, or as much of a long one as is kept back before it goes on. The second
+/// is whether it is whole; `None` if it broke.
+async fn gather(body: &mut Incoming, length: Option<u64>) -> Option<(Bytes, bool)> {
+    let head = Instant::now();
+    let now = || Time(head.elapsed().as_micros() as u64);
+    let mut begin = Begin::new(length, now());
+    let mut parts: Vec<Bytes> = Vec::new();
+    let whole = loop {
+        let next = match begin.until().filter(|_| !parts.is_empty()) {
+            Some(until) => timeout_at(head + Duration::from_micros(until.0), body.frame()).await,
+            None => Ok(body.frame().await),
+        };
+        let more = match next {
+            Ok(None) => break true,
+            Ok(Some(frame)) => frame.ok()?.into_data().unwrap_or_default(),
+            Err(_) => Bytes::new(),
+        };
+        let goes_on = begin.came(more.len(), now());
+        if !more.is_empty() {
+            parts.push(more);
+        }
+        if goes_on {
+            break body.is_end_stream();
+        }
+    };
+    Some((join(parts), whole))
+}
+
+/// Pieces as one; a single one is not copied.
+pub fn join(mut parts: Vec<Bytes>) -> Bytes {
+    if parts.len() == 1 {
+        return parts.remove(0);
+    }
+    let mut all = BytesMut::with_capacity(parts.iter().map(Bytes::len).sum());
+    parts.iter().for_each(|part| all.extend_from_slice(part));
+    all.freeze()
+}
+
 async fn open(
     dial: SocketAddr,
     tries: Rc<Cell<u64>>,
-) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
+) -> io::Result<(SendRequest<Load>, JoinHandle<()>, Rc<Wire>)> {
     let stream = TcpStream::connect(dial).await?;
     stream.set_nodelay(true)?;
     let wire = Rc::new(Wire { whole: Cell::new(u64::MAX), tries, ..Wire::default() });
@@ -573,15 +747,16 @@
     Ok((sender, task, wire))
 }
 
-/// The bytes of a request as they go out, or a few less: short of them, its last byte is not out.
-fn length(request: &Request<Full<Bytes>>) -> u64 {
+/// The bytes of a request as they go out, or a few less: short of them, its last byte is not out. None where its body has
+/// not told its length.
+fn length(request: &Request<Load>) -> Option<u64> {
     let line =
         request.method().as_str().len() + request.uri().path().len() + " ".len() + " HTTP/1.1\r\n".len();
     let headers: usize =
         request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
     let query = request.uri().query().map_or(0, |q| q.len() + "?".len());
-    let body = request.body().size_hint().exact().unwrap_or(0);
-    (line + query + headers + "\r\n".len()) as u64 + body
+    let body = request.body().size_hint().exact()?;
+    Some((line + query + headers + "\r\n".len()) as u64 + body)
 }
 
 /// Reads `TEXT inflight=7, queue=2` into the order of the settings; `None` if it says nothing of these.
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -477,7 +477,11 @@
                 self.view.up.sort_unstable();
                 self.pick.listed(&self.view);
             }
-            Event::FirstByte { .. } | Event::Probed { .. } | Event::PeerMessage { .. } => {}
+            Event::Whole { .. }
+            | Event::Spent { .. }
+            | Event::FirstByte { .. }
+            | Event::Probed { .. }
+            | Event::PeerMessage { .. } => {}
         }
     }
 }
--- /dev/null
+++ b/crates/operations/src/passage.rs
@@ -0,0 +1,264 @@
+//! Bodies: what is taken whole, what is passed on as it comes, and how long a side that says nothing is waited for.
+
+use micasail::{Span, Time};
+
+/// A body up to this is taken whole before it goes on, and can be tried again; above it, it is passed on.
+pub const WHOLE_MOST: usize = 64 << 10;
+/// The longest body of either direction.
+pub const BODY_MOST: u64 = 32 << 20;
+/// What any body keeps of its begin, however little memory there is.
+const KEPT_LEAST: usize = 4 << 10;
+/// The part of the memory that the begins of all bodies may take together.
+const KEPT_SHARE: usize = 4;
+/// An answer of unknown length that has not come whole this long after its head is passed on: its client may be waiting
+/// for what is there.
+const GATHER_MOST: Span = Span(40_000);
+
+/// What is wrong with a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooLarge;
+
+/// How a body is taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// It is, or may be, short: gather it up to [`WHOLE_MOST`] and see.
+    Gather,
+    /// It is long by its own word.
+    Pass,
+}
+
+/// How a body of this length by its own word is taken in.
+///
+/// # Errors
+///
+/// It is longer than anything that is carried.
+pub fn way(length: Option<u64>) -> Result<Way, TooLarge> {
+    match length {
+        Some(length) if length > BODY_MOST => Err(TooLarge),
+        Some(length) if length > WHOLE_MOST as u64 => Ok(Way::Pass),
+        Some(_) | None => Ok(Way::Gather),
+    }
+}
+
+/// The begin of an answer's body, as it comes.
+#[derive(Debug, Clone, Copy)]
+pub struct Begin {
+    length: Option<u64>,
+    head: Time,
+    gathered: usize,
+}
+
+impl Begin {
+    /// Of an answer whose head came now.
+    pub fn new(length: Option<u64>, now: Time) -> Self {
+        Begin { length, head: now, gathered: 0 }
+    }
+
+    /// So much more has come; true if it is passed on from here, so that it can be no other attempt's any more.
+    ///
+    /// A long one begins with its first bytes: its time is that of these. What may still be short is kept back for a
+    /// moment, for an answer that turns out spoilt can be asked for again only as long as its client has seen nothing.
+    pub fn came(&mut self, more: usize, now: Time) -> bool {
+        self.gathered += more;
+        let long = self.length.is_some_and(|length| length > WHOLE_MOST as u64) && self.gathered > 0;
+        long || self.gathered > WHOLE_MOST || self.waited(now)
+    }
+
+    /// Until when the rest is waited for.
+    pub fn until(&self) -> Option<Time> {
+        self.length.is_none().then(|| self.head + GATHER_MOST)
+    }
+
+    fn waited(&self, now: Time) -> bool {
+        self.gathered > 0 && self.until().is_some_and(|until| now >= until)
+    }
+}
+
+/// More of a body must come within this: slow it may be, but not silent.
+const GAP_MOST: Span = Span(2_000_000);
+/// A body may keep its reader waiting for so long in all, and longer by what it brings: this much a second at least. A
+/// slow line brings some ten times as much; whoever brings less holds a place to hold it.
+const SLOWEST: u64 = 4 << 10;
+
+/// How long a body that is coming is waited for. Only the time counts in which its reader had room for more: what a slow
+/// server takes is not its client's fault.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Patience {
+    came: u64,
+    waited: Span,
+    since: Option<Time>,
+}
+
+impl Patience {
+    /// There is room for more, and nothing has come.
+    pub fn waits(&mut self, now: Time) {
+        self.since.get_or_insert(now);
+    }
+
+    /// So much more has come.
+    pub fn came(&mut self, more: usize, now: Time) {
+        self.came += more as u64;
+        if let Some(since) = self.since.take() {
+            self.waited = Span(self.waited.0 + now.since(since).0);
+        }
+    }
+
+    /// When it is over; none while nothing is waited for.
+    pub fn until(&self) -> Option<Time> {
+        let earned = Span(GAP_MOST.0 + self.came * 1_000_000 / SLOWEST);
+        self.since.map(|since| since + earned.less(self.waited).min(GAP_MOST))
+    }
+}
+
+/// A body that is being passed on, counted against the longest there may be.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Passed(u64);
+
+impl Passed {
+    /// So much more goes on.
+    ///
+    /// # Errors
+    ///
+    /// That makes it longer than anything that is carried, whatever it said of itself.
+    pub fn add(&mut self, more: usize) -> Result<(), TooLarge> {
+        self.0 += more as u64;
+        if self.0 > BODY_MOST {
+            return Err(TooLarge);
+        }
+        Ok(())
+    }
+
+    /// How much has gone on.
+    pub fn total(&self) -> u64 {
+        self.0
+    }
+}
+
+/// The memory that the begins of request bodies take, all together.
+#[derive(Debug)]
+pub struct Store {
+    most: usize,
+    taken: usize,
+}
+
+impl Store {
+    /// Of a process with so much memory.
+    pub fn new(memory: usize) -> Self {
+        Store { most: memory / KEPT_SHARE, taken: 0 }
+    }
+
+    /// How much of its begin the next body may keep. Whoever gets little is passed on sooner and can be tried again less
+    /// long; nobody waits for memory.
+    pub fn grant(&mut self) -> usize {
+        let granted = if self.taken + WHOLE_MOST <= self.most { WHOLE_MOST } else { KEPT_LEAST };
+        self.taken += granted;
+        granted
+    }
+
+    /// A body has let go of what it kept.
+    pub fn give_back(&mut self, granted: usize) {
+        self.taken = self.taken.saturating_sub(granted);
+    }
+
+    /// What is kept at present.
+    pub fn taken(&self) -> usize {
+        self.taken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_body_s_own_word_decides_how_it_is_taken() {
+        assert_eq!(way(None), Ok(Way::Gather));
+        assert_eq!(way(Some(0)), Ok(Way::Gather));
+        assert_eq!(way(Some(WHOLE_MOST as u64)), Ok(Way::Gather));
+        assert_eq!(way(Some(WHOLE_MOST as u64 + 1)), Ok(Way::Pass));
+        assert_eq!(way(Some(BODY_MOST)), Ok(Way::Pass));
+        assert_eq!(way(Some(BODY_MOST + 1)), Err(TooLarge));
+        assert_eq!(way(Some(u64::MAX)), Err(TooLarge));
+    }
+
+    #[test]
+    fn a_long_answer_begins_with_its_first_bytes_and_a_short_one_is_kept_back() {
+        let mut long = Begin::new(Some(WHOLE_MOST as u64 + 1), Time(0));
+        assert!(!long.came(0, Time(u64::MAX)), "a head alone is nothing to pass on");
+        assert!(long.came(1, Time(1)));
+        let mut short = Begin::new(Some(WHOLE_MOST as u64), Time(0));
+        assert!(!short.came(WHOLE_MOST, Time(u64::MAX)), "however slow it is, it can be asked for again");
+    }
+
+    #[test]
+    fn one_of_unknown_length_is_kept_back_for_a_moment() {
+        let mut begin = Begin::new(None, Time(0));
+        assert!(!begin.came(1000, GATHER_MOST.before()));
+        assert!(begin.came(0, Time(GATHER_MOST.0)));
+        let mut nothing = Begin::new(None, Time(0));
+        assert!(!nothing.came(0, Time(u64::MAX)), "there is nothing to pass on");
+        let mut quick = Begin::new(None, Time(0));
+        assert!(!quick.came(WHOLE_MOST, Time(1)));
+        assert!(quick.came(1, Time(1)), "it is long");
+    }
+
+    trait Before {
+        fn before(self) -> Time;
+    }
+
+    impl Before for Span {
+        fn before(self) -> Time {
+            Time(self.0 - 1)
+        }
+    }
+
+    #[test]
+    fn what_goes_on_without_end_is_cut_off() {
+        let mut passed = Passed::default();
+        for _ in 0..BODY_MOST / 1024 {
+            assert_eq!(passed.add(1024), Ok(()));
+        }
+        assert_eq!(passed.add(1), Err(TooLarge));
+    }
+
+    #[test]
+    fn a_body_may_be_slow_but_not_silent_and_not_endless() {
+        let mut slow = Patience::default();
+        let mut now = Time(0);
+        for _ in 0..1000 {
+            slow.waits(now);
+            now = now + Span(100_000);
+            assert!(slow.until().is_some_and(|until| until > now), "64 kB/s are enough");
+            slow.came(6400, now);
+            assert_eq!(slow.until(), None, "its reader has enough");
+            // A server that takes its time is not its client's fault.
+            now = now + Span(5_000_000);
+        }
+        slow.waits(now);
+        assert_eq!(slow.until(), Some(now + GAP_MOST));
+        let mut trickle = Patience::default();
+        let mut bytes = 0;
+        loop {
+            trickle.waits(now);
+            if trickle.until().is_none_or(|until| until <= now + Span(500_000)) {
+                break;
+            }
+            now = now + Span(500_000);
+            trickle.came(1, now);
+            bytes += 1;
+        }
+        assert!(bytes <= 4, "a byte now and then holds no place");
+    }
+
+    /// However many bodies there are, what they keep is bounded by a little each beyond the share.
+    #[test]
+    fn begins_share_the_memory_that_there_is() {
+        let memory = 32 << 20;
+        let mut store = Store::new(memory);
+        let granted: Vec<usize> = (0..500).map(|_| store.grant()).collect();
+        assert!(store.taken() <= memory / KEPT_SHARE + 500 * KEPT_LEAST);
+        assert_eq!((granted[0], granted[499]), (WHOLE_MOST, KEPT_LEAST));
+        granted.into_iter().for_each(|one| store.give_back(one));
+        assert_eq!((store.taken(), store.grant()), (0, WHOLE_MOST));
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -490,8 +490,10 @@
     pub cost_hint: Option<Span>,
     /// The client says that this is a repeat.
     pub repeat: bool,
-    /// How long the client still waits for this try.
+    /// How long the client still waits for this try; of one that is still coming, the longest that this may take.
     pub time_left: Span,
+    /// Its body is on its way and is passed on as it comes: its time begins with [`Event::Whole`].
+    pub coming: bool,
     /// What its route allows; without one, [`Limits::STANDARD`].
     pub limits: Option<Arc<Limits>>,
     /// A second copy goes out if there is no answer this long after a send; never without.
@@ -509,6 +511,7 @@
             cost_hint: None,
             repeat: false,
             time_left,
+            coming: false,
             limits: None,
             second_copy_after: None,
         }
@@ -646,6 +649,18 @@
 pub enum Event {
     /// A request has come in.
     Request(Request),
+    /// The last byte of a request that was still coming has come, and its time begins.
+    Whole {
+        /// The request.
+        request: RequestId,
+        /// How long the client waits from now on.
+        time_left: Span,
+    },
+    /// A part of a request has gone out that nobody has any more: no other attempt can be made of it.
+    Spent {
+        /// The request.
+        request: RequestId,
+    },
     /// A stream has begun; the request is bound to this attempt.
     FirstByte {
         /// The request.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -163,6 +163,10 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Request(request) => self.arrive(now, request, out),
+            Event::Whole { request, time_left } => self.whole(now, request, time_left),
+            Event::Spent { request } => {
+                self.live.entry(request).and_modify(|live| live.spent = true);
+            }
             Event::FirstByte { request, attempt } => {
                 if let Some(live) = self.live.get_mut(&request) {
                     live.bound = (attempt.0 as usize) < live.attempts.len();
@@ -207,19 +211,21 @@
         let period = self.settings.period;
         let (usual, votes) = &mut self.usual_wait[request.class.0];
         let near = request.time_left.less(*usual) <= period && usual.less(request.time_left) <= period;
-        let alike = near || *votes == 0;
+        let alike = near || *votes == 0 || request.coming;
         match *votes {
+            _ if request.coming => {}
             0 => (*usual, *votes) = (request.time_left, 1),
             _ if alike => *votes = (*votes + 1).min(VOTES_MOST),
             _ => *votes -= 1,
         }
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
         let deadline = now + request.time_left.min(request.limits().timeout);
-        let wanted_by = (now + class.aim.less(spent)).min(deadline);
+        let wanted = if request.coming { request.time_left } else { class.aim.less(spent) };
+        let wanted_by = (now + wanted).min(deadline);
         self.count(now, &request);
         let over_share = self.over_share(&request);
-        let (attempts, held_since) = (Vec::new(), None);
-        let live = Live { request, deadline, wanted_by, attempts, bound: false, over_share, held_since };
+        let (attempts, held_since, bound, spent) = (Vec::new(), None, false, false);
+        let live = Live { request, deadline, wanted_by, attempts, bound, spent, over_share, held_since };
         let hopeless = self.hopeless(now, &live);
         self.earn(live.request.limits());
         self.live.insert(id, live);
@@ -231,6 +237,18 @@
         }
     }
 
+    /// A request that was passed on as it came is whole: only now does its server have it, and its time run.
+    fn whole(&mut self, now: Time, id: RequestId, time_left: Span) {
+        let Some(live) = self.live.get_mut(&id).filter(|live| live.request.coming) else { return };
+        live.request.coming = false;
+        live.deadline = now + time_left.min(live.request.limits().timeout);
+        live.wanted_by = (now + self.settings.classes[live.request.class.0].aim).min(live.deadline);
+        for (_, flight) in self.flights.range_mut((id, 0)..=(id, u32::MAX)).filter(|(_, f)| f.coming) {
+            (flight.coming, flight.sent) = (false, now);
+            self.servers[flight.server].in_flight += 1;
+        }
+    }
+
     /// A request earns its part of a further attempt. Many balancers that each save up a burst would all
     /// spend it in the same jam.
     fn earn(&mut self, limits: &Limits) {
@@ -345,7 +363,8 @@
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let limits = live.request.limits();
         let full = live.attempts.len() >= self.settings.max_attempts.min(limits.attempts) as usize;
-        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let shut =
+            full || live.bound || live.spent || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
@@ -611,7 +630,8 @@
         let limits = live.request.limits.clone();
         let (zone, cell) = (s.listed.zone, s.listed.cell);
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
-        s.in_flight += 1;
+        let coming = live.request.coming;
+        s.in_flight += u32::from(!coming);
         s.sent_since += 1;
         let share = pick.work / self.warm.max(1) as f64;
         let (sent, work) = if cold { (&mut s.cold_sent, pick.work) } else { (&mut self.warm_sent, share) };
@@ -619,7 +639,7 @@
         let trial = s.suspicion.is_some();
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let again = attempt > 0;
-        let flight = Flight { server, class, sent: now, trial, again, counted: false, limits };
+        let flight = Flight { server, class, sent: now, trial, again, counted: false, coming, limits };
         self.flights.insert((id, attempt), flight);
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at, write_by });
     }
@@ -675,7 +695,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(flight) = self.flights.remove(&key) else { return };
-        self.servers[flight.server].in_flight -= 1;
+        self.servers[flight.server].in_flight -= u32::from(!flight.coming);
         for bound in flight.limits.iter().flat_map(|limits| &limits.bounds) {
             self.occupied[bound.id as usize] -= 1;
         }
@@ -996,13 +1016,14 @@
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
             let wait = aim * ((OVERDUE * pace).max(least));
-            let quiet = server.last_answer < flight.sent;
+            let quiet = server.last_answer < flight.sent && !flight.coming;
             (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
         };
         let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
         // An answer that is late is known to be late before it comes; waiting for it lets a jam grow.
         let (classes, blind) = (&self.settings.classes, self.blind);
-        let late = |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim;
+        let late =
+            |f: &&mut Flight| blind && !f.counted && !f.coming && now.since(f.sent) > classes[f.class].aim;
         let late = self.flights.values_mut().filter(late).map(|f| f.counted = true).count();
         (0..late).for_each(|_| self.set_level(LATE));
         for &((id, attempt), server) in &silent {
--- a/src/records.rs
+++ b/src/records.rs
@@ -87,6 +87,8 @@
     pub(crate) wanted_by: Time,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) bound: bool,
+    /// A part of it is gone; nothing more can be sent of it.
+    pub(crate) spent: bool,
     /// Its tenant had its share already; worth little if that is so.
     pub(crate) over_share: bool,
     /// It is held back, since then.
@@ -103,6 +105,8 @@
     pub(crate) again: bool,
     /// It has already counted as late.
     pub(crate) counted: bool,
+    /// Its request is still coming: the server has nothing to do yet, and owes nothing.
+    pub(crate) coming: bool,
     /// The route's word on its request, for what it occupies.
     pub(crate) limits: Option<Arc<Limits>>,
 }
@@ -320,6 +324,8 @@
         }
         let mut held: BTreeSet<usize> = self.asking.iter().flat_map(|a| a.candidates.clone()).collect();
         held.extend(self.live.values().flat_map(|l| l.attempts.iter().map(|a| a.server)));
+        // One whose request was still coming is not in flight yet, and may outlive it.
+        held.extend(self.flights.values().map(|f| f.server));
         for (id, i) in gone.into_iter().filter(|(_, i)| !held.contains(i)) {
             self.index.remove(&id);
             self.free.push(i);
