New settings at SIGHUP are taken whole while requests are open, or not at all

Now a class's place in the decisions' table is kept while anything refers to it, so an open request keeps its rules; a changed class gets a new place that begins with the old one's experience. While clients change their habits, a request's own form tells which rules it was made for, and where it tells nothing the narrower of both bind. A file must have every key that the present one has.

Ruled out: a second balancer for the new settings (it would not know what the first has in flight).

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 use crate::log::say;
 use crate::telemetry;
 use bellcroft_operations::console::{answer, Call, ClassFigures, Figures};
+use bellcroft_operations::retune;
 use bellcroft_operations::service::Duty;
 use bellcroft_operations::succession::{News, Succession};
 use bellcroft_telemetry::{families, Owner, Remote};
@@ -185,7 +186,7 @@
                 generation: self.generation.get(),
                 refused: self.refused.borrow().clone(),
             },
-            requests: self.driver.names.classes.iter().cloned().zip(classes).collect(),
+            requests: classes.into_iter().collect(),
             bad_requests,
             servers,
             connections: self.server.connections(),
@@ -234,9 +235,10 @@
     fn figures(&self) -> Figures {
         let (classes, _) = self.server.tally.counts();
         let servers = self.driver.servers();
-        let named = self.driver.names.classes.iter().cloned().zip(&classes);
         Figures {
-            classes: named
+            in_progress: classes.iter().map(|(_, counts)| counts.open).sum(),
+            classes: classes
+                .into_iter()
                 .map(|(name, counts)| ClassFigures {
                     name,
                     passed: counts.served,
@@ -245,7 +247,6 @@
                 })
                 .collect(),
             upstream_tries: self.driver.tries(),
-            in_progress: classes.iter().map(|counts| counts.open).sum(),
             known_backends: (servers.up + servers.draining) as u64,
             skipped_backends: self.driver.avoided() as u64,
             loads: self.generation.get() - 1,
@@ -323,19 +324,22 @@
     }
 
     fn take_new(&self) -> Result<(), String> {
-        if self.start.sources.operator.is_none() && self.start.sources.config.is_none() {
-            let address = config::discovery(variable)?;
-            self.config.borrow_mut().discovery = address;
-            self.driver.relocate(address);
-            return Ok(());
+        // By the environment alone: there `PROXY_DISCOVERY` is the start's address and does not mask the file's.
+        let platform = self.start.sources.operator.is_none() && self.start.sources.config.is_none();
+        let var = |name: &str| variable(name).filter(|_| !platform || name != "PROXY_DISCOVERY");
+        let mut newer = Config::load(&self.start.sources, var).map_err(|wrong| wrong.join("; "))?;
+        let lacks = retune::missing(&self.config.borrow().raw, &newer.raw);
+        if !lacks.is_empty() {
+            return Err(format!("it lacks {}, which the present one has", lacks.join(", ")));
         }
-        let mut newer = Config::load(&self.start.sources, variable).map_err(|wrong| wrong.join("; "))?;
         newer.daemon.state = self.start.state.clone().or(newer.daemon.state);
         let fixed = self.config.borrow().needs_restart(&newer);
         if !fixed.is_empty() {
             return Err(format!("{} differs, which only a restart can take", fixed.join(", ")));
         }
         let discovery = newer.discovery;
+        self.driver.retune(&newer).map_err(|e| e.to_string())?;
+        self.server.tally.know(&newer.names.classes);
         self.driver.set_routes(&newer);
         if let Some(telemetry) = &self.driver.telemetry {
             telemetry::budgets(telemetry, &newer);
@@ -344,7 +348,7 @@
             remote.change(config);
         }
         let moved = self.config.replace(newer).discovery != discovery;
-        if moved {
+        if moved || platform {
             self.driver.relocate(discovery);
         }
         Ok(())
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -9,6 +9,7 @@
 use crate::passing::{Load, Upload};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
 use crate::upstream::{AttemptLimits, Content, Ended, Progress, Upstream};
+use bellcroft_operations::retune::{merge, Attempts, Book, Form, Unfit};
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
 use bellcroft_telemetry::{Instance, Line};
 use bytes::Bytes;
@@ -159,6 +160,7 @@
     discovery: Discovery,
     routes: Rc<Table>,
     ids: Ids,
+    attempts_most: Attempts,
     /// The answer times of each class.
     recent: Vec<Recent>,
 }
@@ -167,10 +169,10 @@
 pub struct Driver {
     /// The balancer's clock.
     pub clock: Clock,
-    /// The names of the settings.
-    pub names: Names,
-    /// What each class would do twice, by its number.
-    pub effects: Vec<Effect>,
+    /// The names of the settings; places keep theirs.
+    names: RefCell<Rc<Names>>,
+    /// The classes by their places.
+    book: RefCell<Book>,
     upstream: Rc<Upstream>,
     /// What is counted, if anybody wants it.
     pub telemetry: Option<Rc<Instance>>,
@@ -189,7 +191,7 @@
         let mut ids = Ids::default();
         let routes = Rc::new(Table::unchecked(&config.routes, &mut ids));
         let recent = config.names.classes.iter().map(|_| Recent::default()).collect();
-        let effects = config.settings.classes.iter().map(|c| c.effect).collect();
+        let book = Book::new(&config.names.classes, &config.settings.classes);
         let upstream = Rc::new(Upstream::new(
             connections,
             Duration::from_micros(config.names.connect_timeout.0),
@@ -216,12 +218,13 @@
             discovery: Discovery::new(config.discovery),
             routes,
             ids,
+            attempts_most: Attempts::default(),
             recent,
         };
         let driver = Rc::new(Driver {
             clock,
-            names: config.names,
-            effects,
+            names: RefCell::new(Rc::new(config.names)),
+            book: RefCell::new(book),
             upstream,
             telemetry,
             state: RefCell::new(state),
@@ -247,8 +250,70 @@
     /// The first route that matches a request.
     pub fn route(&self, class: ClassId, tenant: Option<TenantId>, path: &str) -> Option<Arc<Route>> {
         let routes = self.state.borrow().routes.clone();
-        let tenant = tenant.and_then(|t| self.names.tenants.get(t.0)).map(String::as_str);
-        routes.lookup(&self.names.classes[class.0], tenant, path).cloned()
+        let names = self.names();
+        let tenant = tenant.and_then(|t| names.tenants.get(t.0)).map(String::as_str);
+        routes.lookup(self.book.borrow().name(class.0), tenant, path).cloned()
+    }
+
+    /// The names of the settings.
+    pub fn names(&self) -> Rc<Names> {
+        self.names.borrow().clone()
+    }
+
+    /// The class whose rules a request goes by that names this one and has this form.
+    ///
+    /// # Errors
+    ///
+    /// There is none.
+    pub fn class(&self, name: &str, form: Form) -> Result<ClassId, Unfit> {
+        self.book.borrow().find(self.clock.now(), name, form).map(ClassId)
+    }
+
+    /// The name of a class.
+    pub fn class_name(&self, class: ClassId) -> String {
+        self.book.borrow().name(class.0).to_owned()
+    }
+
+    /// Goes by a newer file's settings from now on; what is open keeps its class.
+    ///
+    /// # Errors
+    ///
+    /// The decisions cannot work with them; nothing has changed then.
+    pub fn retune(&self, newer: &Config) -> Result<(), SettingsError> {
+        newer.settings.check()?;
+        let mut state = self.state.borrow_mut();
+        let (old, now) = (self.names(), self.clock.now());
+        let former = state.balancer.settings().clone();
+        let mut settings = newer.settings.clone();
+        let (tenants, places) = merge(&old.tenants, &newer.names.tenants);
+        let mut shares = former.tenants.clone();
+        shares.resize(tenants.len(), Tenant::default());
+        for (place, tenant) in places.iter().zip(&newer.settings.tenants) {
+            shares[*place] = tenant.clone();
+        }
+        settings.tenants = shares;
+        let (zones, places) = merge(&old.zones, &newer.names.zones);
+        if let Some(place) = places.get(settings.zone.0 as usize) {
+            settings.zone = ZoneId(*place as u32);
+        }
+        let (kinds, _) = merge(&old.kinds, &newer.names.kinds);
+        let mut book = self.book.borrow_mut();
+        let free = |place: usize| !state.balancer.refers_to(ClassId(place));
+        let changed = book.retune(now, &newer.names.classes, &newer.settings.classes, free);
+        settings.classes = book.classes();
+        if settings.max_attempts != former.max_attempts {
+            state.attempts_most.changed(former.max_attempts, now);
+        }
+        state.balancer.retune(settings, &changed)?;
+        state.recent.resize_with(book.len(), Recent::default);
+        changed.iter().for_each(|(place, _)| state.recent[*place] = Recent::default());
+        self.upstream.retune(
+            Duration::from_micros(newer.names.connect_timeout.0),
+            Duration::from_micros(newer.names.keepalive.0),
+            newer.names.report_fields.clone(),
+        );
+        *self.names.borrow_mut() = Rc::new(Names { tenants, zones, kinds, ..newer.names.clone() });
+        Ok(())
     }
 
     /// Requests that come from now on go by these routes; those that are open keep what they began with. They have
@@ -310,13 +375,18 @@
             let id = RequestId(state.next_request);
             state.next_request += 1;
             let time_left = self.clock.at(arrival.deadline).since(self.clock.now());
+            let mut limits = arrival.route.as_ref().map(|route| route.limits.clone());
+            if let Some(most) = state.attempts_most.most(self.clock.now()) {
+                let fewer = limits.as_deref().unwrap_or(&Limits::STANDARD).clone();
+                limits = Some(Arc::new(Limits { attempts: fewer.attempts.min(most), ..fewer }));
+            }
             let request = micasail::Request {
                 tenant: arrival.tenant,
                 key: arrival.key,
                 cost_hint: arrival.cost_hint,
                 repeat: arrival.repeat,
                 coming: arrival.body.upload().is_some(),
-                limits: arrival.route.as_ref().map(|route| route.limits.clone()),
+                limits,
                 // What is coming can go one way at a time.
                 second_copy_after: arrival
                     .route
@@ -580,6 +650,7 @@
             }
         }
         let mut lines = Vec::with_capacity(list.hosts.len());
+        let names = self.names();
         if list.whole {
             state.up.clear();
         }
@@ -598,8 +669,8 @@
             }
             lines.push(Listed {
                 server,
-                zone: ZoneId(place(&self.names.zones, &host.site)),
-                kind: KindId(place(&self.names.kinds, &host.kind)),
+                zone: ZoneId(place(&names.zones, &host.site)),
+                kind: KindId(place(&names.kinds, &host.kind)),
                 cell: CellId(host.block),
                 status,
                 weight: host.share,
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -10,6 +10,7 @@
 use crate::passing::{Kept, Upload};
 use crate::upstream::{forwarded, join, Content};
 use bellcroft_operations::passage::{self, Store, Way, BODY_MOST};
+use bellcroft_operations::retune::{Form, Unfit};
 use bellcroft_operations::service::{Duty, Service};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -18,7 +19,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
+use micasail::{Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -97,7 +98,7 @@
     /// Serves at most `connections` at a time.
     pub fn new(driver: Rc<Driver>, connections: usize, memory: usize) -> Rc<Self> {
         Rc::new(Server {
-            tally: Tally::new(driver.names.classes.len()),
+            tally: Tally::new(&driver.names().classes),
             driver,
             service: Cell::default(),
             changed: watch::Sender::new(()),
@@ -316,7 +317,7 @@
         if upload.is_none() {
             line.whole();
         }
-        let counted = self.tally.taken(arrival.class.0);
+        let counted = self.tally.taken(&self.driver.class_name(arrival.class));
         let (id, mut answer, owing) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
@@ -366,11 +367,19 @@
     async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Reply>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
-        let names = &self.driver.names;
+        let names = self.driver.names();
         let path = head.uri.path();
         let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = names.classes.iter().position(|name| name == first);
-        let class = class.ok_or_else(|| plain(StatusCode::NOT_FOUND, "no such class of request"))?;
+        let keyed = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
+        let form = match (head.method == Method::POST, keyed) {
+            (true, true) => Form::Keyed,
+            (true, false) => Form::Bare,
+            (false, _) => Form::Read,
+        };
+        let found = self.driver.class(first, form);
+        if found == Err(Unfit::Unknown) {
+            return Err(plain(StatusCode::NOT_FOUND, "no such class of request"));
+        }
         if text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
         }
@@ -385,21 +394,21 @@
         if tenant.is_none() && !names.tenants.is_empty() {
             return Err(bad("X-Tenant-Id names no tenant"));
         }
-        let route = self.driver.route(ClassId(class), tenant, path);
         let wait = text(&head.headers, "x-timeout").and_then(wait_of);
         let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
-        let effect = self.driver.effects[class];
-        let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
-        if head.method != method {
+        let other_method = |allow: &'static str| {
             let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
-            let allow = if method == Method::GET { "GET" } else { "POST" };
             answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
-            return Err(answer);
-        }
-        let keyed = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
-        if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
-            return Err(bad("this class needs an Idempotency-Key"));
-        }
+            answer
+        };
+        let class = match found {
+            Ok(_) if form == Form::Read && head.method != Method::GET => return Err(other_method("GET")),
+            Ok(class) => class,
+            Err(Unfit::Form(Effect::Idempotent)) => return Err(other_method("GET")),
+            Err(_) if head.method != Method::POST => return Err(other_method("POST")),
+            Err(_) => return Err(bad("this class needs an Idempotency-Key")),
+        };
+        let route = self.driver.route(class, tenant, path);
         let body = self.begin(body).await?;
         let room = ANSWER_ROOM.min(wait / 4);
         let whole = Instant::now();
@@ -407,7 +416,7 @@
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
         let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
         Ok(Arrival {
-            class: ClassId(class),
+            class,
             tenant,
             key: key.map(|key| KeyId(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -348,9 +348,9 @@
     most: Cell<usize>,
     /// Attempts that were written whole.
     tries: Rc<Cell<u64>>,
-    connect_timeout: Duration,
-    idle_most: Duration,
-    fields: Vec<String>,
+    connect_timeout: Cell<Duration>,
+    idle_most: Cell<Duration>,
+    fields: RefCell<Vec<String>>,
 }
 
 impl Upstream {
@@ -363,12 +363,19 @@
             held: Rc::default(),
             most: Cell::new(most),
             tries: Rc::default(),
-            connect_timeout,
-            idle_most: keepalive.mul_f64(IDLE_SHARE),
-            fields,
+            connect_timeout: Cell::new(connect_timeout),
+            idle_most: Cell::new(keepalive.mul_f64(IDLE_SHARE)),
+            fields: RefCell::new(fields),
         }
     }
 
+    /// Goes by other settings from now on.
+    pub fn retune(&self, connect_timeout: Duration, keepalive: Duration, fields: Vec<String>) {
+        self.connect_timeout.set(connect_timeout);
+        self.idle_most.set(keepalive.mul_f64(IDLE_SHARE));
+        *self.fields.borrow_mut() = fields;
+    }
+
     /// Takes in a line of the list. A new address or a new process means new connections; one that drains keeps
     /// none that are idle, and one that has left is forgotten. What is out goes on.
     pub fn describe(&self, server: ServerId, host: &Host) {
@@ -455,7 +462,7 @@
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self) {
         for remote in self.remotes.borrow_mut().values_mut() {
-            remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed());
+            remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most.get() && !c.sender.is_closed());
         }
     }
 
@@ -466,7 +473,7 @@
             let mut remotes = self.remotes.borrow_mut();
             let remote = remotes.get_mut(&server).ok_or(Outcome::NotSent)?;
             while let Some(connection) = remote.idle.pop() {
-                if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
+                if connection.idle_since.elapsed() < self.idle_most.get() && connection.sender.is_ready() {
                     return Ok(connection);
                 }
             }
@@ -478,7 +485,7 @@
         let (tell, told) = oneshot::channel();
         let upstream = self.clone();
         tokio::task::spawn_local(async move {
-            let opened = timeout(upstream.connect_timeout, open(dial, upstream.tries.clone())).await;
+            let opened = timeout(upstream.connect_timeout.get(), open(dial, upstream.tries.clone())).await;
             let opened = opened.ok().and_then(Result::ok).map(|(sender, task, wire)| Connection {
                 sender,
                 task,
@@ -589,7 +596,7 @@
 
     /// Asks a backend for its health, and for its load where it tells that.
     pub async fn probe(self: &Rc<Self>, server: ServerId) -> Ended {
-        let path = if self.fields.is_empty() { "/health" } else { "/status/load" };
+        let path = if self.fields.borrow().is_empty() { "/health" } else { "/status/load" };
         let request = Request::get(path).header("host", "backend").body(Load::Whole(Bytes::new()));
         let exchange = async {
             let (connection, request) = match (self.connection(server).await, request) {
@@ -604,7 +611,7 @@
             let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, Content::Whole(body)))) = (&ended.report, &ended.answer) {
                 ended.report =
-                    std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields));
+                    std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields.borrow()));
             }
             ended
         };
@@ -687,7 +694,7 @@
             _ => Outcome::ServerError,
         };
         let report = response.headers().get("x-server-load").and_then(|v| v.to_str().ok());
-        (outcome, report.and_then(|text| parse_report(text, &self.fields)))
+        (outcome, report.and_then(|text| parse_report(text, &self.fields.borrow())))
     }
 }
 
--- a/crates/agent/tests/operations.rs
+++ b/crates/agent/tests/operations.rs
@@ -278,3 +278,111 @@
     next.term().await;
     assert!(next.end().await.success());
 }
+
+/// A file that brings a class, drops one and changes what another does: who still asks the old way is served by the old
+/// rules, who asks the new way by the new ones, and what is open keeps what it came with.
+#[tokio::test]
+async fn new_settings_are_taken_while_requests_are_open() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |m| match m.target() {
+        "/pay/open" => Reply::When(gate.clone(), ok("x")),
+        "/save/broken" => Reply::Last(Vec::new()),
+        _ => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = operated(&directory, &[host("s", backend.address, "up")]);
+    let agent = Agent::with(config.clone(), |_| {}).await;
+    agent.ready().await;
+    let mut open = agent.client().await;
+    open.send(&request("POST", "/pay/open", "20000m", "b")).await;
+    backend.next().await;
+    assert_eq!(agent.get("/list").await.status(), 404);
+    // `pay` goes, `list` comes, and `save` may be repeated by nobody any more.
+    let mut list = config["settings"]["classes"][0].clone();
+    list["name"] = json!("list");
+    config["settings"]["classes"][2] = list;
+    config["settings"]["classes"][1]["effect"] = json!("at_most_once");
+    config["settings"]["limits"]["maxAttempts"] = json!(2);
+    agent.replace(&config.to_string());
+    agent.hang_up().await;
+    soon("the file is taken", async {
+        while agent.figure("svc.loads").await != 1 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert_eq!(agent.get("/list").await.status(), 200);
+    assert_eq!(backend.next().await.target(), "/list");
+    let old_way = agent.client().await.ask(&request("POST", "/pay", "2000m", "b")).await;
+    assert_eq!(old_way.status(), 200, "clients have not heard yet");
+    backend.next().await;
+    // One attempt each that may have run; with its key the first may be repeated, the second may not.
+    for (text, sends) in [
+        (request("POST", "/save/broken", "2000m", "b"), 2),
+        (request("POST", "/save/broken", "2000m", "b").replace("Idempotency-Key: k1\r\n", ""), 1),
+    ] {
+        assert_ne!(agent.client().await.ask(&text).await.status(), 200);
+        for _ in 0..sends {
+            assert_eq!(backend.next().await.target(), "/save/broken");
+        }
+        assert!(backend.seen.try_recv().is_err(), "more than the rules allow");
+    }
+    word.notify_one();
+    assert_eq!(open.answer().await.status(), 200);
+    assert_eq!(agent.figure("svc.handled.pay.passed").await, 2, "what is dropped keeps its counts");
+    assert_eq!(agent.figure("svc.handled.list.passed").await, 1);
+}
+
+/// A file that is empty, cut short, lacks a key or has no number above zero is turned down whole.
+#[tokio::test]
+async fn a_bad_file_is_turned_down_whole() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let config = operated(&directory, &[host("s", backend.address, "up")]);
+    let agent = Agent::with(config.clone(), |_| {}).await;
+    agent.ready().await;
+    let good = config.to_string();
+    let mut bad = vec![String::new(), good[..good.len() / 2].to_owned(), "[]".to_owned(), "null".to_owned()];
+    let mut change = |path: &[&str], value: Option<Value>| {
+        // A class that would show if any part of the file were taken.
+        let mut config = config.clone();
+        config["settings"]["classes"][2]["name"] = json!("new");
+        let (last, front) = path.split_last().expect("a path");
+        let at = front.iter().fold(&mut config, |at, key| match key.parse::<usize>() {
+            Ok(place) => &mut at[place],
+            Err(_) => &mut at[*key],
+        });
+        match value {
+            Some(value) => at[*last] = value,
+            None => drop(at.as_object_mut().expect("an object").remove(*last)),
+        }
+        bad.push(config.to_string());
+    };
+    for key in ["settings", "limits", "seed"] {
+        change(&[key], None);
+    }
+    change(&["settings", "classes"], None);
+    change(&["settings", "limits", "maxAttempts"], None);
+    change(&["settings", "classes", "1", "effect"], None);
+    change(&["settings", "classes", "1", "aimMs"], None);
+    change(&["settings", "classes"], Some(json!([])));
+    for value in [json!(0), json!(-1), json!("many"), json!(null), json!(true), json!([2])] {
+        change(&["settings", "classes", "0", "deadlineMs"], Some(value.clone()));
+        change(&["settings", "limits", "maxAttempts"], Some(value));
+    }
+    for (n, text) in bad.iter().enumerate() {
+        agent.replace(text);
+        agent.hang_up().await;
+        soon("it is turned down", async {
+            while agent.figure("svc.load_errors").await != n as u64 + 1 {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        assert_eq!(agent.figure("svc.loads").await, 0, "{text}");
+        assert_eq!(agent.get("/new").await.status(), 404, "a part of it was taken: {text}");
+    }
+    assert_eq!(agent.get("/read").await.status(), 200);
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -280,6 +280,61 @@
         }
     }
 
+    /// What it goes by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Whether a request or an attempt of a class is not over.
+    pub fn refers_to(&self, class: ClassId) -> bool {
+        self.live.values().any(|live| live.request.class == class)
+            || self.flights.values().any(|flight| flight.class == class.0)
+    }
+
+    /// Goes by new settings from now on. Places of classes and tenants are never lost: what is open keeps the class that it
+    /// came with, and the number of attempts that it was promised. Each of `changed` is a place whose class is another
+    /// one now, with the place of the class whose experience it begins with.
+    ///
+    /// # Errors
+    ///
+    /// Settings that no balancer can work with; nothing has changed then.
+    pub fn retune(
+        &mut self,
+        settings: Settings,
+        changed: &[(usize, Option<usize>)],
+    ) -> Result<(), SettingsError> {
+        settings.check()?;
+        let most = self.settings.max_attempts;
+        for live in self.live.values_mut().filter(|_| settings.max_attempts > most) {
+            let mut limits = live.request.limits().clone();
+            limits.attempts = limits.attempts.min(most);
+            live.request.limits = Some(Arc::new(limits));
+        }
+        let blank = Balancer::blank(settings, 0);
+        let classes = blank.settings.classes.len();
+        self.class_pace.resize(classes, blank.class_pace[0]);
+        self.class_now.resize(classes, blank.class_now[0]);
+        self.usual_wait.resize(classes, (Span::ZERO, 0));
+        self.asked.resize(classes, 0.0);
+        self.spared.resize(classes, false);
+        self.tenant_asked.resize(blank.settings.tenants.len(), 0.0);
+        for &(place, from) in changed {
+            let aim = |settings: &Settings, place: usize| settings.classes[place].aim.ms();
+            // A pace is a share of the aim, and the work is the same.
+            let like = from.filter(|from| *from < self.settings.classes.len());
+            let pace = like.map_or((blank.class_pace[0], blank.class_now[0]), |from| {
+                let scale = aim(&self.settings, from) / aim(&blank.settings, place);
+                (self.class_pace[from] * scale, self.class_now[from] * scale)
+            });
+            (self.class_pace[place], self.class_now[place]) = pace;
+            self.usual_wait[place] = (Span::ZERO, 0);
+            self.asked[place] = 0.0;
+        }
+        self.settings = blank.settings;
+        self.blind = self.settings.balancers as usize > self.most;
+        Ok(())
+    }
+
     /// Listed servers that get no request at present, or less than their share: those that drain, and those that are
     /// taken to be slow, failing, silent or cut off.
     pub fn avoided(&self, now: Time) -> usize {
