--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod call;
 mod check;
 mod fleet;
 mod status;
@@ -14,7 +15,7 @@
 
 const CODES: &str = "Exit codes:
   0  it went well
-  1  what was asked for did not come about (a roll that stopped, a reload that was refused)
+  1  what was asked for did not come about (a roll that stopped, a reload that was refused, a call that said no)
   2  a file, an option or the environment is wrong
   3  already running: another process holds the state directory
   4  not running: no process does";
@@ -66,6 +67,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask an instance over its second address, or take it out of service and back.
+    Call {
+        /// What to ask.
+        #[arg(value_enum)]
+        word: call::Word,
+        /// The instance's second address.
+        #[arg(long, value_name = "ADDRESS", required_unless_present = "operator", env = "PROXY_CONSOLE")]
+        console: Option<std::net::SocketAddr>,
+        /// The operator's file that names it.
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// For programs: the answer as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Run many instances, or command those that run.
     #[command(subcommand)]
     Fleet(fleet::Command),
@@ -106,6 +122,7 @@
         Some(Command::Run { files, state }) => daemon::run(Start { sources: files.into(), state }),
         Some(Command::Check { files, explain }) => check::run(&files.into(), explain),
         Some(Command::Status { state, operator, json }) => status::run(state, operator, json),
+        Some(Command::Call { word, console, operator, json }) => call::run(word, console, operator, json),
         Some(Command::Fleet(command)) => fleet::run(command),
     }
 }
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -474,7 +474,8 @@
         }
         None => None,
     };
-    let console = match instance.config.borrow().console {
+    let console = instance.config.borrow().console;
+    let console = match console {
         Some(address) => {
             let told = instance.clone();
             let console =
--- a/crates/agent/tests/operations.rs
+++ b/crates/agent/tests/operations.rs
@@ -386,3 +386,39 @@
     }
     assert_eq!(agent.get("/read").await.status(), 200);
 }
+
+/// The staff's own command: words for people, JSON for programs, and an exit code for each way that it can go.
+#[tokio::test]
+async fn the_command_line_calls_an_instance() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::with(operated(&directory, &[host("s", backend.address, "up")]), |_| {}).await;
+    agent.ready().await;
+    assert_eq!(agent.get("/read").await.status(), 200);
+    let console = agent.console().to_string();
+    let call = |args: &[&str]| {
+        let mut command = tokio::process::Command::from(program());
+        command.arg("call").args(args).env_remove("PROXY_CONSOLE");
+        async move {
+            let output = soon("the command's end", command.output()).await.expect("it runs");
+            let text = String::from_utf8(output.stdout).expect("text");
+            (output.status.code(), text, String::from_utf8(output.stderr).expect("text"))
+        }
+    };
+    assert_eq!(call(&["ready", "--console", &console]).await, (Some(0), "yes\n".into(), String::new()));
+    let (code, text, _) = call(&["show-stat", "--console", &console, "--json"]).await;
+    let value: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &value["figures"]["svc.handled.read.passed"]), (Some(0), &json!(1)));
+    assert_eq!(call(&["drain", "--console", &console]).await.0, Some(0));
+    let (code, text, _) = call(&["ready", "--console", &console]).await;
+    assert_eq!((code, text.as_str()), (Some(1), "no\n"));
+    let folder = Folder::new();
+    let file = folder.write("agent.toml", &format!("[instance]\nconsole = \"{console}\"\n"));
+    let file = file.to_str().expect("text");
+    assert_eq!(call(&["resume", "--operator", file]).await, (Some(0), "serving\n".into(), String::new()));
+    let silent = folder.write("silent.toml", "[instance]\n");
+    let (code, _, why) = call(&["ready", "--operator", silent.to_str().expect("text")]).await;
+    assert!(code == Some(2) && why.contains("instance.console"), "{why}");
+    let (code, _, why) = call(&["ready", "--console", &nobody().await.to_string()]).await;
+    assert!(code == Some(4) && why.contains("nobody answers"), "{why}");
+}
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Ask(usize),
+    Again(u64),
     Leave(u64),
     Timer(usize, u64),
     Connected(u64, u32),
@@ -60,16 +61,45 @@
     instance: usize,
     class: usize,
     key: u64,
+    /// When its client first came for it.
     at: Time,
+    /// Its tenant.
+    tenant: Option<usize>,
+    /// How often its client has tried.
+    tries: u32,
+    /// When its client leaves.
+    leaves: Time,
     counted: bool,
     answered: bool,
     attempts: Vec<Attempt>,
 }
 
+/// A want whose client has been turned away and will try again.
+#[derive(Debug, Clone, Copy)]
+struct Want {
+    instance: usize,
+    class: usize,
+    at: Time,
+    tenant: Option<usize>,
+    tries: u32,
+    leaves: Time,
+    counted: bool,
+}
+
+/// A final answer.
+#[derive(Debug, Clone, Copy)]
+enum Final {
+    Served,
+    /// With the time to come back after, if it names one.
+    Refused(Option<Span>),
+    Failed,
+}
+
 struct Instance {
     core: Box<dyn Core>,
     zone: usize,
     clients: Clients,
+    habits: ChaCha8Rng,
     random: ChaCha8Rng,
     /// Idle connections to each server, and when the latest was used.
     idle: Vec<(u16, Time)>,
@@ -90,6 +120,8 @@
     cut: Vec<bool>,
     flood: Vec<f64>,
     asked: HashMap<u64, Asked>,
+    /// By key: those that will be tried again.
+    wants: HashMap<u64, Want>,
     next_request: u64,
     /// When the effect of a key first came, and in which zone, for servers to drop repeats.
     first_runs: HashMap<u64, (Time, u32)>,
@@ -136,6 +168,8 @@
         tenants: tenants.collect(),
         max_attempts: scenario.attempts,
         probes: true,
+        // Who can be told to come back later is told.
+        retry_after: scenario.habits.retries > 0,
         report_source: if reports { ReportSource::Answers } else { ReportSource::None },
         report_fields: if reports { vec![ReportField::InFlight] } else { Vec::new() },
         ..Settings::default()
@@ -190,6 +224,7 @@
             core: core(&Settings { zone: ZoneId(zone as u32), ..settings.clone() }, number)?,
             zone,
             clients: Clients::new(scenario, seed, number),
+            habits: stream(seed, Actor::Habits(number)),
             random: stream(seed, Actor::Network(number)),
             idle: vec![(0, Time::default()); servers.len()],
             queue: VecDeque::new(),
@@ -212,6 +247,7 @@
         cut: vec![false; scenario.zones * scenario.zones],
         flood: vec![1.0; scenario.tenants],
         asked: HashMap::new(),
+        wants: HashMap::new(),
         next_request: 0,
         first_runs: HashMap::new(),
         judge: Judge::new(settings.drain_grace),
@@ -332,8 +368,10 @@
                     self.send(instance, request.0, server.0 as usize, timeout_at, write_by);
                 }
                 Action::Cancel { request, attempt } => self.call_off(request.0, attempt.0, Ended::Cancelled),
-                Action::Refuse { request, .. } => self.answer(request.0, |class| &mut class.refused),
-                Action::Fail { request } => self.answer(request.0, |class| &mut class.failed),
+                Action::Refuse { request, retry_after } => {
+                    self.answer(request.0, Final::Refused(retry_after))
+                }
+                Action::Fail { request } => self.answer(request.0, Final::Failed),
                 Action::SetTimer { at, timer } => {
                     let at = at.max(self.now);
                     self.at(at, Happening::Timer(instance, timer.0));
@@ -517,7 +555,7 @@
         let told = self.scenario.reports == Reports::InFlight && ended != Ended::ConnectionReset;
         let report = held.filter(|_| told).map(|held| vec![f64::from(held)]);
         if ended == Ended::Success {
-            self.answer(id, |class| &mut class.served);
+            self.answer(id, Final::Served);
         }
         self.over(id, number, ended, report);
     }
@@ -555,29 +593,78 @@
     }
 
     /// The final answer of a request; what of it has not been written stays unwritten.
-    fn answer(&mut self, id: u64, of: impl Fn(&mut ClassOutcome) -> &mut u64) {
+    fn answer(&mut self, id: u64, answer: Final) {
         let Some(asked) = self.asked.get_mut(&id) else { return };
         if std::mem::replace(&mut asked.answered, true) {
             return;
         }
         self.judge.answered(self.now, id);
-        let (class, took) = (asked.class, self.now.since(asked.at));
-        if asked.counted {
+        let (class, took, counted) = (asked.class, self.now.since(asked.at), asked.counted);
+        if !self.tries_again(id, answer) && counted {
             let own = &mut self.outcome.classes[class];
-            let before = own.served;
-            *of(own) += 1;
-            if own.served > before {
-                own.in_wanted += u64::from(took <= span(self.scenario.classes[class].aim));
-                self.sums[class] += took.ms() / 1e3;
-                // Never out of bounds: the histogram grows with what it is given.
-                let _ = self.times[class].record(took.0.max(1));
-                let _ = self.all_times.record(took.0.max(1));
+            match answer {
+                Final::Refused(_) => own.refused += 1,
+                Final::Failed => own.failed += 1,
+                Final::Served => {
+                    own.served += 1;
+                    own.in_wanted += u64::from(took <= span(self.scenario.classes[class].aim));
+                    self.sums[class] += took.ms() / 1e3;
+                    // Never out of bounds: the histogram grows with what it is given.
+                    let _ = self.times[class].record(took.0.max(1));
+                    let _ = self.all_times.record(took.0.max(1));
+                }
             }
         }
         self.stop_unwritten(id);
         self.settle(id);
     }
 
+    /// Whether the client comes back with the same want; then it is on its way.
+    fn tries_again(&mut self, id: u64, answer: Final) -> bool {
+        let Some(asked) = self.asked.get(&id) else { return false };
+        let (habits, spec) = (&self.scenario.habits, &self.scenario.classes[asked.class]);
+        if asked.tries > habits.retries {
+            return false;
+        }
+        let harmless = match answer {
+            Final::Served => false,
+            Final::Refused(_) => true,
+            Final::Failed => match spec.effect {
+                Repeat::Idempotent => true,
+                Repeat::Deduplicated => self.now.since(asked.at) <= span(spec.window),
+                // It may have run, and only its own zone's servers would drop it.
+                Repeat::DeduplicatedByZone | Repeat::AtMostOnce => false,
+            },
+        };
+        if !harmless {
+            return false;
+        }
+        let own = &mut self.instances[asked.instance].habits;
+        let pause = habits.pause * 2_f64.powi(asked.tries as i32 - 1) * (1.0 + 0.5 * own.random::<f64>());
+        let heeds = own.random::<f64>() < habits.heed;
+        let told = match answer {
+            Final::Refused(Some(after)) if heeds => after,
+            _ => Span::ZERO,
+        };
+        let at = self.now + Span(span(pause).0.max(told.0));
+        if at >= asked.leaves {
+            return false;
+        }
+        let want = Want {
+            instance: asked.instance,
+            class: asked.class,
+            at: asked.at,
+            tenant: asked.tenant,
+            tries: asked.tries,
+            leaves: asked.leaves,
+            counted: asked.counted,
+        };
+        let key = asked.key;
+        self.wants.insert(key, want);
+        self.at(at, Happening::Again(key));
+        true
+    }
+
     /// What of a request has not been written stays unwritten.
     fn stop_unwritten(&mut self, id: u64) {
         let Some(asked) = self.asked.get(&id) else { return };
@@ -615,6 +702,11 @@
     fn happen(&mut self, what: Happening, troubles: &[(f64, What)]) {
         match what {
             Happening::Ask(instance) => self.ask(instance),
+            Happening::Again(key) => {
+                let Some(want) = self.wants.remove(&key) else { return };
+                self.outcome.classes[want.class].again += u64::from(want.counted);
+                self.come(key, Want { tries: want.tries + 1, ..want });
+            }
             Happening::Leave(id) => {
                 let Some(asked) = self.asked.get_mut(&id) else { return };
                 if std::mem::replace(&mut asked.answered, true) {
@@ -665,21 +757,41 @@
             self.at(at, Happening::Ask(instance));
         }
         let (class, tenant) = self.instances[instance].clients.what();
-        let id = self.next_request;
-        self.next_request += 1;
-        let deadline = span(self.scenario.classes[class].deadline);
         let counted = self.now >= Time::default() + span(self.scenario.warm_up);
         self.outcome.classes[class].asked += u64::from(counted);
+        let (habits, deadline) = (&self.scenario.habits, span(self.scenario.classes[class].deadline));
+        let mut leaves = self.now + deadline;
+        // Without the habit nothing is drawn: a scenario of before plays as it did.
+        if habits.leave > 0.0 {
+            let own = &mut self.instances[instance].habits;
+            let tires = own.random::<f64>() < habits.leave;
+            let stays = span(habits.patience.sample(own));
+            leaves = if tires { leaves.min(self.now + stays) } else { leaves };
+        }
+        let want = Want { instance, class, at: self.now, tenant, tries: 1, leaves, counted };
+        // The want's key is its first request's number, which no other want has.
+        self.come(self.next_request, want);
+    }
+
+    /// A client comes with a want, for the first time or again.
+    fn come(&mut self, key: u64, want: Want) {
+        let Want { instance, class, at, tenant, tries, leaves, counted } = want;
+        let id = self.next_request;
+        self.next_request += 1;
+        let deadline = at + span(self.scenario.classes[class].deadline);
+        let attempts = Vec::new();
         let asked =
-            Asked { instance, class, key: id, at: self.now, counted, answered: false, attempts: Vec::new() };
+            Asked { instance, class, key, at, tenant, tries, leaves, counted, answered: false, attempts };
         self.asked.insert(id, asked);
-        self.judge.asked(id, self.now + deadline);
-        // A client that has heard nothing a moment past its deadline leaves.
-        self.at(self.now + deadline + Span::from_ms(60.0), Happening::Leave(id));
+        self.judge.asked(id, deadline);
+        // One that has heard nothing a moment past its deadline leaves; one that tires says nothing before.
+        let leaves = if leaves < deadline { leaves } else { deadline + Span::from_ms(60.0) };
+        self.at(leaves, Happening::Leave(id));
         let request = Request {
             tenant: tenant.map(TenantId),
-            key: Some(KeyId(id)),
-            ..Request::new(RequestId(id), ClassId(class), deadline)
+            key: Some(KeyId(key)),
+            repeat: tries > 1,
+            ..Request::new(RequestId(id), ClassId(class), deadline.since(self.now))
         };
         self.tell(instance, Event::Request(request));
     }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -24,6 +24,6 @@
 pub use policy::{Core, Pick, Policy};
 pub use random::Dist;
 pub use scenario::{
-    Arrivals, ClassSpec, Effect, Network, ReportFaults, Reports, Scenario, ScenarioError, Servers, Trouble,
-    What,
+    Arrivals, ClassSpec, Effect, Habits, Network, ReportFaults, Reports, Scenario, ScenarioError, Servers,
+    Trouble, What,
 };
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -9,8 +9,10 @@
 pub struct ClassOutcome {
     /// Its name.
     pub name: String,
-    /// Requests, each client's repeats among them.
+    /// What clients came for. Where they try again, all tries are one, and how it ended is how the last one did.
     pub asked: u64,
+    /// Their further tries.
+    pub again: u64,
     /// Answered by a server.
     pub served: u64,
     /// Refused.
--- a/crates/model/src/random.rs
+++ b/crates/model/src/random.rs
@@ -18,6 +18,8 @@
     Policy(usize),
     /// What is wrong with a server's reports.
     Reports(usize),
+    /// What the clients of an instance do when they are turned away, or tire.
+    Habits(usize),
 }
 
 /// An actor's generator: ChaCha with 8 rounds, the run's seed, and the actor as the stream.
@@ -30,6 +32,7 @@
         Actor::Policy(n) => stream(3, n),
         // From the other end: a new kind of actor moves no older one's stream.
         Actor::Reports(n) => u64::MAX - n as u64,
+        Actor::Habits(n) => u64::MAX / 2 - n as u64,
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(stream);
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -27,6 +27,9 @@
     pub network: Network,
     /// When requests come.
     pub arrivals: Arrivals,
+    /// What clients do when they are turned away, or tire.
+    #[serde(default)]
+    pub habits: Habits,
     /// Tenants; their shares follow Zipf's law with this exponent.
     #[serde(default)]
     pub tenants: usize,
@@ -143,6 +146,30 @@
     }
 }
 
+/// What clients do when they are turned away, or tire. A want is what a client came for; each of its tries is a request
+/// of its own with the want's key, and all of them together have the class's deadline.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Habits {
+    /// Further tries of a want. After a refusal always; after a failure only where a repeat is harmless: of an idempotent
+    /// class, or of one whose repeats all servers drop, within its window.
+    pub retries: u32,
+    /// The pause before the first further try; it doubles, and each is up to half as much longer by chance.
+    pub pause: f64,
+    /// The share of clients that heed the time to come back that a refusal names.
+    pub heed: f64,
+    /// The share of wants whose client leaves before its deadline.
+    pub leave: f64,
+    /// How long such a client stays.
+    pub patience: Dist,
+}
+
+impl Default for Habits {
+    fn default() -> Self {
+        Habits { retries: 0, pause: 0.1, heed: 1.0, leave: 0.0, patience: Dist::Exponential { mean: 0.2 } }
+    }
+}
+
 /// When requests come, over all instances together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind", deny_unknown_fields)]
@@ -363,6 +390,11 @@
         if !time(now) || !time(most) || !positive {
             return wrong("rates are finite and not below zero, periods above".into());
         }
+        let habits = &self.habits;
+        habits.patience.check().map_err(|why| ScenarioError(format!("habits.patience: {why}")))?;
+        if !time(habits.pause) || !share(habits.heed) || !share(habits.leave) || habits.retries > 100 {
+            return wrong("habits are at most 100 retries, a pause, and two shares from 0 to 1".into());
+        }
         for trouble in &self.troubles {
             let named = match &trouble.what {
                 What::Slow { servers: named, factor } if *factor > 0.0 && factor.is_finite() => {
--- a/crates/model/tests/deployment.rs
+++ b/crates/model/tests/deployment.rs
@@ -39,6 +39,7 @@
         reports: Reports::InFlight,
         report_faults: ReportFaults::default(),
         list_delay: 0.2,
+        habits: Habits::default(),
         troubles: Vec::new(),
     }
 }
@@ -197,6 +198,8 @@
     Twice,
     DeafToDrains,
     PushTheCold,
+    /// Says of what is out that a repeat is harmless.
+    RefuseWhatIsOut,
 }
 
 impl Core for Cheat {
@@ -219,6 +222,11 @@
         let new: Vec<Action> = out.drain(from..).collect();
         for mut action in new {
             match (&mut action, self.how) {
+                (Action::Send { request, .. }, How::RefuseWhatIsOut) if request.0 % 10 == 0 => {
+                    let refuse = Action::Refuse { request: *request, retry_after: None };
+                    out.push(action);
+                    action = refuse;
+                }
                 (Action::Send { request, .. }, How::Mute) if request.0 % 50 == 0 => continue,
                 (Action::Fail { request } | Action::Refuse { request, .. }, How::Mute)
                     if request.0 % 50 == 0 =>
@@ -268,6 +276,54 @@
     assert_eq!(honest, Breaches::default());
 }
 
+/// Clients that come back, and clients that tire: every want ends once, however often it was tried, and no effect comes
+/// twice by it. What they ask for is what they would ask for without the habit.
+#[test]
+fn clients_that_come_back_or_tire_are_accounted_for() {
+    // Far too few servers, so that many are turned away.
+    let mut scenario = troubled();
+    scenario.servers[0].count = 8;
+    scenario.troubles.retain(|t| !matches!(&t.what, What::Drain { .. }));
+    let plain = play(&scenario, Policy::Module, 11).expect("it plays");
+    scenario.habits =
+        Habits { retries: 4, pause: 0.05, heed: 0.5, leave: 0.2, patience: Dist::Exponential { mean: 0.1 } };
+    for policy in Policy::ALL {
+        let outcome = play(&scenario, policy, 11).expect("it plays");
+        let all = |of: fn(&ClassOutcome) -> u64| outcome.classes.iter().map(of).sum::<u64>();
+        for (class, plain) in outcome.classes.iter().zip(&plain.classes) {
+            let over = class.served + class.refused + class.failed + class.left;
+            assert_eq!(class.asked, over, "{policy:?} {class:?}");
+            assert_eq!(class.asked, plain.asked, "{policy:?}: what they come for is their own");
+        }
+        assert!(all(|c| c.again) > 100, "{policy:?} {}", all(|c| c.again));
+        assert!(all(|c| c.left) * 20 > all(|c| c.asked), "{policy:?}: some tire");
+        assert_eq!((outcome.breaches.effect, outcome.breaches.after), (0, 0), "{policy:?}");
+    }
+    let seeded = |seed| bytes(&scenario, Policy::Module, seed);
+    assert_eq!(seeded(3), seeded(3));
+    assert_ne!(seeded(3), seeded(4));
+}
+
+/// A client believes a refusal. One that is given for what has run brings its effect twice, and the judge sees it.
+#[test]
+fn a_refusal_that_is_not_true_doubles_effects() {
+    let mut scenario = deployment();
+    scenario.classes = vec![class("pay", bellcroft_model::Effect::AtMostOnce, 0.0)];
+    scenario.habits = Habits { retries: 3, pause: 0.02, ..Habits::default() };
+    let run = |how: Option<How>| {
+        let core = |settings: &Settings, number: usize| {
+            let honest = micasail::Balancer::new(settings.clone(), number as u64).expect("good settings");
+            Ok(match how {
+                Some(how) => Box::new(Cheat { honest, how }) as Box<dyn Core>,
+                None => Box::new(honest) as Box<dyn Core>,
+            })
+        };
+        play_with(&scenario, 9, core).expect("it plays").breaches
+    };
+    assert_eq!(run(None).effect, 0);
+    assert!(run(Some(How::RefuseWhatIsOut)).effect > 10);
+}
+
 #[test]
 fn reports_that_are_old_missing_or_wrong_break_no_rule_and_change_the_run() {
     let plain = play(&troubled(), Policy::Module, 6).expect("it plays");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -363,8 +363,11 @@
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let limits = live.request.limits();
         let full = live.attempts.len() >= self.settings.max_attempts.min(limits.attempts) as usize;
-        let shut =
-            full || live.bound || live.spent || now >= live.deadline || (out && !self.settings.second_copies);
+        let shut = full
+            || live.bound
+            || live.spent
+            || now >= live.deadline
+            || (out && (live.request.coming || !self.settings.second_copies));
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,11 @@
     tries: Vec<Try>,
     over: bool,
     bound: bool,
+    /// The attempts that it was promised when it came.
+    most: usize,
+    /// Its body is still coming, so it can go one way at a time; a part of it is gone, so it can go no way.
+    coming: bool,
+    spent: bool,
 }
 
 /// Watches events and actions and notes every breach of a rule, without knowing how decisions are made.
@@ -66,6 +71,9 @@
                     tries: Vec::new(),
                     over: false,
                     bound: false,
+                    most: self.settings.max_attempts as usize,
+                    coming: r.coming,
+                    spent: false,
                 };
                 self.requests.entry(r.id).or_insert(seen);
             }
@@ -77,6 +85,16 @@
                     seen.over |= *closed;
                 }
             }
+            Event::Whole { request, time_left } => {
+                if let Some(seen) = self.requests.get_mut(request) {
+                    (seen.deadline, seen.coming) = (now + *time_left, false);
+                }
+            }
+            Event::Spent { request } => {
+                if let Some(seen) = self.requests.get_mut(request) {
+                    seen.spent = true;
+                }
+            }
             Event::FirstByte { request, .. } => {
                 if let Some(seen) = self.requests.get_mut(request) {
                     seen.bound = true;
@@ -159,7 +177,13 @@
                 if seen.bound {
                     wrong.push("sent though bound to a stream");
                 }
-                if seen.tries.len() >= self.settings.max_attempts as usize {
+                if seen.spent {
+                    wrong.push("sent though a part of it is gone");
+                }
+                if out && seen.coming {
+                    wrong.push("two attempts while it is coming");
+                }
+                if seen.tries.len() >= seen.most {
                     wrong.push("sent beyond the attempts allowed");
                 }
                 if out && !self.settings.second_copies {
--- a/tests/random_walk.rs
+++ b/tests/random_walk.rs
@@ -39,9 +39,10 @@
 /// Plays `steps` random events; all that the balancer did, as text.
 fn walk(pick: u64, steps: u32) -> (Rig, Vec<String>) {
     let mut rng = fastrand::Rng::with_seed(pick);
-    let settings = settings(pick);
-    let classes = settings.classes.clone();
-    let mut rig = Rig::new(settings, pick ^ 0x5eed);
+    let mut settings = settings(pick);
+    let mut classes = settings.classes.clone();
+    let mut rig = Rig::new(settings.clone(), pick ^ 0x5eed);
+    let mut coming: Vec<RequestId> = Vec::new();
     let mut lines = fleet(1 + rng.u32(0..9), 3, 3);
     let mut out: Vec<Out> = Vec::new();
     let mut attempts: BTreeMap<RequestId, u32> = BTreeMap::new();
@@ -56,6 +57,10 @@
                 let mut request = Request::new(RequestId(u64::from(step)), ClassId(class), left);
                 request.key = rng.bool().then(|| KeyId(rng.u64(0..5)));
                 request.cost_hint = rng.bool().then(|| Span::from_ms(rng.f64() * 80.0));
+                if rng.u32(0..6) == 0 && !classes[class].stream {
+                    (request.coming, request.time_left) = (true, Span::from_ms(60_000.0));
+                    coming.push(request.id);
+                }
                 actions.extend_from_slice(rig.tell(Event::Request(request)));
             }
             40..=79 if !out.is_empty() => {
@@ -88,6 +93,29 @@
                 let event = Event::FirstByte { request: o.request, attempt: AttemptNo(o.attempt) };
                 actions.extend_from_slice(rig.tell(event));
             }
+            84 if !coming.is_empty() => {
+                let request = coming.swap_remove(rng.usize(0..coming.len()));
+                let time_left = Span::from_ms(800.0 * rng.f64());
+                for o in out.iter_mut().filter(|o| o.request == request) {
+                    (o.deadline, o.sent) = (rig.now + time_left, rig.now);
+                }
+                actions.extend_from_slice(rig.tell(Event::Whole { request, time_left }));
+            }
+            85 if !coming.is_empty() => {
+                let request = coming[rng.usize(0..coming.len())];
+                actions.extend_from_slice(rig.tell(Event::Spent { request }));
+            }
+            86 if rng.u32(0..4) == 0 => {
+                // New settings: a class more that begins as another one, and another number of attempts.
+                let from = rng.usize(0..classes.len());
+                let deadline = Span::from_ms(200.0 + rng.f64() * 900.0);
+                classes.push(Class { deadline, ..classes[from].clone() });
+                settings.classes = classes.clone();
+                settings.max_attempts = rng.u32(1..5);
+                let changed = [(classes.len() - 1, Some(from))];
+                rig.balancer.retune(settings.clone(), &changed).expect("usable settings");
+                rig.observer.settings = settings.clone();
+            }
             84..=86 => {
                 let request = RequestId(u64::from(rng.u32(0..step + 1)));
                 actions.extend_from_slice(rig.tell(Event::ClientGone { request }));
