--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -123,6 +123,20 @@
         Ok(experiment)
     }
 
+    /// The scenario as the file has it, its sweep left out.
+    ///
+    /// # Errors
+    ///
+    /// It can't be played.
+    pub fn plain(&self) -> Result<Scenario, String> {
+        self.scenario(&BTreeMap::new())
+    }
+
+    /// The seeds.
+    pub fn seeds(&self) -> &[u64] {
+        &self.seeds
+    }
+
     /// The classes of the scenario as the file has it.
     pub fn classes(&self) -> Vec<bellcroft_model::ClassSpec> {
         self.scenario.clone().try_into::<Scenario>().map(|scenario| scenario.classes).unwrap_or_default()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! An [`Experiment`] is a file: a scenario, the policies, the seeds, and keys to sweep. [`run`] plays its cells on all
 //! cores and stores each durably in a [`Folder`]; [`report`] writes one HTML page of them, [`compare`] names what differs
-//! between two folders beyond noise. [`load`] loads a real agent on the schedule of the same classes.
+//! between two folders beyond noise. [`load`] loads a real agent on the schedule of the same classes,
+//! and [`sockets`] plays a scenario with the real program and sets it beside the model.
 
 mod compare;
 mod experiment;
@@ -10,6 +11,7 @@
 pub mod load;
 mod report;
 mod run;
+pub mod sockets;
 mod summary;
 
 pub use compare::{compare, Difference};
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -38,6 +38,8 @@
     pub rate: f64,
     /// For how long.
     pub lasts: Duration,
+    /// Requests that are scheduled before this are sent and not counted.
+    pub warm_up: Duration,
     /// Requests at most.
     pub most: u64,
     /// Connections at most; a request that finds none free waits, and its wait counts.
@@ -71,6 +73,8 @@
     pub in_wanted: u64,
     /// From the scheduled instant to the answer's last byte, or to the end of waiting.
     pub times: Histogram<u64>,
+    /// The same of those served.
+    pub served_times: Histogram<u64>,
 }
 
 /// What came of a load.
@@ -126,6 +130,7 @@
         lost: 0,
         in_wanted: 0,
         times: histogram(),
+        served_times: histogram(),
     });
     let result = Loaded { classes: classes.collect(), took: Duration::ZERO, late: 0, latest: Duration::ZERO };
     let shared = Arc::new(Shared {
@@ -157,7 +162,8 @@
             });
             let scheduled = begin + Duration::from_secs_f64(at);
             sleep_until(scheduled).await;
-            tasks.spawn(one(shared.clone(), number, class.unwrap_or(0), scheduled));
+            let counts = at >= shared.load.warm_up.as_secs_f64();
+            tasks.spawn(one(shared.clone(), number, class.unwrap_or(0), scheduled, counts));
             while tasks.try_join_next().is_some() {}
             if Instant::now() >= next_told {
                 next_told += Duration::from_secs(1);
@@ -172,7 +178,7 @@
 }
 
 /// One request of the schedule.
-async fn one(shared: Arc<Shared>, number: u64, class: usize, scheduled: Instant) {
+async fn one(shared: Arc<Shared>, number: u64, class: usize, scheduled: Instant, counts: bool) {
     let free = shared.places.available_permits() > 0;
     let lag = scheduled.elapsed();
     if free && lag > LATE {
@@ -183,7 +189,9 @@
     let Ok(place) = shared.places.acquire().await else { return };
     let status = ask(&shared, number, class).await;
     drop(place);
-    shared.count(class, status, scheduled.elapsed());
+    if counts {
+        shared.count(class, status, scheduled.elapsed());
+    }
 }
 
 /// One connection of a closed loop.
@@ -212,6 +220,7 @@
         match status {
             Some(200) => {
                 own.served += 1;
+                let _ = own.served_times.record((took.as_micros() as u64).max(1));
                 own.in_wanted += u64::from(took.as_secs_f64() <= self.load.classes[class].aim);
             }
             Some(429 | 503) => own.refused += 1,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use lab::load::{self, Load, Loaded};
-use lab::{compare, report, run, summarise, Experiment, Folder};
+use lab::{compare, report, run, sockets, summarise, Experiment, Folder};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -85,6 +85,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play a small experiment on the model and on loopback sockets with the real program, and set both side by side.
+    ///
+    /// The policy is the module, on both; seeds are the experiment's, its sweep is left out.
+    Sockets {
+        /// Experiments, such as deploy/lab/sockets/calm.toml.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Read experiment files and tell how many cells they have, or what is wrong with them.
     Check {
         /// The files.
@@ -119,6 +130,10 @@
 }
 
 fn main() -> ExitCode {
+    // The agent itself, for cargo builds no other package's program to run this one. Its words are its own.
+    if std::env::args_os().nth(1).is_some_and(|word| word == "agent") {
+        return bellcroft::cli::main(std::env::args_os().skip(1));
+    }
     match command(Args::parse().command) {
         Ok(code) => code,
         Err(Wrong(code, why)) => {
@@ -128,8 +143,48 @@
     }
 }
 
+/// Plays one file on both, a seed after the other, with a line on standard error each second.
+fn both(file: &Path) -> Result<sockets::Beside, Wrong> {
+    let experiment = read(file)?;
+    let scenario = sockets::as_both(&experiment.plain().map_err(bad)?);
+    let wrong = |why: String| bad(format!("{}: {why}", file.display()));
+    sockets::check(&scenario).map_err(wrong)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| not_done(e.to_string()))?;
+    let (mut model, mut real) = (Vec::new(), Vec::new());
+    for seed in experiment.seeds() {
+        let outcome = bellcroft_model::play(&scenario, bellcroft_model::Policy::Module, *seed);
+        model.push(sockets::Figures::of_model(&outcome.map_err(|e| bad(e.to_string()))?));
+        let told = |sent: u64| eprint!("\r{}: seed {seed}, {sent} sent ", experiment.name);
+        real.push(runtime.block_on(sockets::play(&scenario, *seed, told)).map_err(not_done)?);
+        eprintln!();
+    }
+    sockets::beside(&experiment.name, &model, &real).ok_or_else(|| not_done("nothing was played".into()))
+}
+
 fn command(command: Command) -> Result<ExitCode, Wrong> {
     match command {
+        Command::Sockets { files, json } => {
+            let mut all = Vec::new();
+            for file in &files {
+                all.push(both(file)?);
+            }
+            if json {
+                let figure = |(name, model, real): &(&str, lab::Interval, lab::Interval)| {
+                    json!({"figure": name, "model": model.mean, "modelHalf": model.half,
+                           "sockets": real.mean, "socketsHalf": real.half})
+                };
+                let one = |beside: &sockets::Beside| json!({"name": beside.name, "figures": beside.figures.iter().map(figure).collect::<Vec<_>>()});
+                println!("{}", json!(all.iter().map(one).collect::<Vec<_>>()));
+                return Ok(ExitCode::SUCCESS);
+            }
+            println!("| scenario | figure | model | sockets |\n| --- | --- | --- | --- |");
+            for beside in &all {
+                for (name, model, real) in &beside.figures {
+                    println!("| {} | {name} | {model} | {real} |", beside.name);
+                }
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
         Command::Run { file, out, threads, json } => {
             let experiment = read(&file)?;
             let path = out.unwrap_or_else(|| Path::new("found").join(file.file_stem().unwrap_or_default()));
@@ -205,6 +260,7 @@
                 target,
                 rate,
                 lasts: std::time::Duration::from_secs(seconds),
+                warm_up: std::time::Duration::ZERO,
                 most,
                 connections: connections as usize,
                 seed,
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -24,6 +24,7 @@
         target,
         rate: 200.0,
         lasts: Duration::from_secs(4),
+        warm_up: Duration::ZERO,
         most: 10_000,
         connections: 400,
         seed: 3,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -24,7 +24,7 @@
 pub use incidents::{stage, Incident, Staged};
 pub use metrics::*;
 pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
-pub use server::{Plan, Seen, Server};
+pub use server::{Plan, Seen, Server, Work};
 pub use traffic::{fates, p99, wanted_share, Class, Fate, Load, Record, Traffic, CLASSES};
 pub use world::World;
 
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -60,14 +60,14 @@
     file
 }
 
-/// The real program, ready for its arguments. In tests it lies beside them, built by cargo; the rig's own binary plays
-/// it itself, for cargo builds no other package's binary to run one.
+/// The real program, ready for its arguments. In tests it lies beside them, built by cargo; the binaries of rig and lab
+/// play it themselves, for cargo builds no other package's binary to run one.
 pub fn program() -> std::process::Command {
     let own = std::env::current_exe().expect("a path");
     let beside = own.parent().and_then(|dir| dir.parent()).map(|dir| dir.join("bellcroft"));
     match std::env::var_os("BELLCROFT_PROGRAM").map(PathBuf::from) {
         Some(program) => std::process::Command::new(program),
-        None if own.file_stem().is_some_and(|name| name == "rig") => {
+        None if own.file_stem().is_some_and(|name| name == "rig" || name == "lab") => {
             let mut command = std::process::Command::new(own);
             command.arg("agent");
             command
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -11,6 +11,23 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::Instant;
 
+/// How long a request of a class takes on a warm server, draw by draw.
+#[derive(Clone)]
+pub struct Work(Arc<dyn Fn(&str) -> Duration + Send + Sync>);
+
+impl Work {
+    /// Work that is drawn like this.
+    pub fn new(draw: impl Fn(&str) -> Duration + Send + Sync + 'static) -> Self {
+        Work(Arc::new(draw))
+    }
+}
+
+impl std::fmt::Debug for Work {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Work")
+    }
+}
+
 /// What a server can do.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -26,12 +43,14 @@
     pub cold_share: f64,
     /// Seed of the spread of its work.
     pub seed: u64,
+    /// Work by class in place of `service` and its spread.
+    pub work: Option<Work>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         let service = Duration::from_millis(8);
-        Plan { cores: 4, queue: 64, service, cold_for: Duration::ZERO, cold_share: 0.2, seed: 1 }
+        Plan { cores: 4, queue: 64, service, cold_for: Duration::ZERO, cold_share: 0.2, seed: 1, work: None }
     }
 }
 
@@ -232,7 +251,7 @@
         let answer = if refused {
             "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else {
-            self.work().await;
+            self.work(&text("x-priority-class")).await;
             let body = text("x-request-id");
             let report = self.report();
             format!(
@@ -264,15 +283,18 @@
     }
 
     /// Waits for a core and uses it.
-    async fn work(&self) {
+    async fn work(&self, class: &str) {
         let held = InWork::new(&self.in_work);
         let permit = self.cores.acquire().await;
-        let spread = 0.5 + lock(&self.random).f64();
+        let drawn = match &self.plan.work {
+            Some(Work(draw)) => draw(class),
+            None => self.plan.service.mul_f64(0.5 + lock(&self.random).f64()),
+        };
         let age = self.started.elapsed().as_secs_f64();
         let cold = self.plan.cold_for.as_secs_f64();
         let warmth = if age >= cold { 1.0 } else { self.plan.cold_share.max(age / cold) };
         let factor = *lock(&self.slower);
-        tokio::time::sleep(self.plan.service.mul_f64(spread * factor / warmth)).await;
+        tokio::time::sleep(drawn.mul_f64(factor / warmth)).await;
         lock(&self.recent).push_back(Instant::now());
         drop((permit, held));
     }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -23,10 +23,15 @@
 impl World {
     /// Starts this many servers of one plan, all of them up.
     pub async fn start(servers: usize, plan: &Plan) -> Self {
+        let seed = |number: usize| plan.seed.wrapping_mul(1000).wrapping_add(number as u64);
+        Self::start_with(servers, |number| Plan { seed: seed(number), ..plan.clone() }).await
+    }
+
+    /// Starts this many servers, each of its own plan, all of them up.
+    pub async fn start_with(servers: usize, plan: impl Fn(usize) -> Plan) -> Self {
         let mut started = Vec::new();
         for number in 0..servers {
-            let seed = plan.seed.wrapping_mul(1000).wrapping_add(number as u64);
-            started.push(Server::start(Plan { seed, ..plan.clone() }).await);
+            started.push(Server::start(plan(number)).await);
         }
         let directory = Directory::start(Mood::Mute).await;
         let health = vec!["up"; servers];
