--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -714,6 +714,7 @@
                 }
                 let (instance, class, counted) = (asked.instance, asked.class, asked.counted);
                 self.outcome.classes[class].left += u64::from(counted);
+                self.judge.left(self.now, id);
                 self.stop_unwritten(id);
                 self.settle(id);
                 self.tell(instance, Event::ClientGone { request: RequestId(id) });
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -104,6 +104,13 @@
         known.answered.get_or_insert(now);
     }
 
+    /// The client has left before its deadline: nothing is owed any more, and nothing may go out.
+    pub fn left(&mut self, now: Time, id: u64) {
+        if let Some(known) = self.requests.get_mut(&id).filter(|known| now < known.deadline) {
+            known.answered.get_or_insert(now);
+        }
+    }
+
     /// All attempts of an answered request are over: nothing can come of it any more.
     pub fn settled(&mut self, id: u64) {
         if self.requests.get(&id).is_some_and(|known| known.answered.is_some()) {
