Model: a request holds its client's want instead of a copy of its fields

Read once more: Asked repeated the seven fields of Want, and each further try copied them one by one. No agent code is touched.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -56,34 +56,27 @@
     write_by: Time,
 }
 
-#[derive(Debug)]
-struct Asked {
+/// What a client came for. It outlives the requests that it is tried with.
+#[derive(Debug, Clone, Copy)]
+struct Want {
     instance: usize,
     class: usize,
-    key: u64,
     /// When its client first came for it.
     at: Time,
-    /// Its tenant.
     tenant: Option<usize>,
     /// How often its client has tried.
     tries: u32,
     /// When its client leaves.
     leaves: Time,
     counted: bool,
-    answered: bool,
-    attempts: Vec<Attempt>,
 }
 
-/// A want whose client has been turned away and will try again.
-#[derive(Debug, Clone, Copy)]
-struct Want {
-    instance: usize,
-    class: usize,
-    at: Time,
-    tenant: Option<usize>,
-    tries: u32,
-    leaves: Time,
-    counted: bool,
+#[derive(Debug)]
+struct Asked {
+    want: Want,
+    key: u64,
+    answered: bool,
+    attempts: Vec<Attempt>,
 }
 
 /// A final answer.
@@ -440,7 +433,7 @@
     fn write(&mut self, id: u64, number: u32) {
         let now = self.now;
         let Some(asked) = self.asked.get_mut(&id) else { return };
-        let instance = asked.instance;
+        let instance = asked.want.instance;
         let attempt = &mut asked.attempts[number as usize];
         attempt.phase = Phase::Out;
         let server = attempt.server;
@@ -458,7 +451,7 @@
 
     fn at_server(&mut self, id: u64, number: u32) {
         let Some(asked) = self.asked.get(&id) else { return };
-        let (instance, class) = (asked.instance, asked.class);
+        let (instance, class) = (asked.want.instance, asked.want.class);
         let server = asked.attempts[number as usize].server;
         let scenario = self.scenario;
         let dist = &scenario.classes[class].service;
@@ -495,7 +488,7 @@
             self.outcome.wasted += time as f64 / 1e6;
             return;
         };
-        let (instance, class, key) = (asked.instance, asked.class, asked.key);
+        let (instance, class, key) = (asked.want.instance, asked.want.class, asked.key);
         if asked.answered {
             self.outcome.wasted += time as f64 / 1e6;
         }
@@ -546,7 +539,7 @@
         if attempt.phase != Phase::Out {
             return;
         }
-        let (instance, server) = (asked.instance, attempt.server);
+        let (instance, server) = (asked.want.instance, attempt.server);
         if ended != Ended::ConnectionReset {
             let (count, used) = &mut self.instances[instance].idle[server];
             *count = count.saturating_add(1);
@@ -564,7 +557,7 @@
     fn over(&mut self, id: u64, number: u32, outcome: Ended, report: Option<Vec<f64>>) {
         let now = self.now;
         let Some(asked) = self.asked.get_mut(&id) else { return };
-        let instance = asked.instance;
+        let instance = asked.want.instance;
         let attempt = &mut asked.attempts[number as usize];
         if attempt.phase == Phase::Over {
             return;
@@ -599,7 +592,7 @@
             return;
         }
         self.judge.answered(self.now, id);
-        let (class, took, counted) = (asked.class, self.now.since(asked.at), asked.counted);
+        let (class, took, counted) = (asked.want.class, self.now.since(asked.want.at), asked.want.counted);
         if !self.tries_again(id, answer) && counted {
             let own = &mut self.outcome.classes[class];
             match answer {
@@ -622,8 +615,8 @@
     /// Whether the client comes back with the same want; then it is on its way.
     fn tries_again(&mut self, id: u64, answer: Final) -> bool {
         let Some(asked) = self.asked.get(&id) else { return false };
-        let (habits, spec) = (&self.scenario.habits, &self.scenario.classes[asked.class]);
-        if asked.tries > habits.retries {
+        let (habits, spec) = (&self.scenario.habits, &self.scenario.classes[asked.want.class]);
+        if asked.want.tries > habits.retries {
             return false;
         }
         let harmless = match answer {
@@ -631,7 +624,7 @@
             Final::Refused(_) => true,
             Final::Failed => match spec.effect {
                 Repeat::Idempotent => true,
-                Repeat::Deduplicated => self.now.since(asked.at) <= span(spec.window),
+                Repeat::Deduplicated => self.now.since(asked.want.at) <= span(spec.window),
                 // It may have run, and only its own zone's servers would drop it.
                 Repeat::DeduplicatedByZone | Repeat::AtMostOnce => false,
             },
@@ -639,26 +632,19 @@
         if !harmless {
             return false;
         }
-        let own = &mut self.instances[asked.instance].habits;
-        let pause = habits.pause * 2_f64.powi(asked.tries as i32 - 1) * (1.0 + 0.5 * own.random::<f64>());
+        let own = &mut self.instances[asked.want.instance].habits;
+        let pause =
+            habits.pause * 2_f64.powi(asked.want.tries as i32 - 1) * (1.0 + 0.5 * own.random::<f64>());
         let heeds = own.random::<f64>() < habits.heed;
         let told = match answer {
             Final::Refused(Some(after)) if heeds => after,
             _ => Span::ZERO,
         };
         let at = self.now + Span(span(pause).0.max(told.0));
-        if at >= asked.leaves {
+        if at >= asked.want.leaves {
             return false;
         }
-        let want = Want {
-            instance: asked.instance,
-            class: asked.class,
-            at: asked.at,
-            tenant: asked.tenant,
-            tries: asked.tries,
-            leaves: asked.leaves,
-            counted: asked.counted,
-        };
+        let want = asked.want;
         let key = asked.key;
         self.wants.insert(key, want);
         self.at(at, Happening::Again(key));
@@ -712,7 +698,7 @@
                 if std::mem::replace(&mut asked.answered, true) {
                     return;
                 }
-                let (instance, class, counted) = (asked.instance, asked.class, asked.counted);
+                let (instance, class, counted) = (asked.want.instance, asked.want.class, asked.want.counted);
                 self.outcome.classes[class].left += u64::from(counted);
                 self.judge.left(self.now, id);
                 self.stop_unwritten(id);
@@ -776,13 +762,11 @@
 
     /// A client comes with a want, for the first time or again.
     fn come(&mut self, key: u64, want: Want) {
-        let Want { instance, class, at, tenant, tries, leaves, counted } = want;
+        let Want { instance, class, at, tenant, tries, leaves, .. } = want;
         let id = self.next_request;
         self.next_request += 1;
         let deadline = at + span(self.scenario.classes[class].deadline);
-        let attempts = Vec::new();
-        let asked =
-            Asked { instance, class, key, at, tenant, tries, leaves, counted, answered: false, attempts };
+        let asked = Asked { want, key, answered: false, attempts: Vec::new() };
         self.asked.insert(id, asked);
         self.judge.asked(id, deadline);
         // One that has heard nothing a moment past its deadline leaves; one that tires says nothing before.
@@ -804,7 +788,7 @@
         for (id, asked) in &self.asked {
             for (number, attempt) in asked.attempts.iter().enumerate() {
                 if attempt.server == server && attempt.phase == Phase::Out {
-                    out.push((*id, number as u32, asked.instance));
+                    out.push((*id, number as u32, asked.want.instance));
                 }
             }
         }
