--- /dev/null
+++ b/crates/membership/src/rumours.rs
@@ -0,0 +1,96 @@
+//! What is to be passed on, and how often yet.
+
+use crate::member::{Id, State, Version};
+use crate::wire::Rumour;
+use micasail::{Span, Time};
+use std::collections::{HashMap, VecDeque};
+
+/// Rumours that wait at most; the one that was passed on most gives way.
+const WAITING_MOST: usize = 512;
+/// Members whose last word is remembered, so that nothing that has run its course is taken for news.
+const PASSED_MOST: usize = 4096;
+/// An accusation is not passed on longer: behind a healed cut it would meet those who know better.
+const ACCUSED_FOR: Span = Span(10_000_000);
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    rumour: Rumour,
+    told: u32,
+    since: Time,
+}
+
+/// What is to be passed on: one word a member, the latest.
+#[derive(Debug, Default)]
+pub(crate) struct Rumours {
+    waiting: HashMap<Id, Waiting>,
+    passed: HashMap<Id, (Version, State)>,
+    order: VecDeque<Id>,
+}
+
+impl Rumours {
+    /// Passes this on from now on, unless it or something later has been passed on already.
+    pub fn add(&mut self, now: Time, rumour: Rumour) -> bool {
+        let word = (rumour.version, rumour.state);
+        if self.passed.get(&rumour.id).is_some_and(|last| *last >= word) {
+            return false;
+        }
+        if self.passed.insert(rumour.id, word).is_none() {
+            self.order.push_back(rumour.id);
+            if self.order.len() > PASSED_MOST {
+                if let Some(old) = self.order.pop_front() {
+                    self.passed.remove(&old);
+                }
+            }
+        }
+        self.waiting.insert(rumour.id, Waiting { rumour, told: 0, since: now });
+        if self.waiting.len() > WAITING_MOST {
+            let tired = self.waiting.iter().max_by_key(|(id, w)| (w.told, **id)).map(|(id, _)| *id);
+            tired.map(|id| self.waiting.remove(&id));
+        }
+        true
+    }
+
+    /// No longer passes on what was said of a member.
+    pub fn silence(&mut self, id: Id) {
+        self.waiting.remove(&id);
+    }
+
+    /// No longer passes on what was said of a member, and the same word may become news again.
+    pub fn drop(&mut self, id: Id) {
+        self.waiting.remove(&id);
+        self.passed.remove(&id);
+        self.order.retain(|kept| *kept != id);
+    }
+
+    /// The rumours that were told least, this many at most, in the order to send them.
+    pub fn pick(&mut self, now: Time, most: usize) -> Vec<Rumour> {
+        let accuses = |state| matches!(state, State::Suspect | State::Dead);
+        self.waiting.retain(|_, w| !accuses(w.rumour.state) || now.since(w.since) < ACCUSED_FOR);
+        let mut picked: Vec<(u32, Id)> = self.waiting.iter().map(|(id, w)| (w.told, *id)).collect();
+        picked.sort_unstable();
+        picked.iter().take(most).map(|(_, id)| self.waiting[id].rumour.clone()).collect()
+    }
+
+    /// These have been told once more; what has been told often enough is done with.
+    pub fn told(&mut self, rumours: &[Rumour], enough: u32) {
+        for rumour in rumours {
+            if let Some(waiting) = self.waiting.get_mut(&rumour.id) {
+                waiting.told += 1;
+                if waiting.told >= enough {
+                    self.waiting.remove(&rumour.id);
+                }
+            }
+        }
+    }
+
+    /// Drops all accusations: whoever slept or was alone has nothing to accuse others of.
+    pub fn forget_accusations(&mut self) {
+        let accused = |w: &Waiting| matches!(w.rumour.state, State::Suspect | State::Dead);
+        let gone: Vec<Id> = self.waiting.iter().filter(|(_, w)| accused(w)).map(|(id, _)| *id).collect();
+        gone.into_iter().for_each(|id| self.drop(id));
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/swim.rs
@@ -0,0 +1,953 @@
+//! The protocol: probes, accusations, refutations, news.
+
+use crate::config::Config;
+use crate::figures::{Figures, Refused};
+use crate::member::{Id, Member, State, Version, LIFE_MOST};
+use crate::rumours::Rumours;
+use crate::stance::{Fleet, Stance};
+use crate::suspicion::Suspicion;
+use crate::view::View;
+use crate::wire::{decode, encode, Datagram, Kind, Rumour, HINT_MOST};
+use micasail::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// Members that are asked to ask another one.
+const HELPERS: usize = 3;
+/// Probes beyond the one of each period: of those that somebody accuses. What a peer says costs no more than that.
+const EXTRA_PROBES: u32 = 4;
+/// Members that get the news of a period.
+const TOLD: usize = 2;
+/// Missing members that are called in a period; at the start and after standing still, this many times as many.
+const CALLED: usize = 1;
+const CALLED_WAKING: usize = 4;
+/// Datagrams of news for one that has just come.
+const WELCOME: usize = 3;
+/// Members that are told of a leave by the one that leaves.
+const FAREWELL: usize = 32;
+/// Pings of others' that are carried at a time.
+const RELAYS_MOST: usize = 64;
+/// The worst that an instance can think of its own hearing: its probes take up to this many times longer, and one more.
+const DOUBT_MOST: u32 = 3;
+/// How far behind a claimed life its member may be and still go past it; what lies further ahead is a lie.
+const AHEAD_MOST: u64 = 400 * 24 * 3_600_000;
+/// Rumours that a datagram can hold at most, by their shortest form.
+const NEWS_MOST: usize = 24;
+/// Senders at wrong addresses that are told of, once each.
+const STRANGERS_TOLD: usize = 64;
+
+/// Something that has changed, for logs and decisions; one a change, not one a datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A member.
+    Member {
+        /// Which.
+        id: Id,
+        /// What was held of it.
+        from: State,
+        /// What is held of it now.
+        to: State,
+        /// By whose word.
+        by: Id,
+        /// It has started anew.
+        anew: bool,
+    },
+    /// This instance's stance.
+    Stance {
+        /// It was.
+        from: Stance,
+        /// It is.
+        to: Stance,
+        /// Members here, this one among them.
+        here: u32,
+        /// How many there are to be.
+        roster: u32,
+    },
+    /// This process had stood still for so long, and has just noticed.
+    Woke(Span),
+    /// Another process speaks under this one's number.
+    Twin,
+    /// A number is spoken for from an address that is not its own.
+    Stranger(Id, SocketAddr),
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send these bytes there.
+    Send(SocketAddr, Vec<u8>),
+    /// Something has changed.
+    Change(Change),
+    /// A member's decisions tell this one's something; [`crate::Hearsay`] says how far that goes.
+    Hint(Id, Vec<u8>),
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    target: Id,
+    /// When others are asked, and it once more.
+    again: Time,
+    /// How often that was.
+    asked: u32,
+    until: Time,
+    nacks_due: u32,
+    nacks: u32,
+}
+
+/// A ping that is carried for another.
+#[derive(Debug, Clone)]
+struct Relay {
+    asker: Id,
+    asker_at: SocketAddr,
+    seq: u32,
+    until: Time,
+}
+
+/// The protocol at one instance.
+#[derive(Debug)]
+pub struct Membership {
+    config: Config,
+    cluster: u64,
+    version: Version,
+    rng: fastrand::Rng,
+    view: View,
+    rumours: Rumours,
+    probes: BTreeMap<u32, Probe>,
+    relays: BTreeMap<u32, Relay>,
+    suspicions: BTreeMap<Id, Suspicion>,
+    /// Whom to probe next, in an order that is shuffled each time round, so that each one's turn has a bound.
+    turn: Vec<Id>,
+    /// Accused members that wait for a probe of their own.
+    urgent: VecDeque<Id>,
+    extra_left: u32,
+    next_probe: Time,
+    last: Time,
+    waking_until: Time,
+    /// It has stood still: what it held before shows nothing, so it stays waking for the whole time.
+    woke: bool,
+    /// When anybody was last heard.
+    heard: Time,
+    /// How much this instance doubts its own hearing.
+    doubt: u32,
+    stance: Stance,
+    fleet: Fleet,
+    leaving: bool,
+    twin_told: bool,
+    strangers: BTreeSet<(Id, SocketAddr)>,
+    figures: Figures,
+}
+
+impl Membership {
+    /// A member that starts now. `life` is the wall clock in Unix milliseconds.
+    pub fn new(config: Config, now: Time, life: u64, seed: u64) -> Self {
+        let mut view = View::new(config.number, config.view_most);
+        for (number, address) in config.roster.iter().enumerate() {
+            let id = Id(number as u32);
+            view.offer(Member {
+                id,
+                version: Version::default(),
+                state: State::Absent,
+                since: now,
+                by: id,
+                address: *address,
+                site: 0,
+                duty: config.duty,
+                answered: None,
+            });
+        }
+        Membership {
+            cluster: micasail_settings::fnv1a(&config.cluster),
+            version: Version { life: life.min(LIFE_MOST - 1), round: 0 },
+            rng: fastrand::Rng::with_seed(seed),
+            view,
+            rumours: Rumours::default(),
+            probes: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
+            turn: Vec::new(),
+            urgent: VecDeque::new(),
+            extra_left: EXTRA_PROBES,
+            next_probe: now,
+            last: now,
+            waking_until: now + config.settle(),
+            woke: false,
+            heard: now,
+            doubt: 0,
+            stance: Stance::Waking,
+            fleet: Fleet::new(config.expected(), config.believe_for),
+            leaving: false,
+            twin_told: false,
+            strangers: BTreeSet::new(),
+            figures: Figures::default(),
+            config,
+        }
+    }
+
+    /// What it goes by.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Its own version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The others, as far as they are held.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.view.iter()
+    }
+
+    /// What is held of one.
+    pub fn member(&self, id: Id) -> Option<&Member> {
+        self.view.get(id)
+    }
+
+    /// What this instance holds of itself.
+    pub fn stance(&self) -> Stance {
+        self.stance
+    }
+
+    /// Members here with this one, and the relative standard error of that where not all are held.
+    pub fn size(&self) -> (f64, Option<f64>) {
+        self.view.size()
+    }
+
+    /// By how many to reckon what is counted for the whole fleet.
+    pub fn reckoned(&self, now: Time) -> u32 {
+        self.fleet.reckoned(now)
+    }
+
+    /// How many there are to be.
+    pub fn roster(&self) -> u32 {
+        self.fleet.roster()
+    }
+
+    /// From now on there are to be so many.
+    pub fn expect(&mut self, now: Time, instances: u32) {
+        self.fleet.expect(now, instances.max(self.config.roster.len() as u32));
+    }
+
+    /// How much it doubts its own hearing, from 0 to 3.
+    pub fn doubt(&self) -> u32 {
+        self.doubt
+    }
+
+    /// What it has counted.
+    pub fn figures(&self) -> Figures {
+        self.figures
+    }
+
+    /// When [`Membership::tick`] is due.
+    pub fn next(&self) -> Time {
+        let probes = self.probes.values().map(|p| if p.asked < 2 { p.again.min(p.until) } else { p.until });
+        let relays = self.relays.values().map(|r| r.until);
+        let ripe = self.suspicions.values().filter(|s| s.failed).map(|s| s.until().max(self.waking_until));
+        // However long the periods of one in doubt are: standing still is told from waiting by it.
+        let beat = self.last + self.config.probe_every;
+        probes.chain(relays).chain(ripe).fold(self.next_probe.min(beat), Time::min)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.notice(now, out);
+        self.look_after_probes(now, out);
+        let over: Vec<u32> = self.relays.iter().filter(|(_, r)| r.until <= now).map(|(s, _)| *s).collect();
+        for seq in over {
+            if let Some(relay) = self.relays.remove(&seq) {
+                self.send(now, (Some(relay.asker), relay.asker_at), Kind::Nack { seq: relay.seq }, out);
+            }
+        }
+        let awake = now >= self.waking_until;
+        let ripe = |s: &Suspicion| s.failed && s.until() <= now && awake;
+        let ripe: Vec<Id> = self.suspicions.iter().filter(|(_, s)| ripe(s)).map(|(id, _)| *id).collect();
+        for id in ripe {
+            self.bury(now, id, out);
+        }
+        if now >= self.next_probe {
+            self.period(now, out);
+        }
+        self.take_stance(now, out);
+    }
+
+    /// A datagram has come.
+    pub fn receive(&mut self, now: Time, source: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        self.notice(now, out);
+        let taken = decode(self.cluster, bytes).map_err(Refused::Wire);
+        match taken.and_then(|datagram| self.admit(now, source, &datagram, out).map(|()| datagram)) {
+            Ok(datagram) => {
+                self.heard = now;
+                self.figures.taken.0 += 1;
+                self.figures.taken.1 += bytes.len() as u64;
+                // First the news, so that the answer is given in the version that refutes them.
+                for rumour in &datagram.news {
+                    self.hear(now, datagram.from, rumour, out);
+                }
+                self.handle(now, source, datagram, out);
+                self.take_stance(now, out);
+            }
+            Err(refused) => self.figures.refused[refused.place()] += 1,
+        }
+    }
+
+    /// Tells one member's decisions something; false if it isn't here or the payload is too long.
+    pub fn tell(&mut self, now: Time, to: Id, payload: Vec<u8>, out: &mut Vec<Output>) -> bool {
+        let Some(member) = self.view.get(to).filter(|m| m.state.here()) else { return false };
+        if payload.len() > HINT_MOST {
+            return false;
+        }
+        let address = member.address;
+        self.send(now, (Some(to), address), Kind::Hint { payload }, out);
+        true
+    }
+
+    /// Says good-bye: the others need not find out.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.leaving = true;
+        self.version.round = self.version.round.saturating_add(1);
+        let rumour = self.own_word(State::Left);
+        let mut here: Vec<(Id, SocketAddr)> = self.view.here().map(|m| (m.id, m.address)).collect();
+        self.rng.shuffle(&mut here);
+        // Twice each, for there is no second chance.
+        for _ in 0..2 {
+            for (id, address) in here.iter().take(FAREWELL) {
+                self.send_news(now, (Some(*id), *address), Kind::News, vec![rumour.clone()], out);
+            }
+        }
+    }
+
+    // ---- time ---------------------------------------------------------------------------------------
+
+    /// Finds out whether this process has stood still: SIGSTOP, a machine put to sleep, a core that others had. Whatever
+    /// it waited for meanwhile it could not have heard.
+    fn notice(&mut self, now: Time, out: &mut Vec<Output>) {
+        let slept = now.since(self.last);
+        self.last = self.last.max(now);
+        if !self.config.self_doubt || slept < self.config.stall() {
+            return;
+        }
+        self.figures.stalls += 1;
+        self.doubt = (self.doubt + 2).min(DOUBT_MOST);
+        self.probes.clear();
+        self.relays.clear();
+        self.rumours.forget_accusations();
+        self.suspicions.values_mut().for_each(|s| s.put_off(slept));
+        (self.waking_until, self.woke) = (now + self.config.settle(), true);
+        self.next_probe = now;
+        out.push(Output::Change(Change::Woke(slept)));
+    }
+
+    fn factor(&self) -> f64 {
+        if self.config.self_doubt {
+            1.0 + f64::from(self.doubt)
+        } else {
+            1.0
+        }
+    }
+
+    fn look_after_probes(&mut self, now: Time, out: &mut Vec<Output>) {
+        let due: Vec<u32> = self
+            .probes
+            .iter()
+            .filter(|(_, p)| p.until <= now || (p.asked < 2 && p.again <= now))
+            .map(|(seq, _)| *seq)
+            .collect();
+        for seq in due {
+            let Some(probe) = self.probes.get(&seq).cloned() else { continue };
+            if probe.until <= now {
+                self.probes.remove(&seq);
+                self.unanswered(now, &probe, out);
+                continue;
+            }
+            let factor = self.factor();
+            let Some(target) = self.view.get(probe.target).map(|m| m.address) else { continue };
+            let first = probe.asked == 0;
+            let helpers = if first { self.helpers(probe.target) } else { Vec::new() };
+            if let Some(probe) = self.probes.get_mut(&seq) {
+                probe.asked += 1;
+                probe.again = now + self.config.probe_every * factor;
+                probe.nacks_due += helpers.len() as u32;
+            }
+            self.send(now, (Some(probe.target), target), Kind::Ping { seq, to: probe.target }, out);
+            let address = self.listed(probe.target).is_none().then_some(target);
+            for (id, at) in helpers {
+                let kind = Kind::PingOf { seq, target: probe.target, address };
+                self.send(now, (Some(id), at), kind, out);
+            }
+        }
+    }
+
+    fn helpers(&mut self, target: Id) -> Vec<(Id, SocketAddr)> {
+        let alive = |m: &&Member| m.state == State::Alive && m.id != target;
+        let all: Vec<(Id, SocketAddr)> = self.view.iter().filter(alive).map(|m| (m.id, m.address)).collect();
+        self.rng.choose_multiple(all, HELPERS)
+    }
+
+    fn period(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.next_probe = now + self.config.probe_every * self.factor();
+        self.extra_left = EXTRA_PROBES;
+        for _ in 0..EXTRA_PROBES {
+            let Some(id) = self.urgent.pop_front() else { break };
+            self.probe_accused(now, id, out);
+        }
+        // A member's turn comes within twice the number of members, wherever the shuffle puts it.
+        let target = loop {
+            match self.turn.pop() {
+                Some(id) if self.view.get(id).is_some_and(|m| m.state.here()) => break Some(id),
+                Some(_) => {}
+                None => {
+                    self.turn = self.view.here().map(|m| m.id).collect();
+                    if self.turn.is_empty() {
+                        break None;
+                    }
+                    self.rng.shuffle(&mut self.turn);
+                }
+            }
+        };
+        if let Some(id) = target {
+            self.probe(now, id, out);
+        }
+        if !self.rumours.is_empty() {
+            let here: Vec<(Id, SocketAddr)> = self.view.here().map(|m| (m.id, m.address)).collect();
+            for (id, at) in self.rng.choose_multiple(here, TOLD) {
+                self.send(now, (Some(id), at), Kind::News, out);
+            }
+        }
+        self.call_missing(now, out);
+        let (keep, listed) = (self.config.forget_after, self.config.roster.len());
+        let gone =
+            self.view.forget(|m| !m.state.here() && m.id.0 as usize >= listed && now.since(m.since) >= keep);
+        self.suspicions.retain(|id, _| !gone.contains(id));
+        let size = self.view.size().0.round() as u32;
+        self.fleet.believe(now, size);
+    }
+
+    /// Calls members that are missing, so that a fleet that fell apart finds together again without anybody's help.
+    fn call_missing(&mut self, now: Time, out: &mut Vec<Output>) {
+        let waking = now < self.waking_until;
+        let most = if waking { CALLED_WAKING } else { CALLED };
+        let missing: Vec<(Option<Id>, SocketAddr)> =
+            self.view.missing().map(|m| (Some(m.id), m.address)).collect();
+        let mut called = self.rng.choose_multiple(missing, most);
+        // Seeds are called while they are all there is, and now and then afterwards: their addresses may serve others now.
+        let alone = self.view.here().next().is_none();
+        if !self.config.seeds.is_empty() && (alone || self.rng.u32(0..16) == 0) {
+            let seeds: Vec<SocketAddr> = self.config.seeds.clone();
+            called.extend(self.rng.choose_multiple(seeds, most).into_iter().map(|at| (None, at)));
+        }
+        for (id, at) in called {
+            match id {
+                Some(to) => {
+                    let seq = self.rng.u32(..);
+                    self.send(now, (Some(to), at), Kind::Ping { seq, to }, out);
+                }
+                None => self.send(now, (None, at), Kind::News, out),
+            }
+        }
+    }
+
+    // ---- probes -------------------------------------------------------------------------------------
+
+    fn probe(&mut self, now: Time, id: Id, out: &mut Vec<Output>) {
+        let Some(address) = self.view.get(id).map(|m| m.address) else { return };
+        let seq = self.rng.u32(..);
+        let factor = self.factor();
+        let probe = Probe {
+            target: id,
+            again: now + self.config.probe_every * (0.8 * factor),
+            asked: 0,
+            until: now + self.config.probe_every * (self.config.patience * factor),
+            nacks_due: 0,
+            nacks: 0,
+        };
+        self.probes.insert(seq, probe);
+        self.figures.probes.0 += 1;
+        self.send(now, (Some(id), address), Kind::Ping { seq, to: id }, out);
+    }
+
+    /// An accused member is probed at once while the period's measure lasts, and in turn past it.
+    fn probe_soon(&mut self, now: Time, id: Id, out: &mut Vec<Output>) {
+        if self.extra_left > 0 {
+            self.extra_left -= 1;
+            self.probe_accused(now, id, out);
+        } else if !self.urgent.contains(&id) {
+            self.urgent.push_back(id);
+        }
+    }
+
+    fn probe_accused(&mut self, now: Time, id: Id, out: &mut Vec<Output>) {
+        let out_already = self.probes.values().any(|p| p.target == id);
+        if !out_already && self.suspicions.contains_key(&id) {
+            self.probe(now, id, out);
+        }
+    }
+
+    fn unanswered(&mut self, now: Time, probe: &Probe, out: &mut Vec<Output>) {
+        self.figures.probes.1 += 1;
+        // Helpers that say nothing either speak for a bad link of one's own (Lifeguard, "local health multiplier"). Only
+        // where most of them do, for where many die at once some of the helpers are dead too.
+        let deaf = probe.nacks * 2 < probe.nacks_due.max(1);
+        self.doubt = (self.doubt + u32::from(deaf)).min(DOUBT_MOST);
+        if now < self.waking_until {
+            return;
+        }
+        let id = probe.target;
+        match self.view.get(id).map(|m| m.state) {
+            Some(State::Alive) => {
+                self.accuse(now, id, self.config.number, out);
+                self.failed(now, id, out);
+            }
+            Some(State::Suspect) => self.failed(now, id, out),
+            _ => {}
+        }
+    }
+
+    /// A probe of this instance has failed for an accused member.
+    fn failed(&mut self, now: Time, id: Id, out: &mut Vec<Output>) {
+        let own = self.config.number;
+        let Some(suspicion) = self.suspicions.get_mut(&id) else { return };
+        suspicion.failed = true;
+        if suspicion.shared(own) {
+            // Others shorten their suspicions by it: it is word of one's own.
+            if let Some(rumour) = self.word(id).map(|word| Rumour { by: own, ..word }) {
+                self.rumours.drop(id);
+                self.rumours.add(now, rumour);
+            }
+        }
+        self.probe_soon(now, id, out);
+    }
+
+    /// How long a suspicion lasts at least and at most.
+    fn suspicion_times(&self) -> (Span, Span) {
+        let scale = self.view.size().0.max(2.0).log10().max(1.0);
+        let least = self.config.probe_every * (self.config.suspicion_least * scale * self.factor());
+        (least, least * self.config.suspicion_most)
+    }
+
+    /// A member that passes for alive is accused.
+    fn accuse(&mut self, now: Time, id: Id, by: Id, out: &mut Vec<Output>) {
+        let times = self.suspicion_times();
+        self.suspicions.insert(id, Suspicion::new(now, times, by));
+        self.change(now, id, State::Suspect, by, out);
+        if let Some(rumour) = self.word(id) {
+            self.rumours.add(now, rumour);
+        }
+        self.probe_soon(now, id, out);
+    }
+
+    /// The suspicion has run out, and a probe from here has failed: the member is dead here by this instance's own word.
+    fn bury(&mut self, now: Time, id: Id, out: &mut Vec<Output>) {
+        let Some(suspicion) = self.suspicions.remove(&id) else { return };
+        let state = if suspicion.leaves { State::Left } else { State::Dead };
+        self.change(now, id, state, self.config.number, out);
+        if let Some(rumour) = self.word(id) {
+            self.rumours.add(now, rumour);
+        }
+    }
+
+    // ---- what is heard ------------------------------------------------------------------------------
+
+    /// Whether a datagram's sender may speak, and what its speaking shows.
+    fn admit(
+        &mut self,
+        now: Time,
+        source: SocketAddr,
+        datagram: &Datagram,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Refused> {
+        let from = datagram.from;
+        if from == self.config.number {
+            if !self.twin_told {
+                self.twin_told = true;
+                out.push(Output::Change(Change::Twin));
+            }
+            return Err(Refused::Own);
+        }
+        let known = self.view.get(from).map(|m| (m.version, m.state, m.address));
+        let moved = match (self.listed(from), known) {
+            (Some(listed), _) => listed != source,
+            // Without a roster whoever starts anew may do so elsewhere.
+            (None, Some((version, state, address))) => {
+                address != source && state.here() && datagram.version.life <= version.life
+            }
+            (None, None) => false,
+        };
+        if moved {
+            if self.strangers.len() < STRANGERS_TOLD && self.strangers.insert((from, source)) {
+                out.push(Output::Change(Change::Stranger(from, source)));
+            }
+            return Err(Refused::Stranger);
+        }
+        if known.is_some_and(|(version, ..)| datagram.version.life < version.life) {
+            // Late, or from a process whose successor has spoken already. Should its clock have been set back, it must
+            // learn of the life that it has to go past.
+            if let Some(rumour) = self.word(from) {
+                self.send_news(now, (Some(from), source), Kind::News, vec![rumour], out);
+            }
+            return Err(Refused::Former);
+        }
+        self.spoke(now, source, datagram, out);
+        Ok(())
+    }
+
+    /// A member has spoken itself, in this version. A later one than is known shows that it is there; the same one does
+    /// not, for the datagram may be old: only the answer to a probe does.
+    fn spoke(&mut self, now: Time, source: SocketAddr, datagram: &Datagram, out: &mut Vec<Output>) {
+        let (id, version) = (datagram.from, datagram.version);
+        let known = self.view.get(id).map(|m| (m.version, m.state));
+        let later = known.is_none_or(|(last, state)| version > last || state == State::Absent);
+        if let Some(member) = self.view.get_mut(id) {
+            member.site = datagram.site;
+            member.duty = datagram.duty;
+            member.address = source;
+        }
+        if later {
+            let came = known.is_none_or(|(last, state)| !state.here() || version.life > last.life);
+            let member = Member {
+                id,
+                version,
+                state: State::Absent,
+                since: now,
+                by: id,
+                address: source,
+                site: datagram.site,
+                duty: datagram.duty,
+                answered: None,
+            };
+            self.alive(now, member, id, out);
+            if came && !self.leaving {
+                self.welcome(now, id, source, out);
+            }
+        }
+    }
+
+    /// Whoever has just come is told who is there.
+    fn welcome(&mut self, now: Time, id: Id, at: SocketAddr, out: &mut Vec<Output>) {
+        for _ in 0..WELCOME {
+            self.send(now, (Some(id), at), Kind::News, out);
+        }
+    }
+
+    /// A member is alive in a version that was not known, or is there again.
+    fn alive(&mut self, now: Time, latest: Member, by: Id, out: &mut Vec<Output>) {
+        let id = latest.id;
+        let version = latest.version;
+        let known = self.view.get(id).map(|m| (m.version, m.state));
+        match known {
+            None => {
+                // Even one that finds no room is told of: others may hold it.
+                self.view.offer(latest.clone());
+            }
+            Some((last, state)) => {
+                if state == State::Dead && last.life == version.life {
+                    self.figures.mistaken += 1;
+                }
+                if let Some(member) = self.view.get_mut(id) {
+                    member.version = version;
+                }
+            }
+        }
+        self.suspicions.remove(&id);
+        let anew = known.is_some_and(|(last, state)| state != State::Absent && last.life < version.life);
+        if anew {
+            self.probes.retain(|_, p| p.target != id);
+        }
+        self.change_to(now, id, State::Alive, by, anew, out);
+        let told = match self.word(id) {
+            Some(word) => word,
+            None => rumour_of(&Member { state: State::Alive, by, ..latest }, self.listed(id).is_none()),
+        };
+        self.rumours.add(now, told);
+    }
+
+    /// One member's word on another, or on this one.
+    fn hear(&mut self, now: Time, from: Id, rumour: &Rumour, out: &mut Vec<Output>) {
+        let id = rumour.id;
+        if id == self.config.number {
+            return self.defend(now, rumour);
+        }
+        let Some(member) = self.view.get(id).cloned() else {
+            return self.hear_of_new(now, rumour, out);
+        };
+        if rumour.version.life < member.version.life || rumour.version < member.version {
+            return;
+        }
+        let own_word = from == id;
+        match rumour.state {
+            State::Absent => {}
+            State::Alive => {
+                let met = member.state.here() && member.answered.is_some();
+                if rumour.version.life > member.version.life && met {
+                    // It is said to have started anew, and was here just now: its own answer tells. What a liar claims of
+                    // another's life would otherwise stand where the member itself can't go past it.
+                    self.accuse_if_alive(now, &member, rumour.by, false, out);
+                } else if rumour.version > member.version || member.state == State::Absent {
+                    let latest = Member { version: rumour.version, ..member };
+                    self.alive(now, latest, rumour.by, out);
+                }
+            }
+            State::Left if own_word => {
+                if member.state != State::Left {
+                    self.suspicions.remove(&id);
+                    if let Some(member) = self.view.get_mut(id) {
+                        member.version = rumour.version;
+                    }
+                    self.change(now, id, State::Left, id, out);
+                    self.rumours.add(now, rumour.clone());
+                }
+            }
+            State::Suspect | State::Dead | State::Left => {
+                let called_dead = rumour.state != State::Suspect;
+                self.accuse_if_alive(now, &member, rumour.by, called_dead, out);
+                if let Some(suspicion) = self.suspicions.get_mut(&id) {
+                    suspicion.called_dead |= called_dead;
+                    suspicion.leaves |= rumour.state == State::Left;
+                    if suspicion.shared(rumour.by) {
+                        // Passed on as theirs: it shortens others' suspicions as it does this one's.
+                        self.rumours.drop(id);
+                        self.rumours.add(now, Rumour { version: member.version, ..rumour.clone() });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Somebody accuses a member. Own evidence wins: one that has just answered here is not doubted for it.
+    fn accuse_if_alive(
+        &mut self,
+        now: Time,
+        member: &Member,
+        by: Id,
+        called_dead: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let fresh = self.config.probe_every * 2.0;
+        let vouched = member.answered.is_some_and(|at| now.since(at) < fresh);
+        if member.state == State::Alive && !vouched {
+            self.accuse(now, member.id, by, out);
+            if let Some(suspicion) = self.suspicions.get_mut(&member.id) {
+                suspicion.called_dead |= called_dead;
+            }
+        }
+    }
+
+    /// Word of a member that is not held.
+    fn hear_of_new(&mut self, now: Time, rumour: &Rumour, out: &mut Vec<Output>) {
+        let address = self.listed(rumour.id).or(rumour.address);
+        match (rumour.state, address) {
+            (State::Alive, Some(address)) => {
+                let member = Member {
+                    id: rumour.id,
+                    version: rumour.version,
+                    state: State::Absent,
+                    since: now,
+                    by: rumour.by,
+                    address,
+                    site: rumour.site,
+                    duty: rumour.duty,
+                    answered: None,
+                };
+                self.alive(now, member, rumour.by, out);
+            }
+            // Others may hold it.
+            _ => {
+                self.rumours.add(now, rumour.clone());
+            }
+        }
+    }
+
+    /// Something is said of this very instance: it speaks up if that is wrong.
+    fn defend(&mut self, now: Time, rumour: &Rumour) {
+        let (own, said) = (self.version, rumour.version);
+        if self.leaving || said < own {
+            return;
+        }
+        if said.life > own.life {
+            // A former life of this number, by a clock that has been set back since; or a lie.
+            if said.life - own.life > AHEAD_MOST {
+                return;
+            }
+            self.version = Version { life: said.life + 1, round: 0 };
+        } else if rumour.state == State::Alive && said == own {
+            return;
+        } else {
+            self.version = match said.round.checked_add(1) {
+                Some(round) => Version { round, ..own },
+                None => Version { life: own.life + 1, round: 0 },
+            };
+        }
+        if rumour.state != State::Alive {
+            self.figures.refuted += 1;
+            self.doubt = (self.doubt + 1).min(DOUBT_MOST);
+        }
+        let word = self.own_word(State::Alive);
+        self.rumours.add(now, word);
+    }
+
+    fn handle(&mut self, now: Time, source: SocketAddr, datagram: Datagram, out: &mut Vec<Output>) {
+        let from = (Some(datagram.from), source);
+        match datagram.kind {
+            // Whoever leaves is no longer to be counted on.
+            Kind::Ping { seq, to } if to == self.config.number && !self.leaving => {
+                let (of, version) = (to, self.version);
+                self.send(now, from, Kind::Ack { seq, of, version }, out);
+            }
+            Kind::Ping { .. } | Kind::News => {}
+            Kind::PingOf { seq, target, address } => {
+                let known = self.view.get(target).map(|m| m.address);
+                let Some(at) = known.or(self.listed(target)).or(address) else { return };
+                if self.relays.len() >= RELAYS_MOST || target == self.config.number {
+                    return;
+                }
+                let until = now + self.config.probe_every;
+                let own = self.rng.u32(..);
+                self.relays.insert(own, Relay { asker: datagram.from, asker_at: source, seq, until });
+                self.send(now, (Some(target), at), Kind::Ping { seq: own, to: target }, out);
+            }
+            Kind::Ack { seq, of, version } => {
+                if let Some(relay) = self.relays.remove(&seq) {
+                    let kind = Kind::Ack { seq: relay.seq, of, version };
+                    self.send(now, (Some(relay.asker), relay.asker_at), kind, out);
+                    return;
+                }
+                if self.probes.get(&seq).is_some_and(|p| p.target == of) {
+                    self.probes.remove(&seq);
+                    self.doubt = self.doubt.saturating_sub(1);
+                    self.answered(now, of, version, out);
+                }
+            }
+            Kind::Nack { seq } => {
+                if let Some(probe) = self.probes.get_mut(&seq) {
+                    probe.nacks += 1;
+                }
+            }
+            Kind::Hint { payload } => {
+                if self.view.get(datagram.from).is_some_and(|m| m.state.here()) {
+                    out.push(Output::Hint(datagram.from, payload));
+                }
+            }
+        }
+    }
+
+    /// A member has answered a probe from here, itself or by way of another: it is there, whatever others say.
+    fn answered(&mut self, now: Time, id: Id, version: Version, out: &mut Vec<Output>) {
+        let Some(member) = self.view.get_mut(id) else { return };
+        member.answered = Some(now);
+        let member = member.clone();
+        if version > member.version {
+            self.alive(now, Member { version, ..member }, id, out);
+        } else if matches!(member.state, State::Suspect | State::Dead | State::Absent) {
+            if member.state == State::Dead {
+                self.figures.mistaken += 1;
+            }
+            self.suspicions.remove(&id);
+            self.rumours.silence(id);
+            self.change(now, id, State::Alive, self.config.number, out);
+        }
+    }
+
+    // ---- bookkeeping --------------------------------------------------------------------------------
+
+    fn change(&mut self, now: Time, id: Id, to: State, by: Id, out: &mut Vec<Output>) {
+        self.change_to(now, id, to, by, false, out);
+    }
+
+    fn change_to(&mut self, now: Time, id: Id, to: State, by: Id, anew: bool, out: &mut Vec<Output>) {
+        let Some(member) = self.view.get_mut(id) else { return };
+        let from = member.state;
+        if from == to && !anew {
+            return;
+        }
+        (member.state, member.since, member.by) = (to, now, by);
+        if anew {
+            member.answered = None;
+        }
+        out.push(Output::Change(Change::Member { id, from, to, by, anew }));
+    }
+
+    fn take_stance(&mut self, now: Time, out: &mut Vec<Output>) {
+        // Whoever hears nobody is alone before it knows of each that it is gone.
+        let deaf = now.since(self.heard) >= self.config.settle();
+        let here = if deaf { 1 } else { self.view.size().0.round() as u32 };
+        let roster = self.fleet.roster();
+        let stance = Stance::of(here, roster);
+        let waking = now < self.waking_until && (self.woke || stance != Stance::Whole);
+        let to = if waking { Stance::Waking } else { stance };
+        let from = std::mem::replace(&mut self.stance, to);
+        if from != to {
+            out.push(Output::Change(Change::Stance { from, to, here, roster }));
+        }
+    }
+
+    /// The address that the roster gives a member.
+    fn listed(&self, id: Id) -> Option<SocketAddr> {
+        self.config.roster.get(id.0 as usize).copied()
+    }
+
+    /// What is held of a member, as a rumour.
+    fn word(&self, id: Id) -> Option<Rumour> {
+        let member = self.view.get(id).filter(|m| m.state != State::Absent)?;
+        Some(rumour_of(member, self.listed(id).is_none()))
+    }
+
+    fn own_word(&self, state: State) -> Rumour {
+        let Config { number, site, duty, .. } = self.config;
+        Rumour { id: number, version: self.version, state, by: number, site, duty, address: None }
+    }
+
+    fn send(&mut self, now: Time, to: (Option<Id>, SocketAddr), kind: Kind, out: &mut Vec<Output>) {
+        self.send_news(now, to, kind, Vec::new(), out);
+    }
+
+    /// Sends a datagram that is filled up: with what it is about, with what is to be passed on, and with samples of what
+    /// is held here, which mend what was lost.
+    fn send_news(
+        &mut self,
+        now: Time,
+        (id, at): (Option<Id>, SocketAddr),
+        kind: Kind,
+        mut news: Vec<Rumour>,
+        out: &mut Vec<Output>,
+    ) {
+        let accused = id.and_then(|id| self.word(id)).filter(|word| word.state != State::Alive);
+        // An accused member must hear it to refute it.
+        news.extend(accused);
+        let first = news.len();
+        let fresh = self.rumours.pick(now, NEWS_MOST);
+        news.extend(fresh.into_iter().filter(|rumour| Some(rumour.id) != id));
+        let queued = news.len();
+        if queued < NEWS_MOST {
+            let mut known: Vec<Id> = self.view.iter().map(|m| m.id).collect();
+            self.rng.shuffle(&mut known);
+            let told: BTreeSet<Id> = news.iter().map(|rumour| rumour.id).chain(id).collect();
+            let samples: Vec<Rumour> = known
+                .into_iter()
+                .filter(|id| !told.contains(id))
+                .filter_map(|id| self.word(id))
+                .filter(|word| word.state != State::Suspect)
+                .take(NEWS_MOST - queued)
+                .collect();
+            news.extend(samples);
+        }
+        let datagram = Datagram {
+            from: self.config.number,
+            version: self.version,
+            site: self.config.site,
+            duty: self.config.duty,
+            kind,
+            news,
+        };
+        let (bytes, fit) = encode(self.cluster, &datagram);
+        let told = &datagram.news[first.min(fit)..queued.min(fit)];
+        let enough = 2 * (self.view.size().0.log2().ceil() as u32 + 1);
+        self.rumours.told(told, enough);
+        self.figures.sent.0 += 1;
+        self.figures.sent.1 += bytes.len() as u64;
+        out.push(Output::Send(at, bytes));
+    }
+}
+
+fn rumour_of(member: &Member, with_address: bool) -> Rumour {
+    let Member { id, version, state, by, site, duty, address, .. } = *member;
+    Rumour { id, version, state, by, site, duty, address: with_address.then_some(address) }
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,101 @@
+//! The members that an instance holds: all of a small fleet, a sample of a large one.
+
+use crate::member::{Id, Member, State};
+use std::collections::BTreeMap;
+
+/// The members that an instance holds, itself left out.
+///
+/// Past its bound a member's place depends on its rank, a hash of the holder's number and its own: the lowest ranks
+/// stay. So a view is a uniform sample of all that was ever heard of, however often one of them is named ("min-wise"
+/// sampling, Bortnikov et al., "Brahms", 2008), and no member can talk itself into all views. And the ranks tell how many there are: where the
+/// k-th lowest of n uniform ranks is at u, n is about (k - 1) / u, with a relative standard error of 1 / sqrt(k - 2)
+/// (Bar-Yossef et al., "Counting distinct elements in a data stream", 2002).
+#[derive(Debug, Clone)]
+pub struct View {
+    own: Id,
+    most: usize,
+    members: BTreeMap<Id, Member>,
+    /// Whether somebody was ever turned away for want of room.
+    sampled: bool,
+}
+
+impl View {
+    /// An empty view of the instance with this number.
+    pub fn new(own: Id, most: usize) -> Self {
+        View { own, most: most.max(4), members: BTreeMap::new(), sampled: false }
+    }
+
+    /// A member's rank, uniform between 0 and 1. SplitMix64's finisher (Steele et al., 2014) over both numbers.
+    fn rank(&self, id: Id) -> f64 {
+        let mut x = (u64::from(self.own.0) << 32 | u64::from(id.0)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (x ^ (x >> 31)) as f64 / 2f64.powi(64)
+    }
+
+    /// Takes a member in if there is room for it, or another one has to give way; a member that is gone gives way first.
+    pub fn offer(&mut self, member: Member) -> bool {
+        if member.id == self.own {
+            return false;
+        }
+        if self.members.len() < self.most || self.members.contains_key(&member.id) {
+            self.members.insert(member.id, member);
+            return true;
+        }
+        self.sampled = true;
+        let own = (member.state.here(), self.rank(member.id));
+        let worst = self.members.values().map(|m| (m.state.here(), self.rank(m.id), m.id));
+        let worse = |a: &(bool, f64, Id), b: &(bool, f64, Id)| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1));
+        let Some(worst) = worst.max_by(worse) else { return false };
+        let stays = worst.0 && (!own.0 || worst.1 <= own.1);
+        if stays {
+            return false;
+        }
+        self.members.remove(&worst.2);
+        self.members.insert(member.id, member);
+        true
+    }
+
+    /// A member.
+    pub fn get(&self, id: Id) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    /// A member, to be changed.
+    pub fn get_mut(&mut self, id: Id) -> Option<&mut Member> {
+        self.members.get_mut(&id)
+    }
+
+    /// All of them, by their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Those that are there.
+    pub fn here(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| m.state.here())
+    }
+
+    /// Those that are not, and have not said that they leave.
+    pub fn missing(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| matches!(m.state, State::Absent | State::Dead))
+    }
+
+    /// Forgets members that `old` names.
+    pub fn forget(&mut self, old: impl Fn(&Member) -> bool) -> Vec<Id> {
+        let gone: Vec<Id> = self.members.values().filter(|m| old(m)).map(|m| m.id).collect();
+        self.members.retain(|id, _| gone.binary_search(id).is_err());
+        gone
+    }
+
+    /// How many members there are with this instance, and the relative standard error of that; none where all are held.
+    pub fn size(&self) -> (f64, Option<f64>) {
+        let here = self.here().count();
+        if !self.sampled || here < 8 {
+            return ((here + 1) as f64, None);
+        }
+        let highest = self.here().map(|m| self.rank(m.id)).fold(0.0, f64::max);
+        let k = here as f64;
+        (((k - 1.0) / highest + 1.0).max(k + 1.0), Some(1.0 / (k - 2.0).sqrt()))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/wire.rs
@@ -0,0 +1,205 @@
+//! Datagrams: at most 256 bytes, as the platform's protocol bounds them between agents.
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 1 | the form's version |
+//! | 1 | the length of a tag, which follows; 0 until members sign what they send |
+//! | 8 | the cluster: FNV-1a, 64 bits, of its name, little-endian |
+//! | ... | the [`Datagram`], in postcard's form |
+//! | 4 | CRC-32C (RFC 3720, appendix B.4) of all before it, little-endian |
+
+use crate::member::{Duty, Id, State, Version, LIFE_MOST};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// The longest datagram.
+pub const DATAGRAM_MOST: usize = 256;
+/// The longest hint in one.
+pub const HINT_MOST: usize = 64;
+/// The form that this program speaks.
+pub const VERSION: u8 = 1;
+/// Tags may be this long.
+const TAG_MOST: u8 = 16;
+const CLUSTER: usize = 8;
+const HEAD: usize = 2 + CLUSTER;
+const CHECK: usize = 4;
+
+/// What one member says of another, or of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    /// Of whom.
+    pub id: Id,
+    /// As of which version.
+    pub version: Version,
+    /// What.
+    pub state: State,
+    /// Who saw it; whoever passes it on leaves that as it is.
+    pub by: Id,
+    /// Its site.
+    pub site: u8,
+    /// What it is for.
+    pub duty: Duty,
+    /// Where it is reached, where rosters do not say.
+    pub address: Option<SocketAddr>,
+}
+
+/// What a datagram is for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks a member whether it is there.
+    Ping {
+        /// To tell its answer from others.
+        seq: u32,
+        /// Who is meant; another one does not answer.
+        to: Id,
+    },
+    /// Asks a member to ask another one.
+    PingOf {
+        /// To tell its answer from others.
+        seq: u32,
+        /// Who is meant.
+        target: Id,
+        /// Where it is reached, where rosters do not say.
+        address: Option<SocketAddr>,
+    },
+    /// The answer to a ping, by the one that was meant or as it gave it.
+    Ack {
+        /// The ping's.
+        seq: u32,
+        /// Who is there.
+        of: Id,
+        /// In its latest version.
+        version: Version,
+    },
+    /// The one that was to be asked has not answered; whoever says so is there.
+    Nack {
+        /// The ping's.
+        seq: u32,
+    },
+    /// Nothing but its news.
+    News,
+    /// What the sender's decisions tell the receiver's.
+    Hint {
+        /// In the decisions' own form.
+        #[serde(with = "serde_bytes")]
+        payload: Vec<u8>,
+    },
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender.
+    pub from: Id,
+    /// Its version.
+    pub version: Version,
+    /// Its site.
+    pub site: u8,
+    /// Its duty.
+    pub duty: Duty,
+    /// What it is for.
+    pub kind: Kind,
+    /// What else is to be told.
+    pub news: Vec<Rumour>,
+}
+
+/// Why bytes are no datagram of this cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WireError {
+    /// Too long or too short.
+    Length,
+    /// Of another form.
+    Version(u8),
+    /// Of another cluster.
+    Cluster,
+    /// Spoilt on its way.
+    Spoilt,
+    /// Well-formed bytes that mean nothing.
+    Meaning,
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WireError::Length => {
+                write!(f, "of a length that no datagram has (at most {DATAGRAM_MOST} bytes)")
+            }
+            WireError::Version(v) => write!(f, "of form {v}; this program speaks form {VERSION}"),
+            WireError::Cluster => f.write_str("of another cluster"),
+            WireError::Spoilt => f.write_str("spoilt on its way"),
+            WireError::Meaning => f.write_str("without a meaning"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// The bytes of a datagram, and how many of its news found room; the first ones go first.
+///
+/// Without any news every kind fits, so the answer always is a datagram.
+pub fn encode(cluster: u64, datagram: &Datagram) -> (Vec<u8>, usize) {
+    let mut bytes = Vec::with_capacity(DATAGRAM_MOST);
+    bytes.extend([VERSION, 0]);
+    bytes.extend(cluster.to_le_bytes());
+    let bare = Datagram { news: Vec::new(), ..datagram.clone() };
+    // A vector that holds nothing is its length, one zero byte, at the very end.
+    let mut body = postcard::to_stdvec(&bare).unwrap_or_default();
+    body.pop();
+    bytes.append(&mut body);
+    // The count of the news takes one byte, for no datagram holds 128 of them.
+    let count_at = bytes.len();
+    bytes.push(0);
+    let mut fit = 0;
+    for rumour in &datagram.news {
+        let Ok(one) = postcard::to_stdvec(rumour) else { break };
+        if bytes.len() + one.len() + CHECK > DATAGRAM_MOST {
+            break;
+        }
+        bytes.extend(one);
+        fit += 1;
+    }
+    bytes[count_at] = fit as u8;
+    let check = crc32c::crc32c(&bytes);
+    bytes.extend(check.to_le_bytes());
+    (bytes, fit)
+}
+
+/// Reads a datagram of this cluster.
+///
+/// # Errors
+///
+/// It is none.
+pub fn decode(cluster: u64, bytes: &[u8]) -> Result<Datagram, WireError> {
+    if bytes.len() > DATAGRAM_MOST || bytes.len() < HEAD + CHECK {
+        return Err(WireError::Length);
+    }
+    // First of all: what follows may stand otherwise in another form.
+    if bytes[0] != VERSION {
+        return Err(WireError::Version(bytes[0]));
+    }
+    let (text, check) = bytes.split_at(bytes.len() - CHECK);
+    if check != crc32c::crc32c(text).to_le_bytes() {
+        return Err(WireError::Spoilt);
+    }
+    let body = HEAD + usize::from(text[1]);
+    if text[1] > TAG_MOST || text.len() < body {
+        return Err(WireError::Meaning);
+    }
+    if text[body - CLUSTER..body] != cluster.to_le_bytes() {
+        return Err(WireError::Cluster);
+    }
+    let (datagram, rest) =
+        postcard::take_from_bytes::<Datagram>(&text[body..]).map_err(|_| WireError::Meaning)?;
+    let sane = |version: Version| version.life < LIFE_MOST;
+    let kind = match &datagram.kind {
+        Kind::Ack { version, .. } => sane(*version),
+        Kind::Hint { payload } => payload.len() <= HINT_MOST,
+        _ => true,
+    };
+    let news = datagram.news.iter().all(|rumour| sane(rumour.version) && rumour.state != State::Absent);
+    if !rest.is_empty() || !sane(datagram.version) || !kind || !news {
+        return Err(WireError::Meaning);
+    }
+    Ok(datagram)
+}
--- /dev/null
+++ b/crates/model/src/fleet.rs
@@ -0,0 +1,345 @@
+//! Members of a fleet and the links between them, as discrete events.
+
+use bellcroft_membership::{Change, Id, Membership, Output, State};
+use micasail::{Span, Time};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The start of the played time: long after zero, as real clocks are.
+pub const ORIGIN: Time = Time(1_000_000_000);
+/// Datagrams that wait for a process that stands still; the kernel drops what comes past its buffer.
+const BUFFERED: usize = 200;
+
+/// The address of a member.
+pub fn address(number: usize) -> SocketAddr {
+    let [_, a, b, c] = (number as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, a, b, c), 7946))
+}
+
+/// The member at an address.
+fn number(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(v4) => {
+            let [_, a, b, c] = v4.ip().octets();
+            Some(u32::from_be_bytes([0, a, b, c]) as usize)
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// A protocol that tells who is there, driven by events.
+pub trait Peer {
+    /// When it is to be ticked.
+    fn next(&self) -> Time;
+    /// Does what is due.
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>);
+    /// Takes a datagram.
+    fn receive(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>);
+    /// What it holds of a member.
+    fn holds(&self, number: usize) -> Option<State>;
+}
+
+impl Peer for Membership {
+    fn next(&self) -> Time {
+        Membership::next(self)
+    }
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        Membership::tick(self, now, out);
+    }
+    fn receive(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        Membership::receive(self, now, from, bytes, out);
+    }
+    fn holds(&self, number: usize) -> Option<State> {
+        self.member(Id(number as u32)).map(|member| member.state)
+    }
+}
+
+/// What a link does with a datagram.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Link {
+    /// The share that is lost.
+    pub loss: f64,
+    /// How long one takes at least ...
+    pub delay: Span,
+    /// ... and by how much longer at most. Later ones overtake earlier ones by it.
+    pub jitter: Span,
+    /// The share that comes twice.
+    pub doubled: f64,
+    /// The share of which a byte is spoilt.
+    pub spoilt: f64,
+    /// Nothing passes.
+    pub cut: bool,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        let (delay, jitter) = (Span::from_ms(0.5), Span::from_ms(0.5));
+        Link { loss: 0.0, delay, jitter, doubled: 0.0, spoilt: 0.0, cut: false }
+    }
+}
+
+/// What a member's process is doing.
+#[derive(Debug)]
+enum Process<P> {
+    /// It runs.
+    Runs(P),
+    /// It stands still, and datagrams wait for it.
+    Stopped(P, Vec<(SocketAddr, Vec<u8>)>),
+    /// It is not there.
+    Gone,
+}
+
+/// A change as somebody saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// When.
+    pub at: Time,
+    /// Who saw it.
+    pub by: usize,
+    /// What.
+    pub change: Change,
+}
+
+type Datagram = (SocketAddr, SocketAddr, Vec<u8>);
+
+/// Members and the links between them. What is played follows from the seed.
+pub struct Net<P> {
+    processes: Vec<Process<P>>,
+    /// When each member's next tick is queued.
+    ticks: Vec<Option<Time>>,
+    /// What the link from one member to another does.
+    pub link: Box<dyn Fn(usize, usize) -> Link>,
+    now: Time,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    flying: std::collections::HashMap<u64, Datagram>,
+    waking: std::collections::HashMap<u64, usize>,
+    next_event: u64,
+    rng: ChaCha8Rng,
+    /// All changes that members saw.
+    pub seen: Vec<Seen>,
+    /// Hints that reached a member: by, from, payload.
+    pub hints: Vec<(usize, Id, Vec<u8>)>,
+    /// Datagrams sent, and their bytes.
+    pub sent: (u64, u64),
+    /// The longest datagram.
+    pub longest: usize,
+    out: Vec<Output>,
+}
+
+impl<P: Peer> Net<P> {
+    /// Places for so many members, none of which runs yet.
+    pub fn new(members: usize, seed: u64) -> Self {
+        Net {
+            processes: (0..members).map(|_| Process::Gone).collect(),
+            ticks: vec![None; members],
+            link: Box::new(|_, _| Link::default()),
+            now: ORIGIN,
+            events: BinaryHeap::new(),
+            flying: std::collections::HashMap::new(),
+            waking: std::collections::HashMap::new(),
+            next_event: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seen: Vec::new(),
+            hints: Vec::new(),
+            sent: (0, 0),
+            longest: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Time since the beginning.
+    pub fn passed(&self) -> Span {
+        self.now.since(ORIGIN)
+    }
+
+    /// Starts a process in a place, in place of whatever ran there.
+    pub fn start(&mut self, number: usize, peer: P) {
+        self.processes[number] = Process::Runs(peer);
+        self.plan(number);
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, number: usize) {
+        self.processes[number] = Process::Gone;
+        self.ticks[number] = None;
+    }
+
+    /// Stops a process as SIGSTOP does; what is sent to it waits.
+    pub fn stop(&mut self, number: usize) {
+        if let Process::Runs(peer) = std::mem::replace(&mut self.processes[number], Process::Gone) {
+            self.processes[number] = Process::Stopped(peer, Vec::new());
+        }
+    }
+
+    /// Lets a stopped process go on: it reads what has waited, then looks at its clock.
+    pub fn go_on(&mut self, number: usize) {
+        let process = std::mem::replace(&mut self.processes[number], Process::Gone);
+        match process {
+            Process::Stopped(peer, waiting) => {
+                self.processes[number] = Process::Runs(peer);
+                for (from, bytes) in waiting {
+                    self.deliver(number, from, &bytes);
+                }
+                self.plan(number);
+            }
+            other => self.processes[number] = other,
+        }
+    }
+
+    /// A member that runs or stands still.
+    pub fn peer(&self, number: usize) -> Option<&P> {
+        match &self.processes[number] {
+            Process::Runs(peer) | Process::Stopped(peer, _) => Some(peer),
+            Process::Gone => None,
+        }
+    }
+
+    /// Has a member do something now.
+    pub fn with(&mut self, number: usize, act: impl FnOnce(&mut P, Time, &mut Vec<Output>)) {
+        let mut out = std::mem::take(&mut self.out);
+        let now = self.now;
+        if let Process::Runs(peer) = &mut self.processes[number] {
+            act(peer, now, &mut out);
+        }
+        self.carry_out(number, &mut out);
+        self.out = out;
+        self.plan(number);
+    }
+
+    /// Sends bytes that no member has said.
+    pub fn inject(&mut self, from: SocketAddr, to: usize, bytes: Vec<u8>) {
+        let at = self.now;
+        self.fly(at, (from, address(to), bytes));
+    }
+
+    /// Those that run.
+    pub fn running(&self) -> Vec<usize> {
+        let runs = |n: &usize| matches!(self.processes[*n], Process::Runs(_));
+        (0..self.processes.len()).filter(runs).collect()
+    }
+
+    /// Plays on for so long.
+    pub fn play(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some(Reverse((at, event))) = self.events.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.events.pop();
+            self.now = self.now.max(at);
+            if let Some((from, to, bytes)) = self.flying.remove(&event) {
+                if let Some(number) = number(to).filter(|n| *n < self.processes.len()) {
+                    self.deliver(number, from, &bytes);
+                    self.plan(number);
+                }
+            } else if let Some(number) = self.waking.remove(&event) {
+                if self.ticks[number] == Some(at) {
+                    self.ticks[number] = None;
+                    self.with(number, |peer, now, out| peer.tick(now, out));
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    /// Plays in small steps until something holds, for so long at most; the time it took.
+    pub fn until(&mut self, most: Span, done: impl Fn(&Self) -> bool) -> Option<Span> {
+        let (from, step) = (self.now, Span::from_ms(50.0));
+        while !done(self) {
+            if self.now.since(from) >= most {
+                return None;
+            }
+            self.play(step);
+        }
+        Some(self.now.since(from))
+    }
+
+    fn plan(&mut self, number: usize) {
+        let Process::Runs(peer) = &self.processes[number] else { return };
+        let next = peer.next().max(self.now);
+        if self.ticks[number].is_some_and(|queued| queued <= next) {
+            return;
+        }
+        self.ticks[number] = Some(next);
+        let event = self.queue(next);
+        self.waking.insert(event, number);
+    }
+
+    fn queue(&mut self, at: Time) -> u64 {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event)));
+        self.next_event
+    }
+
+    fn deliver(&mut self, number: usize, from: SocketAddr, bytes: &[u8]) {
+        let now = self.now;
+        let mut out = std::mem::take(&mut self.out);
+        match &mut self.processes[number] {
+            Process::Runs(peer) => peer.receive(now, from, bytes, &mut out),
+            Process::Stopped(_, waiting) if waiting.len() < BUFFERED => {
+                waiting.push((from, bytes.to_vec()));
+            }
+            Process::Stopped(..) | Process::Gone => {}
+        }
+        self.carry_out(number, &mut out);
+        self.out = out;
+    }
+
+    fn carry_out(&mut self, number: usize, out: &mut Vec<Output>) {
+        for output in out.drain(..) {
+            match output {
+                Output::Send(to, bytes) => self.send(number, to, bytes),
+                Output::Change(change) => self.seen.push(Seen { at: self.now, by: number, change }),
+                Output::Hint(from, payload) => self.hints.push((number, from, payload)),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, mut bytes: Vec<u8>) {
+        self.sent.0 += 1;
+        self.sent.1 += bytes.len() as u64;
+        self.longest = self.longest.max(bytes.len());
+        let Some(target) = number(to) else { return };
+        let link = (self.link)(from, target);
+        if link.cut || self.rng.random::<f64>() < link.loss {
+            return;
+        }
+        if self.rng.random::<f64>() < link.spoilt && !bytes.is_empty() {
+            let at = self.rng.random_range(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.random_range(0..8);
+        }
+        let copies = if self.rng.random::<f64>() < link.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            let at = self.now + link.delay + Span(self.rng.random_range(0..=link.jitter.0));
+            self.fly(at, (address(from), to, bytes.clone()));
+        }
+    }
+
+    fn fly(&mut self, at: Time, datagram: Datagram) {
+        let event = self.queue(at);
+        self.flying.insert(event, datagram);
+    }
+}
+
+impl Net<Membership> {
+    /// All that run hold the same of everybody: those that run are alive to all, and nobody else is.
+    pub fn agrees(&self) -> bool {
+        let runs: Vec<bool> =
+            (0..self.processes.len()).map(|n| matches!(self.processes[n], Process::Runs(_))).collect();
+        self.running().into_iter().all(|by| {
+            runs.iter().enumerate().filter(|(of, _)| *of != by).all(|(of, runs)| {
+                let state = self.peer(by).and_then(|peer| peer.holds(of));
+                state.is_some_and(|state| state == State::Alive) == *runs
+            })
+        })
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod clients;
 mod engine;
+pub mod fleet;
 mod judge;
 mod outcome;
 pub mod policy;
