--- a/crates/agent/src/cli/check.rs
+++ b/crates/agent/src/cli/check.rs
@@ -5,6 +5,7 @@
 use crate::exit;
 use bellcroft_operator::AgentFile;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// An operator's file without any platform's configuration: what can be checked is, and what can't is said. None where
 /// there is a configuration, or no operator's file.
@@ -29,6 +30,10 @@
         Some(remote) => println!("remote write: {} every {:?}", remote.url, remote.interval),
         None => println!("remote write: off"),
     }
+    match &operator.membership {
+        Some(section) => println!("membership: cluster {}, {} peers", section.cluster, section.peers.len()),
+        None => println!("membership: off"),
+    }
     println!(
         "not checked, for no platform's configuration is named (--config, PROXY_CONFIG, instance.config): \
          addresses, classes and tenants, and whether the routes keep the four rules"
@@ -68,6 +73,19 @@
         Some(remote) => println!("remote write: {} every {:?}", remote.url, remote.interval),
         None => println!("remote write: off"),
     }
+    match &config.peering {
+        Some((listen, peers)) => {
+            let within = Duration::from_micros(peers.detects_within(peers.expected()).0);
+            println!(
+                "membership: member {} of {} in {}, heard at {listen}; one that is killed is known within {:.1} s",
+                peers.number.0,
+                peers.expected(),
+                peers.cluster,
+                within.as_secs_f64()
+            );
+        }
+        None => println!("membership: off"),
+    }
     println!("digest: {}", config.digest);
     if explain {
         print!("{}", bellcroft_routes::explain(&config.routes, &config.platform()));
--- /dev/null
+++ b/crates/agent/src/cli/members.rs
@@ -0,0 +1,51 @@
+//! `bellcroft members`.
+
+use super::status::ask;
+use crate::exit;
+use crate::peers::status::MembershipStatus;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+pub fn run(state: Option<PathBuf>, operator: Option<PathBuf>, json: bool) -> ExitCode {
+    let value = match ask("members", state, operator) {
+        Ok(value) => value,
+        Err(code) => return code,
+    };
+    match serde_json::from_value::<MembershipStatus>(value.clone()) {
+        Ok(status) if !json => print(&status),
+        Ok(_) => println!("{value}"),
+        Err(e) => {
+            eprintln!("bellcroft: the answer is not understood: {e}");
+            return ExitCode::from(exit::NOT_DONE);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn print(status: &MembershipStatus) {
+    println!("member {} of {}, heard at {}", status.number, status.cluster, status.listen);
+    println!("stance: {} ({})", status.stance, status.reason);
+    let error = status.size_error.map_or(String::new(), |e| format!(", give or take {:.0}%", 100.0 * e));
+    println!("here: {}{error}; roster: {}; reckoned by: {}", status.here, status.roster, status.reckoned);
+    if status.doubt > 0 {
+        println!("own hearing in doubt: {} of 3", status.doubt);
+    }
+    println!(
+        "{:>7} {:<8} {:>10} {:>6} {:>5} {:<9} {:>10} address",
+        "member", "state", "since", "by", "site", "duty", "answered"
+    );
+    let ago = |ms: u64| format!("{:.1} s", ms as f64 / 1e3);
+    for m in &status.members {
+        let answered = m.answered_ms.map_or("never".to_owned(), ago);
+        println!(
+            "{:>7} {:<8} {:>10} {:>6} {:>5} {:<9} {answered:>10} {}",
+            m.number,
+            m.state,
+            ago(m.since_ms),
+            m.by,
+            m.site,
+            m.duty,
+            m.address
+        );
+    }
+}
--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod check;
 mod fleet;
+mod members;
 mod status;
 
 use crate::daemon::{self, Sources, Start};
@@ -67,6 +68,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tell whom an instance knows of its fleet: who, in what state, since when, by whose word; and its own stance.
+    Members {
+        /// Its state directory.
+        #[arg(long, value_name = "DIR", required_unless_present = "operator")]
+        state: Option<PathBuf>,
+        /// The operator's file that names the state directory.
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// For programs: the answer as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Ask an instance over its second address, or take it out of service and back.
     Call {
         /// What to ask.
@@ -122,6 +135,7 @@
         Some(Command::Run { files, state }) => daemon::run(Start { sources: files.into(), state }),
         Some(Command::Check { files, explain }) => check::run(&files.into(), explain),
         Some(Command::Status { state, operator, json }) => status::run(state, operator, json),
+        Some(Command::Members { state, operator, json }) => members::run(state, operator, json),
         Some(Command::Call { word, console, operator, json }) => call::run(word, console, operator, json),
         Some(Command::Fleet(command)) => fleet::run(command),
     }
--- a/crates/agent/src/cli/status.rs
+++ b/crates/agent/src/cli/status.rs
@@ -5,26 +5,54 @@
 use crate::daemon::status::Status;
 use crate::exit::{self, block_on};
 use bellcroft_operator::AgentFile;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-pub fn run(state: Option<PathBuf>, operator: Option<PathBuf>, json: bool) -> ExitCode {
+/// The state directory that the command line names, itself or by an operator's file.
+fn directory(state: Option<PathBuf>, operator: Option<PathBuf>) -> Result<PathBuf, ExitCode> {
     let named = match (state, operator) {
         (Some(state), _) => Some(state),
         (None, Some(operator)) => match AgentFile::read(&operator) {
             Ok(file) => file.daemon.state,
             Err(faults) => {
                 faults.iter().for_each(|fault| eprintln!("{fault}"));
-                return ExitCode::from(exit::BAD_INPUT);
+                return Err(ExitCode::from(exit::BAD_INPUT));
             }
         },
         (None, None) => None,
     };
-    let Some(dir) = named else {
+    named.ok_or_else(|| {
         eprintln!("bellcroft: the operator's file names no daemon.state");
-        return ExitCode::from(exit::BAD_INPUT);
+        ExitCode::from(exit::BAD_INPUT)
+    })
+}
+
+/// Asks a running instance one thing; what went wrong has been said.
+pub(super) fn ask(
+    command: &str,
+    state: Option<PathBuf>,
+    operator: Option<PathBuf>,
+) -> Result<Value, ExitCode> {
+    let dir = directory(state, operator)?;
+    match block_on(control::ask(&dir, &json!({"command": command}))) {
+        Ok(Ok(told)) => Ok(told.value),
+        Ok(Err(Silent::NotRunning)) => {
+            eprintln!("bellcroft: {}: not running", dir.display());
+            Err(ExitCode::from(exit::NOT_RUNNING))
+        }
+        Ok(Err(Silent::Failed(why))) | Err(why) => {
+            eprintln!("bellcroft: {}: {why}", dir.display());
+            Err(ExitCode::from(exit::NOT_DONE))
+        }
+    }
+}
+
+pub fn run(state: Option<PathBuf>, operator: Option<PathBuf>, json: bool) -> ExitCode {
+    let dir = match directory(state, operator) {
+        Ok(dir) => dir,
+        Err(code) => return code,
     };
     let told = match block_on(control::ask(&dir, &json!({"command": "status"}))) {
         Ok(told) => told,
@@ -112,5 +140,8 @@
     if status.bad_requests > 0 {
         println!("bad requests: {}", status.bad_requests);
     }
+    if let Some(peers) = &status.membership {
+        println!("stance: {} ({}); reckoned by {}", peers.stance, peers.reason, peers.reckoned);
+    }
     status.problems.iter().for_each(|problem| println!("problem: {problem}"));
 }
--- /dev/null
+++ b/crates/agent/src/clock.rs
@@ -0,0 +1,36 @@
+//! The one clock of an instance.
+
+use micasail::{Span, Time};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The balancer's time: Unix time at the start, carried on by the monotonic clock. So a server's `born_ms` is
+/// a time of the same kind, and no step of the system's clock moves a deadline.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+    unix: Span,
+}
+
+impl Clock {
+    /// One that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix: Span(unix.as_micros() as u64) }
+    }
+
+    /// The time at `instant`.
+    pub fn at(&self, instant: Instant) -> Time {
+        Time(self.unix.0 + instant.saturating_duration_since(self.origin).as_micros() as u64)
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    /// The instant of `time`.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.origin + Duration::from_micros(time.0.saturating_sub(self.unix.0).min(1 << 50))
+    }
+}
--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -1,6 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
 use crate::discovery::{self, List};
+use bellcroft_membership as membership;
 use bellcroft_operator::{AgentFile, Daemon, Fault, RemoteWrite};
 use bellcroft_routes::{Platform, Spec};
 use micasail::Settings;
@@ -45,6 +46,8 @@
     pub routes: Spec,
     /// Where its counts go, if anywhere.
     pub remote_write: Option<RemoteWrite>,
+    /// Who else there is to be, if it looks for others: where it hears them, and what it goes by.
+    pub peering: Option<(SocketAddr, membership::Config)>,
     /// A hash of the bytes of its files.
     pub digest: String,
     /// The platform's file as it stands, less the list that it knows: what a newer one must have too.
@@ -64,6 +67,10 @@
     #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
+    #[serde(default)]
     limits: Limits,
     #[serde(default)]
     known: serde_json::Value,
@@ -203,6 +210,16 @@
         if known.is_none() {
             wrong.push(format!("{}: known is no server list", at("known")));
         }
+        let slot = raw["settings"]["slotNo"].as_u64().and_then(|slot| u32::try_from(slot).ok());
+        let peering = operator.membership.and_then(|section| {
+            let given = GivenPeers { listen: file.peer_listen, peers: file.peers, slot };
+            let peering = peering(section, given, &settings).map_err(|why| {
+                wrong.extend(why.into_iter().map(|why| format!("{operator_file}: membership: {why}")));
+            });
+            peering.ok()
+        });
+        // What the decisions would tell others has a way now.
+        settings.peers |= peering.is_some();
         let refusals = bellcroft_routes::check(&operator.routes, &platform(&settings, &names));
         wrong.extend(refusals.iter().map(|refusal| format!("{operator_file}:{refusal}")));
         let (Some(listen), Some(discovery), Some(known), true) = (listen, discovery, known, wrong.is_empty())
@@ -227,6 +244,7 @@
             daemon: operator.daemon,
             routes: operator.routes,
             remote_write: operator.remote_write,
+            peering,
             digest,
             raw,
         })
@@ -257,12 +275,77 @@
             ("daemon.state", self.daemon.state == newer.daemon.state),
             // The observer must have seen a request from its begin, and a server's name from its first line.
             ("remote_write (on or off)", self.remote_write.is_some() == newer.remote_write.is_some()),
+            ("membership (but for instances)", fixed(&self.peering) == fixed(&newer.peering)),
             ("remote_write.server_names", self.server_names() == newer.server_names()),
         ];
         same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
 }
 
+/// What a running instance can't change of its peering.
+fn fixed(peering: &Option<(SocketAddr, membership::Config)>) -> Option<(SocketAddr, membership::Config)> {
+    let (listen, config) = peering.clone()?;
+    Some((listen, membership::Config { instances: 0, ..config }))
+}
+
+/// What the platform's file says of peers.
+struct GivenPeers {
+    listen: Option<String>,
+    peers: Vec<String>,
+    slot: Option<u32>,
+}
+
+/// Whom to look for, by the operator's word and, where the settings allow it, the platform's behind it.
+fn peering(
+    section: bellcroft_operator::Membership,
+    given: GivenPeers,
+    settings: &Settings,
+) -> Result<(SocketAddr, membership::Config), Vec<String>> {
+    let mut wrong = Vec::new();
+    let read = |text: &String| text.parse::<SocketAddr>().ok();
+    let given = if settings.peers { given } else { GivenPeers { listen: None, peers: Vec::new(), ..given } };
+    let mut peers = section.peers;
+    if peers.is_empty() && section.seeds.is_empty() {
+        peers = given.peers.iter().filter_map(read).collect();
+        if peers.len() != given.peers.len() {
+            wrong.push("the platform's peers hold what is no address".to_owned());
+        }
+    }
+    let listen = section.listen.or(given.listen.as_ref().and_then(read));
+    if listen.is_none() {
+        wrong.push("listen is missing, and the platform gives no peer_listen".to_owned());
+    }
+    let number = section.number.or(given.slot);
+    if number.is_none() {
+        wrong.push("number is missing, and neither listen nor the platform's slotNo tells it".to_owned());
+    }
+    if let Some(number) = number.filter(|number| !peers.is_empty() && *number as usize >= peers.len()) {
+        wrong.push(format!("number is {number}, and there are members 0 to {}", peers.len() - 1));
+    }
+    let count = section.instances.unwrap_or(settings.balancers).max(peers.len() as u32);
+    if count < settings.balancers {
+        // Each would take more than its part of what all may do together.
+        wrong.push(format!("instances is {count}, and the platform's settings count {}", settings.balancers));
+    }
+    if peers.is_empty() && section.seeds.is_empty() && count > 1 {
+        wrong
+            .push(format!("of {count} instances none is named: neither peers nor seeds, nor the platform's"));
+    }
+    match (listen, number) {
+        (Some(listen), Some(number)) if wrong.is_empty() => {
+            let config = membership::Config {
+                seeds: section.seeds.into_iter().filter(|seed| *seed != listen).collect(),
+                instances: count,
+                site: u8::try_from(settings.zone.0).unwrap_or(u8::MAX),
+                duty: section.duty,
+                ..membership::Config::new(&section.cluster, number, peers)
+            };
+            Ok((listen, config))
+        }
+        _ => Err(wrong),
+    }
+}
+
 fn platform<'a>(settings: &'a Settings, names: &'a Names) -> Platform<'a> {
     Platform {
         settings,
--- a/crates/agent/src/daemon/console.rs
+++ b/crates/agent/src/daemon/console.rs
@@ -1,7 +1,7 @@
 //! The second address, for operators: one line asks, one answer follows (`bellcroft_operations::console` reads and words
 //! them). It never waits for a request, and no request for it.
 
-use crate::driver::Clock;
+use crate::clock::Clock;
 use bellcroft_operations::console::{answer, read, BadCall, Call, Callers, LINE_MOST};
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 use crate::exit;
 use crate::front::{self, Server};
 use crate::log::say;
+use crate::peers::{Decisions, Peers};
 use crate::telemetry;
 use bellcroft_operations::console::{answer, Call, ClassFigures, Figures};
 use bellcroft_operations::retune;
@@ -28,7 +29,7 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -190,6 +191,7 @@
             bad_requests,
             servers,
             connections: self.server.connections(),
+            membership: self.driver.peers().map(|peers| peers.status()),
             problems,
         }
     }
@@ -295,6 +297,9 @@
         set(&families::CONNECTIONS_MOST, &["server"], most);
         set(&families::READY, &[], usize::from(self.phase.get() == Phase::Ready));
         set(&families::GENERATION, &[], self.generation.get() as usize);
+        if let Some(peers) = self.driver.peers() {
+            telemetry::peers(&telemetry.registry, &peers, self.driver.stalls());
+        }
     }
 
     /// Reads the files again and takes all that is new in them, or nothing. Without an operator's file it is the
@@ -347,6 +352,9 @@
         if let Some((remote, config)) = self.remote.borrow().as_ref().zip(telemetry::remote(&newer)) {
             remote.change(config);
         }
+        if let Some((peers, (_, config))) = self.driver.peers().zip(newer.peering.as_ref()) {
+            peers.expect(config.instances);
+        }
         let moved = self.config.replace(newer).discovery != discovery;
         if moved || platform {
             self.driver.relocate(discovery);
@@ -362,6 +370,10 @@
     fn command(&self, value: &Value) -> control::Reply {
         match value["command"].as_str() {
             Some("status") => json!(self.status()).into(),
+            Some("members") => match self.driver.peers() {
+                Some(peers) => json!(peers.status()).into(),
+                None => control::error("it looks for no others: its operator's file has no [membership]"),
+            },
             Some("reload") => match self.reload() {
                 Ok(()) => json!({"generation": self.generation.get()}).into(),
                 Err(why) => control::error(why),
@@ -377,7 +389,7 @@
                 }
                 _ => control::error("the listening socket is not at hand"),
             },
-            _ => control::error("a command was expected: status, reload, drain or listener"),
+            _ => control::error("a command was expected: status, members, reload, drain or listener"),
         }
     }
 }
@@ -408,6 +420,15 @@
     let counted = telemetry::instance(&config, started_ms);
     let driver =
         Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
+    if let Some(peering) = config.peering.clone() {
+        let listen = peering.0;
+        let decisions = Rc::downgrade(&driver) as Weak<dyn Decisions>;
+        let peers = Peers::start(peering, (&name, config.seed), driver.clock, decisions).await;
+        let peers = peers.map_err(|e| format!("cannot listen on {listen} (membership): {e}"))?;
+        let heard = peers.address().map_or(listen, |address| address);
+        info!("{name}: peers are heard on {heard}");
+        driver.join(peers);
+    }
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), clients, config.memory);
     let copy = || listener.as_fd().try_clone_to_owned().ok();
@@ -556,6 +577,10 @@
     let handover = replaced || (given && instance.told_to_end.get() == Some(true));
     instance.notify.stopping();
     instance.enter(Phase::Draining);
+    if let Some(peers) = instance.driver.peers().filter(|_| !replaced) {
+        // Whoever takes this one's place speaks under its number.
+        peers.leave();
+    }
     let told = Instant::now();
     let now = instance.driver.clock.now();
     server.change(|service| service.end(now, replaced));
--- a/crates/agent/src/daemon/status.rs
+++ b/crates/agent/src/daemon/status.rs
@@ -1,5 +1,6 @@
 //! What an instance says of itself, in its status file and over its control socket.
 
+use crate::peers::status::MembershipStatus;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -63,6 +64,9 @@
     pub servers: Servers,
     /// Connections of clients.
     pub connections: usize,
+    /// The other instances, where they are looked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub membership: Option<MembershipStatus>,
     /// What it cannot do at present, such as write its status.
     pub problems: Vec<String>,
 }
--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -137,6 +137,11 @@
         Discovery { address, watch: None, fetch: None }
     }
 
+    /// Where discovery is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Discovery has moved: calls to the old address, and their connections, end.
     pub fn relocate(&mut self, address: SocketAddr) {
         self.address = address;
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -3,13 +3,16 @@
 //! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
+use crate::clock::Clock;
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
 use crate::discovery::{Discovery, Health, List};
 use crate::passing::{Load, Upload};
+use crate::peers::{Decisions, Peers};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
 use crate::upstream::{AttemptLimits, Content, Ended, Progress, Upstream};
 use bellcroft_operations::retune::{merge, Attempts, Book, Form, Unfit};
+use bellcroft_operations::waking::Waking;
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
 use bellcroft_telemetry::{Instance, Line};
 use bytes::Bytes;
@@ -17,13 +20,13 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use micasail::*;
 use micasail_settings::{fnv1a, Names};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -38,36 +41,6 @@
 /// so that a name that shares it by chance is not taken for the one that left.
 const NAMES_KEPT: Duration = Duration::from_secs(30);
 
-/// The balancer's time: Unix time at the start, carried on by the monotonic clock. So a server's `born_ms` is
-/// a time of the same kind, and no step of the system's clock moves a deadline.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    origin: Instant,
-    unix: Span,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), unix: Span(unix.as_micros() as u64) }
-    }
-
-    /// The time at `instant`.
-    pub fn at(&self, instant: Instant) -> Time {
-        Time(self.unix.0 + instant.saturating_duration_since(self.origin).as_micros() as u64)
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Time {
-        self.at(Instant::now())
-    }
-
-    /// The instant of `time`.
-    pub fn instant(&self, time: Time) -> Instant {
-        self.origin + Duration::from_micros(time.0.saturating_sub(self.unix.0).min(1 << 50))
-    }
-}
-
 /// A request's body.
 pub enum Given {
     /// It has come whole.
@@ -178,6 +151,12 @@
     pub telemetry: Option<Rc<Instance>>,
     state: RefCell<State>,
     wake: Notify,
+    /// The other instances, where they are looked for.
+    peers: RefCell<Option<Rc<Peers>>>,
+    /// By how many it reckons what is counted for the whole fleet, if by more than the settings say.
+    reckoned: Cell<u32>,
+    /// Whether decisions wait for the list, as the process had stood still; watched where peers are looked for.
+    waking: Cell<Option<Waking>>,
 }
 
 impl Driver {
@@ -229,6 +208,9 @@
             telemetry,
             state: RefCell::new(state),
             wake: Notify::new(),
+            peers: RefCell::default(),
+            reckoned: Cell::new(0),
+            waking: Cell::new(None),
         });
         {
             let mut state = driver.state.borrow_mut();
@@ -296,6 +278,7 @@
         if let Some(place) = places.get(settings.zone.0 as usize) {
             settings.zone = ZoneId(*place as u32);
         }
+        settings.balancers = settings.balancers.max(self.reckoned.get());
         let (kinds, _) = merge(&old.kinds, &newer.names.kinds);
         let mut book = self.book.borrow_mut();
         let free = |place: usize| !state.balancer.refers_to(ClassId(place));
@@ -453,17 +436,51 @@
                 Some(list) if list.whole => ListUpdate::Complete(self.take_list(&mut state, list)),
                 Some(list) => ListUpdate::Changes(self.take_list(&mut state, list)),
             };
-            state.queue.push_back(Event::List(update));
+            if let (Some(mut waking), false) = (self.waking.get(), update == ListUpdate::Failed) {
+                waking.listed();
+                self.waking.set(Some(waking));
+            }
+            // Before all else that is queued: what waits for the list is to be decided by it.
+            state.queue.push_front(Event::List(update));
         }
         self.pump();
     }
 
     /// Discovery has moved: the new one is watched from its whole list on. What is known stands until that comes.
     pub fn relocate(self: &Rc<Self>, address: SocketAddr) {
-        let mut state = self.state.borrow_mut();
-        state.seq = None;
-        state.discovery.relocate(address);
-        state.discovery.follow(self, true, None);
+        self.state.borrow_mut().ask_anew(self, address);
+    }
+
+    /// Looks for other instances from now on, by way of these.
+    pub fn join(&self, peers: Rc<Peers>) {
+        *self.peers.borrow_mut() = Some(peers);
+        self.waking.set(Some(Waking::new(self.clock.now())));
+    }
+
+    /// The other instances, where they are looked for.
+    pub fn peers(&self) -> Option<Rc<Peers>> {
+        self.peers.borrow().clone()
+    }
+
+    /// How often this process has stood still.
+    pub fn stalls(&self) -> u64 {
+        self.waking.get().map_or(0, |waking| waking.count())
+    }
+
+    /// Whether decisions wait for the list. To be asked before anything is decided: whatever the kernel held for this
+    /// process while it stood still may come first, a request before the clock.
+    fn waits(self: &Rc<Self>, state: &mut State) -> Option<Time> {
+        let mut waking = self.waking.get()?;
+        let now = self.clock.now();
+        if waking.beat(now) {
+            warn!("this process stood still; nothing is decided before the list has come, or for 250 ms");
+            let address = state.discovery.address();
+            // Calls that are out are ended: their answers may be as old as the list that is held.
+            state.ask_anew(self, address);
+            self.wake.notify_one();
+        }
+        self.waking.set(Some(waking));
+        waking.waits(now)
     }
 
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
@@ -471,7 +488,10 @@
         let mut sweep = Instant::now() + SWEEP;
         loop {
             let next = self.state.borrow().timers.peek().map(|Reverse((at, _))| self.clock.instant(*at));
-            let until = next.map_or(sweep, |at| at.min(sweep));
+            let waits = self.waking.get().and_then(|waking| waking.waits(self.clock.now()));
+            let waits = waits.map(|until| self.clock.instant(until));
+            // What is due cannot be done while decisions wait.
+            let until = waits.or(next).map_or(sweep, |at| at.min(sweep));
             tokio::select! {
                 () = tokio::time::sleep_until(until) => {}
                 () = self.wake.notified() => {}
@@ -498,7 +518,8 @@
     /// Handles what is queued, and what that brings.
     fn pump(self: &Rc<Self>) {
         let mut state = self.state.borrow_mut();
-        while let Some(event) = state.queue.pop_front() {
+        let waits = self.waits(&mut state).is_some();
+        while let Some(event) = state.next(waits) {
             let mut actions = std::mem::take(&mut state.actions);
             state.balancer.handle(self.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
@@ -538,8 +559,12 @@
                 state.discovery.follow(self, active, seq);
             }
             Action::FetchList => state.discovery.fetch(self),
-            // Agents of this deployment have no way to talk to each other, and the settings say so.
-            Action::Tell { .. } => {}
+            // A way to talk to each other is there where the operator's file has one.
+            Action::Tell { to, payload } => {
+                if let (Some(peers), Some(to)) = (&*self.peers.borrow(), to) {
+                    peers.tell(to, payload);
+                }
+            }
             Action::Log { text } => info!(target: "bellcroft::decisions", "{text}"),
         }
     }
@@ -711,7 +736,44 @@
     }
 }
 
+impl Decisions for Driver {
+    fn servers(&self) -> usize {
+        self.state.borrow().up.len()
+    }
+
+    fn hint(self: Rc<Self>, from: PeerId, payload: Vec<u8>) {
+        self.state.borrow_mut().queue.push_back(Event::PeerMessage { from, payload });
+        self.pump();
+    }
+
+    fn reckon(&self, instances: u32) {
+        self.reckoned.set(instances);
+        let mut state = self.state.borrow_mut();
+        let mut settings = state.balancer.settings().clone();
+        settings.balancers = instances;
+        if let Err(e) = state.balancer.retune(settings, &[]) {
+            warn!("cannot reckon by {instances} instances: {e}");
+        }
+    }
+}
+
 impl State {
+    /// The next event to be handled; while decisions wait, news of the list alone.
+    fn next(&mut self, waits: bool) -> Option<Event> {
+        if !waits {
+            return self.queue.pop_front();
+        }
+        let place = self.queue.iter().position(|event| matches!(event, Event::List(_)))?;
+        self.queue.remove(place)
+    }
+
+    /// Has discovery tell its whole list, over calls that begin now.
+    fn ask_anew(&mut self, driver: &Rc<Driver>, address: SocketAddr) {
+        self.seq = None;
+        self.discovery.relocate(address);
+        self.discovery.follow(driver, true, None);
+    }
+
     /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.open.remove(&id) else { return };
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,9 +3,10 @@
 //!
 //! `daemon` is one instance's life and `fleet` that of many; `front` (clients) and `upstream` (servers) are the two
 //! sides of a request, which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list; `telemetry` counts;
-//! [`cli`] is the way in.
+//! `peers` knows the other instances; [`cli`] is the way in.
 
 pub mod cli;
+mod clock;
 mod daemon;
 mod discovery;
 mod driver;
@@ -14,5 +15,6 @@
 mod front;
 mod log;
 mod passing;
+mod peers;
 mod telemetry;
 mod upstream;
--- /dev/null
+++ b/crates/agent/src/peers/mod.rs
@@ -0,0 +1,289 @@
+//! The other instances: the datagrams of [`bellcroft_membership`] on a socket, and what becomes of its news.
+//!
+//! Nothing on a request's way waits for a peer: what is told is sent if the kernel takes it at once, and dropped
+//! otherwise.
+
+pub mod status;
+
+use crate::clock::Clock;
+use bellcroft_membership::{Change, Config, Figures, Heard, Hearsay, Id, Membership, Output, Stance};
+use micasail::PeerId;
+use status::{MemberStatus, MembershipStatus};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::time::sleep_until;
+use tracing::{info, warn};
+
+/// Longer than any datagram that is taken; what is cut off here is refused for its length.
+const BUFFER: usize = 512;
+/// After a socket's failure, it is read again after this.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What the decisions hear of peers, as advice.
+pub trait Decisions {
+    /// Servers that the list calls up: the measure of what hearsay may doubt.
+    fn servers(&self) -> usize;
+    /// A peer's decisions tell this one's something.
+    fn hint(self: Rc<Self>, from: PeerId, payload: Vec<u8>);
+    /// What is counted for the whole fleet is shared by so many from now on.
+    fn reckon(&self, instances: u32);
+}
+
+/// Counts beside those of the protocol.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    /// Datagrams that the kernel did not take.
+    pub unsent: u64,
+    /// Hints that were told to peers, and that were dropped as the peer isn't here.
+    pub told: (u64, u64),
+    /// Hints heard: taken, too often from one peer, too many servers.
+    pub heard: [u64; 3],
+}
+
+/// The other instances.
+pub struct Peers {
+    name: String,
+    core: RefCell<Membership>,
+    hearsay: RefCell<Hearsay>,
+    socket: UdpSocket,
+    clock: Clock,
+    decisions: Weak<dyn Decisions>,
+    counts: Cell<Counts>,
+    reckoned: Cell<u32>,
+    wake: tokio::sync::Notify,
+}
+
+impl Peers {
+    /// Listens for the others and begins to look for them.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub async fn start(
+        (listen, config): (SocketAddr, Config),
+        (name, seed): (&str, u64),
+        clock: Clock,
+        decisions: Weak<dyn Decisions>,
+    ) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(listen).await?;
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let core = Membership::new(config, clock.now(), life, seed);
+        let peers = Rc::new(Peers {
+            name: name.to_owned(),
+            reckoned: Cell::new(0),
+            core: RefCell::new(core),
+            hearsay: RefCell::default(),
+            socket,
+            clock,
+            decisions,
+            counts: Cell::default(),
+            wake: tokio::sync::Notify::new(),
+        });
+        peers.settle();
+        tokio::task::spawn_local(peers.clone().run());
+        Ok(peers)
+    }
+
+    /// Where it hears the others.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    async fn run(self: Rc<Self>) {
+        let mut buffer = [0; BUFFER];
+        loop {
+            let next = self.clock.instant(self.core.borrow().next());
+            tokio::select! {
+                got = self.socket.recv_from(&mut buffer) => match got {
+                    Ok((length, from)) => {
+                        self.turn(|core, now, out| core.receive(now, from, &buffer[..length], out));
+                    }
+                    Err(_) => tokio::time::sleep(PAUSE).await,
+                },
+                () = sleep_until(next) => {}
+                () = self.wake.notified() => {}
+            }
+            // Also behind a datagram: a flood of them must not keep probes and suspicions from their times.
+            if self.clock.now() >= self.core.borrow().next() {
+                self.turn(Membership::tick);
+            }
+            self.settle();
+        }
+    }
+
+    /// Has the protocol do something, and carries out what comes of it. The protocol isn't borrowed meanwhile, for the
+    /// decisions may answer a hint with one.
+    fn turn(&self, act: impl FnOnce(&mut Membership, micasail::Time, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        let now = self.clock.now();
+        act(&mut self.core.borrow_mut(), now, &mut out);
+        for output in out {
+            match output {
+                Output::Send(to, bytes) => {
+                    if self.socket.try_send_to(&bytes, to).is_err() {
+                        self.count(|counts| counts.unsent += 1);
+                    }
+                }
+                Output::Change(change) => self.log(&change),
+                Output::Hint(from, payload) => self.hear(from, payload),
+            }
+        }
+    }
+
+    /// Tells the decisions by how many to reckon, if that has changed. Never from within a decision, which holds its own
+    /// state: what it tells a peer leaves by [`Peers::turn`] alone.
+    fn settle(&self) {
+        let reckoned = self.core.borrow().reckoned(self.clock.now());
+        if self.reckoned.replace(reckoned) != reckoned {
+            if let Some(decisions) = self.decisions.upgrade() {
+                decisions.reckon(reckoned);
+            }
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    fn hear(&self, from: Id, payload: Vec<u8>) {
+        let Some(decisions) = self.decisions.upgrade() else { return };
+        let heard = self.hearsay.borrow_mut().hear(self.clock.now(), from, &payload, decisions.servers());
+        let place = match heard {
+            Heard::Taken => 0,
+            Heard::TooOften => 1,
+            Heard::TooMany => 2,
+        };
+        self.count(|counts| counts.heard[place] += 1);
+        if heard == Heard::Taken {
+            decisions.hint(PeerId(from.0), payload);
+        }
+    }
+
+    /// Tells a peer's decisions something, if that peer is here.
+    pub fn tell(&self, to: PeerId, payload: Vec<u8>) {
+        let mut sent = false;
+        self.turn(|core, now, out| sent = core.tell(now, Id(to.0), payload, out));
+        self.count(|counts| if sent { counts.told.0 += 1 } else { counts.told.1 += 1 });
+    }
+
+    /// From now on there are to be so many.
+    pub fn expect(&self, instances: u32) {
+        self.turn(|core, now, _| core.expect(now, instances));
+        self.settle();
+        self.wake.notify_one();
+    }
+
+    /// Says good-bye to the others.
+    pub fn leave(&self) {
+        self.turn(Membership::leave);
+    }
+
+    /// What the protocol and this side of it have counted.
+    pub fn figures(&self) -> (Figures, Counts) {
+        (self.core.borrow().figures(), self.counts.get())
+    }
+
+    /// Members by what is held of them, this one left out.
+    pub fn states(&self) -> [usize; 5] {
+        let mut states = [0; 5];
+        self.core
+            .borrow()
+            .members()
+            .filter(|m| m.id != self.number())
+            .for_each(|m| states[m.state as usize] += 1);
+        states
+    }
+
+    fn number(&self) -> Id {
+        self.core.borrow().config().number
+    }
+
+    /// What an operator is told.
+    pub fn status(&self) -> MembershipStatus {
+        let core = self.core.borrow();
+        let now = self.clock.now();
+        let config = core.config();
+        let (size, size_error) = core.size();
+        let here = size.round() as u32;
+        let ago = |at: micasail::Time| now.since(at).0 / 1000;
+        MembershipStatus {
+            cluster: config.cluster.clone(),
+            number: config.number.0,
+            listen: self.address().map(|address| address.to_string()).unwrap_or_default(),
+            stance: core.stance().word().to_owned(),
+            reason: reason(core.stance(), here, core.roster()),
+            here,
+            size_error,
+            roster: core.roster(),
+            reckoned: core.reckoned(now),
+            doubt: core.doubt(),
+            members: core
+                .members()
+                .map(|member| MemberStatus {
+                    number: member.id.0,
+                    state: member.state.word().to_owned(),
+                    since_ms: ago(member.since),
+                    by: member.by.0,
+                    address: member.address.to_string(),
+                    site: member.site,
+                    duty: format!("{:?}", member.duty).to_lowercase(),
+                    life: member.version.life,
+                    round: member.version.round,
+                    answered_ms: member.answered.map(ago),
+                })
+                .collect(),
+        }
+    }
+
+    /// One line a change.
+    fn log(&self, change: &Change) {
+        let name = &self.name;
+        match change {
+            Change::Member { id, from, to, by, anew } => {
+                let (id, by, from, to) = (id.0, by.0, from.word(), to.word());
+                let anew = if *anew { ", started anew" } else { "" };
+                info!(
+                    target: "bellcroft::membership", member = id, from, to, by,
+                    "{name}: member {id} is {to}{anew}"
+                );
+            }
+            Change::Stance { from, to, here, roster } => {
+                let why = reason(*to, *here, *roster);
+                let (from, to) = (from.word(), to.word());
+                info!(target: "bellcroft::membership", from, to, here, roster, "{name}: stance is {to}: {why}");
+            }
+            Change::Woke(slept) => warn!(
+                target: "bellcroft::membership", slept_ms = slept.ms(),
+                "{name}: this process stood still for {:.1} s; it accuses nobody until it has heard the others",
+                slept.ms() / 1e3
+            ),
+            Change::Twin => warn!(
+                target: "bellcroft::membership",
+                "{name}: another process speaks under this one's number; each needs its own"
+            ),
+            Change::Stranger(id, address) => warn!(
+                target: "bellcroft::membership", member = id.0, %address,
+                "{name}: member {} is spoken for from {address}, which is not its address; that is not heard", id.0
+            ),
+        }
+    }
+}
+
+/// Why a stance is what it is.
+fn reason(stance: Stance, here: u32, roster: u32) -> String {
+    let counts = format!("{here} of {roster} are here");
+    match stance {
+        Stance::Waking => format!("just started, or stood still; {counts} by what it holds"),
+        Stance::Alone if roster <= 1 => "there is to be one".to_owned(),
+        Stance::Alone => format!("nobody else is heard, of {roster}"),
+        Stance::Minority => format!("{counts}, half or less"),
+        Stance::Majority => format!("{counts}, more than half, and a quarter or more is missing"),
+        Stance::Degraded | Stance::Whole => counts,
+    }
+}
--- a/crates/agent/src/telemetry.rs
+++ b/crates/agent/src/telemetry.rs
@@ -1,10 +1,13 @@
 //! Where the agent's sockets meet its counts: what is sampled, and the marks that tell the observer what has left.
 
+use crate::clock::Clock;
 use crate::daemon::config::Config;
-use crate::driver::Clock;
+use crate::peers::Peers;
+use bellcroft_membership::{Refused, Stance, State};
 use bellcroft_operator::RemoteWrite;
 use bellcroft_routes::SecondCopy;
-use bellcroft_telemetry::{About, Allowed, Instance, Over, Policy, Version};
+use bellcroft_telemetry::{families, About, Allowed, Instance, Over, Policy, Registry, Version};
+use families::Family;
 use micasail::{RequestId, ServerId, Span};
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -14,6 +17,9 @@
 /// Further attempts that a request without a budget of its own earns; the decisions' own figure.
 const COMMON_RATIO: f64 = 0.1;
 
+/// What can be held of a member, in the order of [`Peers::states`].
+const STATES: [State; 5] = [State::Absent, State::Alive, State::Suspect, State::Dead, State::Left];
+
 /// The series of an instance whose operator wants them sent.
 pub fn instance(config: &Config, started_ms: u64) -> Option<Rc<Instance>> {
     let remote = config.remote_write.as_ref()?;
@@ -56,6 +62,55 @@
     own.into_iter().filter(|(n, _)| !said(n)).chain(remote.labels.iter().cloned()).collect()
 }
 
+/// What is known of the other instances, as series; the counts are those of the process's life.
+pub fn peers(registry: &Registry, peers: &Peers, stalls: u64) {
+    let gauge = |family: &'static Family, labels: &[&str], value: f64| {
+        registry.gauge(family, labels).set(value);
+    };
+    for (state, count) in STATES.iter().zip(peers.states()) {
+        gauge(&families::MEMBERS, &[state.word()], count as f64);
+    }
+    let status = peers.status();
+    gauge(&families::MEMBERS_HERE, &[], status.here.into());
+    gauge(&families::MEMBERS_RECKONED, &[], status.reckoned.into());
+    gauge(&families::MEMBERS_ROSTER, &[], status.roster.into());
+    for stance in Stance::ALL {
+        gauge(&families::STANCE, &[stance.word()], f64::from(stance.word() == status.stance));
+    }
+    let (figures, counts) = peers.figures();
+    let count = |family: &'static Family, label: &str, total: u64| {
+        let counter = registry.counter(family, &[label]);
+        counter.inc_by((total as f64 - counter.get()).max(0.0));
+    };
+    for (word, total) in [("sent", figures.sent.0), ("unsent", counts.unsent), ("taken", figures.taken.0)] {
+        count(&families::MEMBER_DATAGRAMS, word, total);
+    }
+    for (word, total) in Refused::WORDS.iter().zip(figures.refused) {
+        count(&families::MEMBER_DATAGRAMS, word, total);
+    }
+    count(&families::MEMBER_BYTES, "sent", figures.sent.1);
+    count(&families::MEMBER_BYTES, "taken", figures.taken.1);
+    count(&families::MEMBER_PROBES, "sent", figures.probes.0);
+    count(&families::MEMBER_PROBES, "failed", figures.probes.1);
+    for (word, total) in [
+        ("mistaken", figures.mistaken),
+        ("refuted", figures.refuted),
+        ("stalled", figures.stalls.max(stalls)),
+    ] {
+        count(&families::MEMBER_EVENTS, word, total);
+    }
+    let heard = counts.heard;
+    for (word, total) in [
+        ("told", counts.told.0),
+        ("undelivered", counts.told.1),
+        ("taken", heard[0]),
+        ("too_often", heard[1]),
+        ("too_many", heard[2]),
+    ] {
+        count(&families::HINTS, word, total);
+    }
+}
+
 /// What the task that sends goes by.
 pub fn remote(config: &Config) -> Option<bellcroft_telemetry::Config> {
     let remote = config.remote_write.as_ref()?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod experiment;
 mod folder;
 pub mod load;
+pub mod members;
 mod report;
 mod run;
 pub mod sockets;
--- /dev/null
+++ b/crates/lab/src/members/plain.rs
@@ -0,0 +1,155 @@
+//! The registry's SWIM as a peer of the played fleet: the baseline that the project's own is measured beside.
+
+use bellcroft_membership::{Change, Id, Output, State};
+use bellcroft_model::fleet::{address, Peer};
+use foca::{Config, Foca, Identity, Notification, PostcardCodec, Runtime, Timer};
+use micasail::{Span, Time};
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// A member's number, and how often it has come back under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Node(u32, u16);
+
+impl Identity for Node {
+    type Addr = u32;
+
+    fn renew(&self) -> Option<Self> {
+        Some(Node(self.0, self.1.wrapping_add(1)))
+    }
+
+    fn addr(&self) -> u32 {
+        self.0
+    }
+
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        self.1 > adversary.1
+    }
+}
+
+/// What the library wants done.
+#[derive(Default)]
+struct Wanted {
+    send: Vec<(Node, Vec<u8>)>,
+    timers: Vec<(Duration, Timer<Node>)>,
+    changes: Vec<(u32, State)>,
+}
+
+impl Runtime<Node> for &mut Wanted {
+    fn notify(&mut self, notification: Notification<'_, Node>) {
+        match notification {
+            Notification::MemberUp(node) => self.changes.push((node.0, State::Alive)),
+            Notification::MemberDown(node) => self.changes.push((node.0, State::Dead)),
+            _ => {}
+        }
+    }
+
+    fn send_to(&mut self, to: Node, data: &[u8]) {
+        self.send.push((to, data.to_vec()));
+    }
+
+    fn submit_after(&mut self, event: Timer<Node>, after: Duration) {
+        self.timers.push((after, event));
+    }
+}
+
+/// A member by the registry's SWIM, with the same period, the same longest datagram and its own formulas for the rest.
+pub struct Plain {
+    own: u32,
+    core: Foca<Node, PostcardCodec, ChaCha8Rng, foca::NoCustomBroadcast>,
+    timers: BTreeSet<(Time, u64)>,
+    waiting: std::collections::HashMap<u64, Timer<Node>>,
+    next: u64,
+    members: usize,
+    begun: bool,
+}
+
+impl Plain {
+    pub fn new(number: usize, members: usize, seed: u64) -> Self {
+        let size = NonZeroU32::new(members as u32).unwrap_or(NonZeroU32::MIN);
+        let lan = Config::new_lan(size);
+        let config = Config {
+            probe_period: Duration::from_millis(500),
+            probe_rtt: Duration::from_millis(200),
+            // The library's formula, for the shorter period.
+            suspect_to_down_after: lan.suspect_to_down_after / 2,
+            max_packet_size: NonZeroUsize::new(256).unwrap_or(NonZeroUsize::MIN),
+            max_transmissions: NonZeroU8::new(20).unwrap_or(NonZeroU8::MIN),
+            ..lan
+        };
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ number as u64);
+        Plain {
+            own: number as u32,
+            core: Foca::new(Node(number as u32, 0), config, rng, PostcardCodec),
+            timers: BTreeSet::new(),
+            waiting: std::collections::HashMap::new(),
+            next: 0,
+            members,
+            begun: false,
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, wanted: Wanted, out: &mut Vec<Output>) {
+        for (to, bytes) in wanted.send {
+            // The sender's number stands before its bytes: an identity of the library's is no address.
+            out.push(Output::Send(address(to.0 as usize), bytes));
+        }
+        for (after, timer) in wanted.timers {
+            let at = now + Span(after.as_micros() as u64);
+            self.next += 1;
+            self.timers.insert((at, self.next));
+            self.waiting.insert(self.next, timer);
+        }
+        for (number, to) in wanted.changes {
+            let (id, by) = (Id(number), Id(self.own));
+            out.push(Output::Change(Change::Member { id, from: State::Absent, to, by, anew: false }));
+        }
+    }
+}
+
+impl Peer for Plain {
+    fn next(&self) -> Time {
+        if self.begun {
+            self.timers.first().map_or(Time(u64::MAX), |(at, _)| *at)
+        } else {
+            Time(0)
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        let mut wanted = Wanted::default();
+        if !std::mem::replace(&mut self.begun, true) {
+            // Three of the roster are called, as the others are.
+            for step in 1..=3 {
+                let other = (self.own as usize + step * self.members / 4).max(step) % self.members;
+                if other as u32 != self.own {
+                    let _ = self.core.announce(Node(other as u32, 0), &mut wanted);
+                }
+            }
+        }
+        while let Some(first) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&first);
+            if let Some(timer) = self.waiting.remove(&first.1) {
+                // An error is about one event: a probe that came to nothing, a timer of before.
+                let _ = self.core.handle_timer(timer, &mut wanted);
+            }
+        }
+        self.carry_out(now, wanted, out);
+    }
+
+    fn receive(&mut self, now: Time, _: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        let mut wanted = Wanted::default();
+        let _ = self.core.handle_data(bytes, &mut wanted);
+        self.carry_out(now, wanted, out);
+    }
+
+    fn holds(&self, number: usize) -> Option<State> {
+        let known = self.core.iter_members().any(|m| m.id().0 as usize == number);
+        Some(if known { State::Alive } else { State::Dead })
+    }
+}
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -3,6 +3,7 @@
 use crate::member::{Duty, Id};
 use micasail::Span;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// What an instance's membership goes by. Its figures are the same at every member, so that the bounds on the page for
 /// operators hold for all.
@@ -13,7 +14,7 @@
     /// Its own number.
     pub number: Id,
     /// The addresses of all members by their numbers, as far as they are known beforehand.
-    pub roster: Vec<SocketAddr>,
+    pub roster: Arc<[SocketAddr]>,
     /// Members that are asked first, where the roster is not known.
     pub seeds: Vec<SocketAddr>,
     /// How many instances there are to be; at least as many as the roster names.
@@ -42,7 +43,8 @@
 
 impl Config {
     /// The standard figures, for a member of a cluster.
-    pub fn new(cluster: &str, number: u32, roster: Vec<SocketAddr>) -> Self {
+    pub fn new(cluster: &str, number: u32, roster: impl Into<Arc<[SocketAddr]>>) -> Self {
+        let roster = roster.into();
         Config {
             cluster: cluster.to_owned(),
             number: Id(number),
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -112,6 +112,8 @@
     rng: fastrand::Rng,
     view: View,
     rumours: Rumours,
+    /// What is heard now is to be passed on: it is no sample, which everybody could hear for ever.
+    retells: bool,
     probes: BTreeMap<u32, Probe>,
     relays: BTreeMap<u32, Relay>,
     suspicions: BTreeMap<Id, Suspicion>,
@@ -141,9 +143,9 @@
     /// A member that starts now. `life` is the wall clock in Unix milliseconds.
     pub fn new(config: Config, now: Time, life: u64, seed: u64) -> Self {
         let mut view = View::new(config.number, config.view_most);
-        for (number, address) in config.roster.iter().enumerate() {
+        view.fill(config.roster.iter().enumerate().map(|(number, address)| {
             let id = Id(number as u32);
-            view.offer(Member {
+            Member {
                 id,
                 version: Version::default(),
                 state: State::Absent,
@@ -153,14 +155,15 @@
                 site: 0,
                 duty: config.duty,
                 answered: None,
-            });
-        }
+            }
+        }));
         Membership {
             cluster: micasail_settings::fnv1a(&config.cluster),
             version: Version { life: life.min(LIFE_MOST - 1), round: 0 },
             rng: fastrand::Rng::with_seed(seed),
             view,
             rumours: Rumours::default(),
+            retells: true,
             probes: BTreeMap::new(),
             relays: BTreeMap::new(),
             suspicions: BTreeMap::new(),
@@ -280,9 +283,11 @@
                 self.figures.taken.0 += 1;
                 self.figures.taken.1 += bytes.len() as u64;
                 // First the news, so that the answer is given in the version that refutes them.
-                for rumour in &datagram.news {
+                for (place, rumour) in datagram.news.iter().enumerate() {
+                    self.retells = place < usize::from(datagram.fresh);
                     self.hear(now, datagram.from, rumour, out);
                 }
+                self.retells = true;
                 self.handle(now, source, datagram, out);
                 self.take_stance(now, out);
             }
@@ -530,7 +535,7 @@
         self.suspicions.insert(id, Suspicion::new(now, times, by));
         self.change(now, id, State::Suspect, by, out);
         if let Some(rumour) = self.word(id) {
-            self.rumours.add(now, rumour);
+            self.spread(now, rumour);
         }
         self.probe_soon(now, id, out);
     }
@@ -657,7 +662,7 @@
             Some(word) => word,
             None => rumour_of(&Member { state: State::Alive, by, ..latest }, self.listed(id).is_none()),
         };
-        self.rumours.add(now, told);
+        self.spread(now, told);
     }
 
     /// One member's word on another, or on this one.
@@ -693,7 +698,7 @@
                         member.version = rumour.version;
                     }
                     self.change(now, id, State::Left, id, out);
-                    self.rumours.add(now, rumour.clone());
+                    self.spread(now, rumour.clone());
                 }
             }
             State::Suspect | State::Dead | State::Left => {
@@ -702,7 +707,7 @@
                 if let Some(suspicion) = self.suspicions.get_mut(&id) {
                     suspicion.called_dead |= called_dead;
                     suspicion.leaves |= rumour.state == State::Left;
-                    if suspicion.shared(rumour.by) {
+                    if suspicion.shared(rumour.by) && self.retells {
                         // Passed on as theirs: it shortens others' suspicions as it does this one's.
                         self.rumours.drop(id);
                         self.rumours.add(now, Rumour { version: member.version, ..rumour.clone() });
@@ -750,9 +755,7 @@
                 self.alive(now, member, rumour.by, out);
             }
             // Others may hold it.
-            _ => {
-                self.rumours.add(now, rumour.clone());
-            }
+            _ => self.spread(now, rumour.clone()),
         }
     }
 
@@ -846,6 +849,13 @@
         }
     }
 
+    /// Passes this on, if what is heard now is to be.
+    fn spread(&mut self, now: Time, rumour: Rumour) {
+        if self.retells {
+            self.rumours.add(now, rumour);
+        }
+    }
+
     // ---- bookkeeping --------------------------------------------------------------------------------
 
     fn change(&mut self, now: Time, id: Id, to: State, by: Id, out: &mut Vec<Output>) {
@@ -935,6 +945,7 @@
             site: self.config.site,
             duty: self.config.duty,
             kind,
+            fresh: queued as u8,
             news,
         };
         let (bytes, fit) = encode(self.cluster, &datagram);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -33,6 +33,18 @@
         (x ^ (x >> 31)) as f64 / 2f64.powi(64)
     }
 
+    /// Takes in the members of a roster, or those of them that rank lowest.
+    pub fn fill(&mut self, roster: impl Iterator<Item = Member>) {
+        let others = roster.filter(|member| member.id != self.own);
+        let mut ranked: Vec<(f64, Member)> = others.map(|member| (self.rank(member.id), member)).collect();
+        if ranked.len() > self.most {
+            self.sampled = true;
+            ranked.select_nth_unstable_by(self.most, |a, b| a.0.total_cmp(&b.0));
+            ranked.truncate(self.most);
+        }
+        self.members.extend(ranked.into_iter().map(|(_, member)| (member.id, member)));
+    }
+
     /// Takes a member in if there is room for it, or another one has to give way; a member that is gone gives way first.
     pub fn offer(&mut self, member: Member) -> bool {
         if member.id == self.own {
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -100,7 +100,9 @@
     pub duty: Duty,
     /// What it is for.
     pub kind: Kind,
-    /// What else is to be told.
+    /// So many of the first that are told are to be passed on; the others are samples of what the sender holds.
+    pub fresh: u8,
+    /// What else is told.
     pub news: Vec<Rumour>,
 }
 
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Nothing is owed to it any more: its instance's process was killed, or stood still.
+    pub fn excuse(&mut self, id: u64) {
+        if let Some(known) = self.requests.get_mut(&id) {
+            known.deadline = Time(u64::MAX);
+        }
+    }
+
     /// All attempts of an answered request are over: nothing can come of it any more.
     pub fn settled(&mut self, id: u64) {
         if self.requests.get(&id).is_some_and(|known| known.answered.is_some()) {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,7 +26,7 @@
 pub use policy::{Core, Pick, Policy, Truth};
 pub use random::Dist;
 pub use scenario::{
-    Arrivals, ClassSpec, Effect, Habits, Network, ReportFaults, Reports, Scenario, ScenarioError, Servers,
-    Trouble, What,
+    Arrivals, ClassSpec, Effect, Habits, LinkFault, Network, Place, ReportFaults, Reports, Scenario,
+    ScenarioError, Servers, Trouble, What,
 };
 pub use trace::Step;
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -1,6 +1,6 @@
 //! What an instance that serves must decide for the people who run it, without I/O: what a line over its second address
 //! asks ([`console`]), what it may still do while it is being taken out of service or replaced ([`service`]), how two
-//! processes share one agent's limits ([`succession`]), when a large body is passed on ([`passage`],
+//! processes share one agent's limits ([`succession`]), what it does after it stood still ([`waking`]), when a large body is passed on ([`passage`],
 //! [`chunks`]), which rules bind while new settings take over ([`retune`]).
 //!
 //! Nothing here owns a clock, a socket or a file. Times are [`micasail::Time`], on whatever clock the caller has.
@@ -11,3 +11,4 @@
 pub mod retune;
 pub mod service;
 pub mod succession;
+pub mod waking;
--- a/crates/operator/src/agent.rs
+++ b/crates/operator/src/agent.rs
@@ -2,6 +2,7 @@
 
 use bellcroft_routes::Spec;
 
+use crate::membership::Membership;
 use crate::reader::{load, parse, Fault, Section};
 use crate::telemetry::RemoteWrite;
 use std::net::SocketAddr;
@@ -19,6 +20,8 @@
     pub routes: Spec,
     /// Where its counts go; nowhere without the section.
     pub remote_write: Option<RemoteWrite>,
+    /// Whom it looks for; it is alone without the section.
+    pub membership: Option<Membership>,
 }
 
 /// `[instance]`: each value stands behind the environment's, and before the platform's configuration.
@@ -95,6 +98,7 @@
             daemon,
             routes: crate::routes::schema(top),
             remote_write: crate::telemetry::schema(top),
+            membership: crate::membership::schema(top),
         }
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod agent;
 mod fleet;
+mod membership;
 mod reader;
 mod routes;
 mod telemetry;
 
 pub use agent::{AgentFile, Daemon, Instance};
 pub use fleet::{FleetFile, Member};
+pub use membership::Membership;
 pub use reader::{load, parse, Fault, Section};
 pub use telemetry::RemoteWrite;
--- a/crates/operator/src/reader.rs
+++ b/crates/operator/src/reader.rs
@@ -199,6 +199,15 @@
         self.value(key, "an address such as \"127.0.0.1:8443\"", |value| value.as_str()?.parse().ok())
     }
 
+    /// A list of addresses; empty without.
+    pub fn addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let read = |value: &DeValue<'i>| {
+            let DeValue::Array(list) = value else { return None };
+            list.iter().map(|item| item.get_ref().as_str()?.parse().ok()).collect()
+        };
+        self.value(key, "a list of addresses such as [\"127.0.0.1:7946\"]", read).unwrap_or_default()
+    }
+
     /// A time such as `"200ms"` or `"1m 30s"`, within bounds.
     pub fn time(&self, key: &'static str, within: RangeInclusive<Duration>) -> Option<Duration> {
         let right = format!(
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod backend;
 mod directory;
+pub mod faults;
 mod fleet;
 mod folder;
 mod http;
 mod incidents;
 mod metrics;
+mod page;
 mod process;
 mod server;
 mod traffic;
@@ -23,6 +25,7 @@
 pub use http::{ok, read_message, request, soon, Message, LONG};
 pub use incidents::{stage, Incident, Staged};
 pub use metrics::*;
+pub use page::write_into;
 pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
 pub use server::{Plan, Seen, Server, Work};
 pub use traffic::{fates, p99, wanted_share, Class, Fate, Load, Record, Traffic, CLASSES};
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,6 +4,7 @@
 mod measure;
 mod measure_routes;
 mod measure_telemetry;
+mod play_faults;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -20,6 +21,9 @@
 enum Command {
     /// Start servers, one agent and steady traffic of three classes; slow one server half way; end with a table.
     Demo(demo::Options),
+    /// Play a timeline of faults on many whole programs; exit code 1 if a rule broke or they don't agree again, 3 if the
+    /// machine was too busy to tell.
+    Faults(play_faults::Options),
     /// Run unit tests of alert rules, in the format of Prometheus; exit code 1 if an expectation is not met.
     Alerts {
         /// Files such as deploy/alerts/bellcroft.test.yml.
@@ -59,6 +63,7 @@
     match args.command {
         Command::Alerts { files } => alerts(&files),
         Command::Metrics { into } => measure::table(&rig::metrics_table(), into.as_deref(), "metrics"),
+        Command::Faults(options) => runtime.block_on(play_faults::run(&options)),
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
         Command::Measure(measure::What::Routes(options)) => runtime.block_on(measure_routes::run(&options)),
         Command::Measure(measure::What::Telemetry(options)) => {
--- a/crates/rig/src/measure_routes.rs
+++ b/crates/rig/src/measure_routes.rs
@@ -1,8 +1,8 @@
 //! `rig measure routes`: troubles with today's defaults and with the example files beside them, and the cost of a
 //! look-up.
 
-use crate::measure::write_into;
 use bellcroft_routes::{Ids, Match, RouteSpec, Spec, Table};
+use rig::write_into;
 use rig::{p99, wanted_share, Agent, Folder, Load, Plan, Record, Server, Traffic, World, CLASSES};
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -114,13 +114,22 @@
 impl Server {
     /// Starts one.
     pub async fn start(plan: Plan) -> Self {
+        Self::start_with(plan, Vec::new()).await
+    }
+
+    /// Starts one that takes another's place, and its record of what came there.
+    pub async fn start_after(plan: Plan, former: &Server) -> Self {
+        Self::start_with(plan, former.seen()).await
+    }
+
+    async fn start_with(plan: Plan, seen: Vec<Seen>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(State {
             fault: watch::Sender::new(Fault::None),
             draining: watch::Sender::new(false),
             slower: Mutex::new(1.0),
-            seen: Mutex::default(),
+            seen: Mutex::new(seen),
             recent: Mutex::default(),
             random: Mutex::new(fastrand::Rng::with_seed(plan.seed)),
             cores: Semaphore::new(plan.cores),
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -17,6 +17,8 @@
     /// Their list.
     pub directory: Directory,
     health: Vec<&'static str>,
+    /// When each was started while the world ran, in Unix milliseconds; 0 for long ago.
+    born: Vec<u64>,
     seq: AtomicU64,
 }
 
@@ -35,7 +37,8 @@
         }
         let directory = Directory::start(Mood::Mute).await;
         let health = vec!["up"; servers];
-        let world = World { servers: started, directory, health, seq: AtomicU64::new(0) };
+        let born = vec![0; servers];
+        let world = World { servers: started, directory, health, born, seq: AtomicU64::new(0) };
         world.publish();
         world
     }
@@ -45,6 +48,7 @@
         let line = |(number, server): (usize, &Server)| {
             let mut line = host(&format!("s{number}"), server.address, self.health[number]);
             line["site"] = ZONES[number % ZONES.len()].into();
+            line["born_ms"] = self.born[number].into();
             line
         };
         self.servers.iter().enumerate().map(line).filter(|line| line["health"] != "removed").collect()
@@ -63,6 +67,18 @@
         self.publish();
     }
 
+    /// A new server in place of one: the list calls it up, born now.
+    pub async fn replace(&mut self, server: usize, plan: Plan) {
+        // What the old one has seen stays on record.
+        let fresh = Server::start_after(plan, &self.servers[server]).await;
+        self.servers[server].kill();
+        self.servers[server] = fresh;
+        self.health[server] = "up";
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        self.born[server] = now.unwrap_or_default().as_millis() as u64;
+        self.publish();
+    }
+
     fn publish(&self) {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         self.directory.list(seq, &self.hosts());
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -67,6 +67,17 @@
     MARGIN Gauge "bellcroft_rule_margin_seconds" ["rule"] FEW, "The smallest time that was left to the rule's limit since the last sample; not there if there was none.";
     COLD_LEFT Gauge "bellcroft_cold_budget_left_ratio" [] FEW, "The smallest share of a cold server's budget that was left since the last sample; not there if there was none.";
 
+    MEMBERS Gauge "bellcroft_members" ["state"] FEW, "Other members by what this instance holds of them: absent, alive, suspect, dead, left; only with [membership], as all of these.";
+    MEMBERS_HERE Gauge "bellcroft_members_here" [] FEW, "Members that are there by what this instance holds, itself among them; an estimate past 256.";
+    MEMBERS_RECKONED Gauge "bellcroft_members_reckoned" [] FEW, "By how many this instance reckons what is counted for the whole fleet.";
+    MEMBERS_ROSTER Gauge "bellcroft_members_roster" [] FEW, "How many members there are to be.";
+    STANCE Gauge "bellcroft_stance" ["stance"] FEW, "1 for what the instance holds of itself: waking, alone, minority, majority, degraded, whole; 0 for the others.";
+    MEMBER_DATAGRAMS Counter "bellcroft_member_datagrams_total" ["outcome"] FEW, "Datagrams among members: sent, unsent, taken, and refused by why: length, version, cluster, spoilt, meaning, stranger, former, own.";
+    MEMBER_BYTES Counter "bellcroft_member_bytes_total" ["outcome"] FEW, "Bytes of datagrams among members: sent, taken.";
+    MEMBER_PROBES Counter "bellcroft_member_probes_total" ["outcome"] FEW, "Probes of members: sent, failed.";
+    MEMBER_EVENTS Counter "bellcroft_member_events_total" ["event"] FEW, "Members called dead here that have spoken since (mistaken), accusations of this one that it refuted (refuted), and times this process stood still (stalled).";
+    HINTS Counter "bellcroft_hints_total" ["outcome"] FEW, "What decisions tell each other: told, undelivered, and heard by what became of it: taken, too_often, too_many.";
+
     REMOTE_SAMPLES Counter "bellcroft_remote_write_samples_total" ["outcome"] FEW, "Samples: sent, retried, dropped_full, dropped_refused, unwritten by the receiver's own account.";
     REMOTE_QUEUE Gauge "bellcroft_remote_write_queue_bytes" [] FEW, "Bytes that wait for the receiver.";
     REMOTE_OLDEST Gauge "bellcroft_remote_write_oldest_seconds" [] FEW, "How old the oldest samples are that wait.";
