--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -23,6 +23,7 @@
 mod swim;
 mod view;
 mod wire;
+mod words;
 
 pub use config::Config;
 pub use figures::{Figures, Refused};
@@ -32,3 +33,4 @@
 pub use swim::{Change, Membership, Output};
 pub use view::View;
 pub use wire::{decode, encode, Datagram, Kind, Rumour, WireError, DATAGRAM_MOST, HINT_MOST, VERSION};
+pub use words::{defend, weigh, Worth};
--- a/crates/membership/src/rumours.rs
+++ b/crates/membership/src/rumours.rs
@@ -8,7 +8,7 @@
 /// Rumours that wait at most; the one that was passed on most gives way.
 const WAITING_MOST: usize = 512;
 /// Members whose last word is remembered, so that nothing that has run its course is taken for news.
-const PASSED_MOST: usize = 4096;
+const PASSED_MOST: usize = 16_384;
 /// An accusation is not passed on longer: behind a healed cut it would meet those who know better.
 const ACCUSED_FOR: Span = Span(10_000_000);
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -8,6 +8,7 @@
 use crate::suspicion::Suspicion;
 use crate::view::View;
 use crate::wire::{decode, encode, Datagram, Kind, Rumour, HINT_MOST};
+use crate::words::{defend, weigh, Worth};
 use micasail::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -23,16 +24,18 @@
 const CALLED_WAKING: usize = 4;
 /// Datagrams of news for one that has just come.
 const WELCOME: usize = 3;
+/// Newcomers that are told so in a period.
+const WELCOMES: u32 = 4;
 /// Members that are told of a leave by the one that leaves.
 const FAREWELL: usize = 32;
 /// Pings of others' that are carried at a time.
 const RELAYS_MOST: usize = 64;
 /// The worst that an instance can think of its own hearing: its probes take up to this many times longer, and one more.
 const DOUBT_MOST: u32 = 3;
-/// How far behind a claimed life its member may be and still go past it; what lies further ahead is a lie.
-const AHEAD_MOST: u64 = 400 * 24 * 3_600_000;
 /// Rumours that a datagram can hold at most, by their shortest form.
 const NEWS_MOST: usize = 24;
+/// Samples of what is held that go with each datagram: they mend what was lost, and are no more than half of it.
+const SAMPLES: usize = 6;
 /// Senders at wrong addresses that are told of, once each.
 const STRANGERS_TOLD: usize = 64;
 
@@ -122,6 +125,7 @@
     /// Accused members that wait for a probe of their own.
     urgent: VecDeque<Id>,
     extra_left: u32,
+    welcomes_left: u32,
     next_probe: Time,
     last: Time,
     waking_until: Time,
@@ -170,6 +174,7 @@
             turn: Vec::new(),
             urgent: VecDeque::new(),
             extra_left: EXTRA_PROBES,
+            welcomes_left: WELCOMES,
             next_probe: now,
             last: now,
             waking_until: now + config.settle(),
@@ -316,7 +321,7 @@
         // Twice each, for there is no second chance.
         for _ in 0..2 {
             for (id, address) in here.iter().take(FAREWELL) {
-                self.send_news(now, (Some(*id), *address), Kind::News, vec![rumour.clone()], out);
+                self.send_news(now, (Some(*id), *address), Kind::News, (vec![rumour.clone()], SAMPLES), out);
             }
         }
     }
@@ -365,7 +370,12 @@
                 continue;
             }
             let factor = self.factor();
-            let Some(target) = self.view.get(probe.target).map(|m| m.address) else { continue };
+            let Some(target) = self.view.get(probe.target).map(|m| m.address) else {
+                // It has given way to another one in the sample: left here, its probe would be due for ever.
+                self.probes.remove(&seq);
+                self.suspicions.remove(&probe.target);
+                continue;
+            };
             let first = probe.asked == 0;
             let helpers = if first { self.helpers(probe.target) } else { Vec::new() };
             if let Some(probe) = self.probes.get_mut(&seq) {
@@ -391,6 +401,7 @@
     fn period(&mut self, now: Time, out: &mut Vec<Output>) {
         self.next_probe = now + self.config.probe_every * self.factor();
         self.extra_left = EXTRA_PROBES;
+        self.welcomes_left = WELCOMES;
         for _ in 0..EXTRA_PROBES {
             let Some(id) = self.urgent.pop_front() else { break };
             self.probe_accused(now, id, out);
@@ -587,7 +598,7 @@
             // Late, or from a process whose successor has spoken already. Should its clock have been set back, it must
             // learn of the life that it has to go past.
             if let Some(rumour) = self.word(from) {
-                self.send_news(now, (Some(from), source), Kind::News, vec![rumour], out);
+                self.send_news(now, (Some(from), source), Kind::News, (vec![rumour], SAMPLES), out);
             }
             return Err(Refused::Former);
         }
@@ -619,8 +630,11 @@
                 duty: datagram.duty,
                 answered: None,
             };
-            self.alive(now, member, id, out);
-            if came && !self.leaving {
+            let news = self.alive(now, member, id, out);
+            // Once for each coming, and a few in a period: two that have no room for each other hear each other for the first
+            // time again and again, and would welcome each other's welcomes.
+            if came && news && !self.leaving && self.welcomes_left > 0 {
+                self.welcomes_left -= 1;
                 self.welcome(now, id, source, out);
             }
         }
@@ -629,12 +643,13 @@
     /// Whoever has just come is told who is there.
     fn welcome(&mut self, now: Time, id: Id, at: SocketAddr, out: &mut Vec<Output>) {
         for _ in 0..WELCOME {
-            self.send(now, (Some(id), at), Kind::News, out);
+            self.send_news(now, (Some(id), at), Kind::News, (Vec::new(), NEWS_MOST), out);
         }
     }
 
     /// A member is alive in a version that was not known, or is there again.
-    fn alive(&mut self, now: Time, latest: Member, by: Id, out: &mut Vec<Output>) {
+    /// True if that was news.
+    fn alive(&mut self, now: Time, latest: Member, by: Id, out: &mut Vec<Output>) -> bool {
         let id = latest.id;
         let version = latest.version;
         let known = self.view.get(id).map(|m| (m.version, m.state));
@@ -662,7 +677,7 @@
             Some(word) => word,
             None => rumour_of(&Member { state: State::Alive, by, ..latest }, self.listed(id).is_none()),
         };
-        self.spread(now, told);
+        self.spread(now, told)
     }
 
     /// One member's word on another, or on this one.
@@ -674,24 +689,15 @@
         let Some(member) = self.view.get(id).cloned() else {
             return self.hear_of_new(now, rumour, out);
         };
-        if rumour.version.life < member.version.life || rumour.version < member.version {
-            return;
-        }
-        let own_word = from == id;
-        match rumour.state {
-            State::Absent => {}
-            State::Alive => {
-                let met = member.state.here() && member.answered.is_some();
-                if rumour.version.life > member.version.life && met {
-                    // It is said to have started anew, and was here just now: its own answer tells. What a liar claims of
-                    // another's life would otherwise stand where the member itself can't go past it.
-                    self.accuse_if_alive(now, &member, rumour.by, false, out);
-                } else if rumour.version > member.version || member.state == State::Absent {
-                    let latest = Member { version: rumour.version, ..member };
-                    self.alive(now, latest, rumour.by, out);
-                }
+        let met = member.answered.is_some();
+        let held = (member.version, member.state, met);
+        match weigh(held, (rumour.version, rumour.state), from == id) {
+            Worth::Nothing => {}
+            Worth::Alive => {
+                let latest = Member { version: rumour.version, ..member };
+                self.alive(now, latest, rumour.by, out);
             }
-            State::Left if own_word => {
+            Worth::Gone => {
                 if member.state != State::Left {
                     self.suspicions.remove(&id);
                     if let Some(member) = self.view.get_mut(id) {
@@ -701,10 +707,11 @@
                     self.spread(now, rumour.clone());
                 }
             }
-            State::Suspect | State::Dead | State::Left => {
-                let called_dead = rumour.state != State::Suspect;
-                self.accuse_if_alive(now, &member, rumour.by, called_dead, out);
-                if let Some(suspicion) = self.suspicions.get_mut(&id) {
+            Worth::Doubt => {
+                let called_dead = matches!(rumour.state, State::Dead | State::Left);
+                self.accuse_if_alive(now, &member, rumour.by, out);
+                if let Some(suspicion) = self.suspicions.get_mut(&id).filter(|_| rumour.state != State::Alive)
+                {
                     suspicion.called_dead |= called_dead;
                     suspicion.leaves |= rumour.state == State::Left;
                     if suspicion.shared(rumour.by) && self.retells {
@@ -718,21 +725,11 @@
     }
 
     /// Somebody accuses a member. Own evidence wins: one that has just answered here is not doubted for it.
-    fn accuse_if_alive(
-        &mut self,
-        now: Time,
-        member: &Member,
-        by: Id,
-        called_dead: bool,
-        out: &mut Vec<Output>,
-    ) {
+    fn accuse_if_alive(&mut self, now: Time, member: &Member, by: Id, out: &mut Vec<Output>) {
         let fresh = self.config.probe_every * 2.0;
         let vouched = member.answered.is_some_and(|at| now.since(at) < fresh);
         if member.state == State::Alive && !vouched {
             self.accuse(now, member.id, by, out);
-            if let Some(suspicion) = self.suspicions.get_mut(&member.id) {
-                suspicion.called_dead |= called_dead;
-            }
         }
     }
 
@@ -755,30 +752,17 @@
                 self.alive(now, member, rumour.by, out);
             }
             // Others may hold it.
-            _ => self.spread(now, rumour.clone()),
+            _ => {
+                self.spread(now, rumour.clone());
+            }
         }
     }
 
     /// Something is said of this very instance: it speaks up if that is wrong.
     fn defend(&mut self, now: Time, rumour: &Rumour) {
-        let (own, said) = (self.version, rumour.version);
-        if self.leaving || said < own {
-            return;
-        }
-        if said.life > own.life {
-            // A former life of this number, by a clock that has been set back since; or a lie.
-            if said.life - own.life > AHEAD_MOST {
-                return;
-            }
-            self.version = Version { life: said.life + 1, round: 0 };
-        } else if rumour.state == State::Alive && said == own {
-            return;
-        } else {
-            self.version = match said.round.checked_add(1) {
-                Some(round) => Version { round, ..own },
-                None => Version { life: own.life + 1, round: 0 },
-            };
-        }
+        let answer = defend(self.version, (rumour.version, rumour.state)).filter(|_| !self.leaving);
+        let Some(version) = answer else { return };
+        self.version = version;
         if rumour.state != State::Alive {
             self.figures.refuted += 1;
             self.doubt = (self.doubt + 1).min(DOUBT_MOST);
@@ -849,11 +833,9 @@
         }
     }
 
-    /// Passes this on, if what is heard now is to be.
-    fn spread(&mut self, now: Time, rumour: Rumour) {
-        if self.retells {
-            self.rumours.add(now, rumour);
-        }
+    /// Passes this on, if what is heard now is to be; true if it was news.
+    fn spread(&mut self, now: Time, rumour: Rumour) -> bool {
+        self.retells && self.rumours.add(now, rumour)
     }
 
     // ---- bookkeeping --------------------------------------------------------------------------------
@@ -906,7 +888,7 @@
     }
 
     fn send(&mut self, now: Time, to: (Option<Id>, SocketAddr), kind: Kind, out: &mut Vec<Output>) {
-        self.send_news(now, to, kind, Vec::new(), out);
+        self.send_news(now, to, kind, (Vec::new(), SAMPLES), out);
     }
 
     /// Sends a datagram that is filled up: with what it is about, with what is to be passed on, and with samples of what
@@ -916,7 +898,7 @@
         now: Time,
         (id, at): (Option<Id>, SocketAddr),
         kind: Kind,
-        mut news: Vec<Rumour>,
+        (mut news, samples): (Vec<Rumour>, usize),
         out: &mut Vec<Output>,
     ) {
         let accused = id.and_then(|id| self.word(id)).filter(|word| word.state != State::Alive);
@@ -926,18 +908,15 @@
         let fresh = self.rumours.pick(now, NEWS_MOST);
         news.extend(fresh.into_iter().filter(|rumour| Some(rumour.id) != id));
         let queued = news.len();
-        if queued < NEWS_MOST {
-            let mut known: Vec<Id> = self.view.iter().map(|m| m.id).collect();
-            self.rng.shuffle(&mut known);
-            let told: BTreeSet<Id> = news.iter().map(|rumour| rumour.id).chain(id).collect();
-            let samples: Vec<Rumour> = known
-                .into_iter()
-                .filter(|id| !told.contains(id))
-                .filter_map(|id| self.word(id))
-                .filter(|word| word.state != State::Suspect)
-                .take(NEWS_MOST - queued)
-                .collect();
-            news.extend(samples);
+        // Two draws for each place: some are told already, or nothing is known of them.
+        for _ in 0..2 * samples {
+            let drawn = self.view.draw(self.rng.usize(..)).map(|member| member.id);
+            let drawn = drawn.filter(|drawn| Some(*drawn) != id && news.iter().all(|told| told.id != *drawn));
+            let word = drawn.and_then(|drawn| self.word(drawn));
+            news.extend(word.filter(|word| word.state != State::Suspect));
+            if news.len() >= queued + samples {
+                break;
+            }
         }
         let datagram = Datagram {
             from: self.config.number,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -15,6 +15,8 @@
     own: Id,
     most: usize,
     members: BTreeMap<Id, Member>,
+    /// Their numbers in no order, to draw from.
+    drawn: Vec<Id>,
     /// Whether somebody was ever turned away for want of room.
     sampled: bool,
 }
@@ -22,7 +24,7 @@
 impl View {
     /// An empty view of the instance with this number.
     pub fn new(own: Id, most: usize) -> Self {
-        View { own, most: most.max(4), members: BTreeMap::new(), sampled: false }
+        View { own, most: most.max(4), members: BTreeMap::new(), drawn: Vec::new(), sampled: false }
     }
 
     /// A member's rank, uniform between 0 and 1. SplitMix64's finisher (Steele et al., 2014) over both numbers.
@@ -42,7 +44,14 @@
             ranked.select_nth_unstable_by(self.most, |a, b| a.0.total_cmp(&b.0));
             ranked.truncate(self.most);
         }
-        self.members.extend(ranked.into_iter().map(|(_, member)| (member.id, member)));
+        ranked.into_iter().for_each(|(_, member)| self.insert(member));
+    }
+
+    fn insert(&mut self, member: Member) {
+        if !self.members.contains_key(&member.id) {
+            self.drawn.push(member.id);
+        }
+        self.members.insert(member.id, member);
     }
 
     /// Takes a member in if there is room for it, or another one has to give way; a member that is gone gives way first.
@@ -51,7 +60,7 @@
             return false;
         }
         if self.members.len() < self.most || self.members.contains_key(&member.id) {
-            self.members.insert(member.id, member);
+            self.insert(member);
             return true;
         }
         self.sampled = true;
@@ -64,7 +73,8 @@
             return false;
         }
         self.members.remove(&worst.2);
-        self.members.insert(member.id, member);
+        self.drawn.retain(|id| *id != worst.2);
+        self.insert(member);
         true
     }
 
@@ -78,6 +88,11 @@
         self.members.get_mut(&id)
     }
 
+    /// One of them, by a place that was drawn at random.
+    pub fn draw(&self, place: usize) -> Option<&Member> {
+        self.members.get(self.drawn.get(place % self.drawn.len().max(1))?)
+    }
+
     /// All of them, by their numbers.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -97,6 +112,7 @@
     pub fn forget(&mut self, old: impl Fn(&Member) -> bool) -> Vec<Id> {
         let gone: Vec<Id> = self.members.values().filter(|m| old(m)).map(|m| m.id).collect();
         self.members.retain(|id, _| gone.binary_search(id).is_err());
+        self.drawn.retain(|id| gone.binary_search(id).is_err());
         gone
     }
 
--- a/crates/membership/tests/faults.rs
+++ b/crates/membership/tests/faults.rs
@@ -267,3 +267,29 @@
     start(&mut fleet, config(6, 12));
     assert!(fleet.until(seconds(5.0), Net::agrees).is_some());
 }
+
+/// Views that hold a few of many change all the time; what is out for one that has given way must not be due for ever.
+#[test]
+fn views_that_hold_a_few_of_many_settle_and_see_who_dies() {
+    for seed in 0..5 {
+        let members = 40;
+        let mut fleet: Fleet = Net::new(members, seed);
+        for number in 0..members {
+            let mut config = config(number, 0);
+            (config.instances, config.view_most) = (members as u32, 8);
+            config.seeds = vec![address(0), address(1)];
+            start(&mut fleet, config);
+        }
+        fleet.link = Box::new(|_, _| Link { loss: 0.2, ..Link::default() });
+        fleet.play(seconds(40.0));
+        let held: usize = (0..members).map(|n| fleet.peer(n).expect("it runs").members().count()).sum();
+        assert!(held > members * 6 && held <= members * 8, "seed {seed}: {held}");
+        fleet.link = Box::new(|_, _| Link::default());
+        fleet.kill(20);
+        fleet.play(bound(members) * 3.0);
+        let still =
+            (0..members).filter(|n| *n != 20 && state(&fleet, *n, 20).is_some_and(State::here)).count();
+        assert_eq!(still, 0, "seed {seed}: nobody holds the dead one for alive");
+        assert!(fleet.events < 3_000_000, "seed {seed}: {} events", fleet.events);
+    }
+}
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -114,7 +114,7 @@
     /// What the link from one member to another does.
     pub link: Box<dyn Fn(usize, usize) -> Link>,
     now: Time,
-    events: BinaryHeap<Reverse<(Time, u64)>>,
+    queued: BinaryHeap<Reverse<(Time, u64)>>,
     flying: std::collections::HashMap<u64, Datagram>,
     waking: std::collections::HashMap<u64, usize>,
     next_event: u64,
@@ -127,6 +127,8 @@
     pub sent: (u64, u64),
     /// The longest datagram.
     pub longest: usize,
+    /// Events played.
+    pub events: u64,
     out: Vec<Output>,
 }
 
@@ -138,7 +140,7 @@
             ticks: vec![None; members],
             link: Box::new(|_, _| Link::default()),
             now: ORIGIN,
-            events: BinaryHeap::new(),
+            queued: BinaryHeap::new(),
             flying: std::collections::HashMap::new(),
             waking: std::collections::HashMap::new(),
             next_event: 0,
@@ -147,6 +149,7 @@
             hints: Vec::new(),
             sent: (0, 0),
             longest: 0,
+            events: 0,
             out: Vec::new(),
         }
     }
@@ -230,11 +233,12 @@
     /// Plays on for so long.
     pub fn play(&mut self, span: Span) {
         let until = self.now + span;
-        while let Some(Reverse((at, event))) = self.events.peek().copied() {
+        while let Some(Reverse((at, event))) = self.queued.peek().copied() {
             if at > until {
                 break;
             }
-            self.events.pop();
+            self.queued.pop();
+            self.events += 1;
             self.now = self.now.max(at);
             if let Some((from, to, bytes)) = self.flying.remove(&event) {
                 if let Some(number) = number(to).filter(|n| *n < self.processes.len()) {
@@ -276,7 +280,7 @@
 
     fn queue(&mut self, at: Time) -> u64 {
         self.next_event += 1;
-        self.events.push(Reverse((at, self.next_event)));
+        self.queued.push(Reverse((at, self.next_event)));
         self.next_event
     }
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod measure;
+mod measure_membership;
 mod measure_routes;
 mod measure_telemetry;
 mod play_faults;
@@ -65,6 +66,9 @@
         Command::Metrics { into } => measure::table(&rig::metrics_table(), into.as_deref(), "metrics"),
         Command::Faults(options) => runtime.block_on(play_faults::run(&options)),
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
+        Command::Measure(measure::What::Membership(options)) => {
+            runtime.block_on(measure_membership::run(&options))
+        }
         Command::Measure(measure::What::Routes(options)) => runtime.block_on(measure_routes::run(&options)),
         Command::Measure(measure::What::Telemetry(options)) => {
             runtime.block_on(measure_telemetry::run(&options))
--- a/crates/rig/src/measure_telemetry.rs
+++ b/crates/rig/src/measure_telemetry.rs
@@ -60,7 +60,7 @@
     table(&text, options.into.as_deref(), "measure:telemetry")
 }
 
-fn cores() -> String {
+pub fn cores() -> String {
     std::thread::available_parallelism().map_or(0, std::num::NonZero::get).to_string()
 }
 
