--- a/crates/rig/src/faults/mod.rs
+++ b/crates/rig/src/faults/mod.rs
@@ -1,6 +1,6 @@
 //! Many whole programs with a relay between each two of them, and faults on the relays and the processes by a timeline.
 //!
-//! [`Links`] is the board of all links, each of one direction; [`datagrams`] and [`streams`] are the relays that go by it.
+//! [`Links`] is the board of all links, each of one direction; `datagrams` and `streams` are the relays that go by it.
 //! [`Cluster`] is the programs, their servers, discoveries and clients; [`Timeline`] a file of faults; [`play`] plays one
 //! and gives a [`Verdict`]. [`Journal`] keeps, on one clock, what each process was told, said of itself and did.
 
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -67,7 +67,7 @@
     MARGIN Gauge "bellcroft_rule_margin_seconds" ["rule"] FEW, "The smallest time that was left to the rule's limit since the last sample; not there if there was none.";
     COLD_LEFT Gauge "bellcroft_cold_budget_left_ratio" [] FEW, "The smallest share of a cold server's budget that was left since the last sample; not there if there was none.";
 
-    MEMBERS Gauge "bellcroft_members" ["state"] FEW, "Other members by what this instance holds of them: absent, alive, suspect, dead, left; only with [membership], as all of these.";
+    MEMBERS Gauge "bellcroft_members" ["state"] FEW, "Other members by what this instance holds of them: absent, alive, suspect, dead, left; only where the operator's file has membership, as all of these.";
     MEMBERS_HERE Gauge "bellcroft_members_here" [] FEW, "Members that are there by what this instance holds, itself among them; an estimate past 256.";
     MEMBERS_RECKONED Gauge "bellcroft_members_reckoned" [] FEW, "By how many this instance reckons what is counted for the whole fleet.";
     MEMBERS_ROSTER Gauge "bellcroft_members_roster" [] FEW, "How many members there are to be.";
