--- /dev/null
+++ b/crates/operator/tests/membership.rs
@@ -0,0 +1,55 @@
+//! `[membership]` in the operator's file: rosters that cannot work are refused, each with its line and why.
+
+use bellcroft_operator::{AgentFile, Fault};
+use std::path::Path;
+
+fn read(section: &str) -> Result<AgentFile, Vec<String>> {
+    let text = format!("[membership]\n{section}");
+    AgentFile::parse(Path::new("F"), &text).map_err(|faults| faults.iter().map(Fault::to_string).collect())
+}
+
+#[test]
+fn a_roster_is_read_and_its_own_place_is_found_in_it() {
+    let peers = "cluster = \"south\"\npeers = [\"127.0.0.1:7\", \"127.0.0.1:8\"]\n";
+    let file = read(&format!("{peers}listen = \"127.0.0.1:8\"\n")).expect("it is good").membership;
+    let section = file.expect("it is there");
+    assert_eq!((section.number, section.peers.len(), section.cluster.as_str()), (Some(1), 2, "south"));
+    assert_eq!(AgentFile::default().membership, None, "off without the section");
+}
+
+#[test]
+fn a_roster_that_cannot_work_is_refused_with_its_line_and_why() {
+    let cases = [
+        ("listen = \"127.0.0.1:7\"\n", "F:1: membership.cluster: is missing; a name that all its members share is needed"),
+        (
+            "cluster = \"s\"\npeers = [\"127.0.0.1:7\", \"127.0.0.1:7\"]\n",
+            "F:3: membership.peers: names 127.0.0.1:7 twice; each member has an address of its own",
+        ),
+        (
+            "cluster = \"s\"\npeers = [\"0.0.0.0:7\"]\n",
+            "F:3: membership.peers: item 0 is 0.0.0.0:7; nothing can be sent there",
+        ),
+        (
+            "cluster = \"s\"\nnumber = 2\npeers = [\"127.0.0.1:7\", \"127.0.0.1:8\"]\n",
+            "F:3: membership.number: is 2, and peers names members 0 to 1",
+        ),
+        (
+            "cluster = \"s\"\ninstances = 1\npeers = [\"127.0.0.1:7\", \"127.0.0.1:8\"]\n",
+            "F:3: membership.instances: is 1, and peers names 2",
+        ),
+        (
+            "cluster = \"s\"\nseeds = [\"127.0.0.1:9\"]\npeers = [\"127.0.0.1:7\"]\n",
+            "F:3: membership.seeds: stands beside peers; a list of all members needs no seeds",
+        ),
+        (
+            "cluster = \"s\"\nlisten = \"127.0.0.1:8\"\nnumber = 0\npeers = [\"127.0.0.1:7\", \"127.0.0.1:8\"]\n",
+            "F:3: membership.listen: is the address of member 1, and number is 0",
+        ),
+        ("cluster = \"a b\"\n", "F:2: membership.cluster: at most 64 letters, digits, '-', '_' and '.' were expected"),
+        ("cluster = \"s\"\nduty = \"boss\"\n", "F:3: membership.duty: is \"boss\"; \"agent\" or \"observer\" was expected"),
+        ("cluster = \"s\"\npeer = []\n", "F:3: membership.peer: is no known key; did you mean peers?"),
+    ];
+    for (section, expected) in cases {
+        assert_eq!(read(section).expect_err(section), [expected]);
+    }
+}
