--- a/crates/model/tests/processes.rs
+++ b/crates/model/tests/processes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bellcroft_model::*;
-use common::{at, desk};
+use common::{at, desk, slow};
 
 fn played(troubles: Vec<Trouble>) -> Outcome {
     let scenario = Scenario { troubles, ..desk(10, 4, 200.0, 0.1) };
@@ -93,12 +93,14 @@
 #[test]
 fn the_same_troubles_and_seed_are_the_same_run() {
     let troubles = || {
-        vec![
+        let mut all = slow(0..1, 1.5, 2.5);
+        all.extend([
             at(1.0, What::Kill { instances: vec![3] }),
             at(2.0, What::Stop { instances: vec![4], on: true }),
             at(3.0, What::Restart { instances: vec![3] }),
             at(4.0, What::Stop { instances: vec![4], on: false }),
-        ]
+        ]);
+        all
     };
     assert_eq!(played(troubles()), played(troubles()));
 }
