--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -64,8 +64,10 @@
             return true;
         }
         self.sampled = true;
-        let own = (member.state.here(), self.rank(member.id));
-        let worst = self.members.values().map(|m| (m.state.here(), self.rank(m.id), m.id));
+        // Whoever was not heard yet keeps its place by its rank: else the first to speak would be the sample.
+        let lasts = |m: &Member| !matches!(m.state, State::Dead | State::Left);
+        let own = (lasts(&member), self.rank(member.id));
+        let worst = self.members.values().map(|m| (lasts(m), self.rank(m.id), m.id));
         let worse = |a: &(bool, f64, Id), b: &(bool, f64, Id)| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1));
         let Some(worst) = worst.max_by(worse) else { return false };
         let stays = worst.0 && (!own.0 || worst.1 <= own.1);
--- a/crates/membership/tests/faults.rs
+++ b/crates/membership/tests/faults.rs
@@ -293,3 +293,19 @@
         assert!(fleet.events < 3_000_000, "seed {seed}: {} events", fleet.events);
     }
 }
+
+/// A roster of more than are held: whoever speaks first must not push out those that rank lower, or the size is told wrong.
+#[test]
+fn a_roster_past_the_view_s_bound_is_sampled_by_rank_and_its_size_told() {
+    let members = 120;
+    let mut fleet: Fleet = Net::new(members, 4);
+    for number in 0..members {
+        let mut config = config(number, members);
+        config.view_most = 40;
+        start(&mut fleet, config);
+    }
+    fleet.play(seconds(20.0));
+    let sizes: Vec<f64> = (0..members).map(|n| fleet.peer(n).expect("it runs").size().0).collect();
+    let mean = sizes.iter().sum::<f64>() / members as f64;
+    assert!((mean / members as f64 - 1.0).abs() < 0.05, "{mean}");
+}
