--- a/crates/agent/src/peers/mod.rs
+++ b/crates/agent/src/peers/mod.rs
@@ -189,21 +189,13 @@
         (self.core.borrow().figures(), self.counts.get())
     }
 
-    /// Members by what is held of them, this one left out.
+    /// The others by what is held of them.
     pub fn states(&self) -> [usize; 5] {
         let mut states = [0; 5];
-        self.core
-            .borrow()
-            .members()
-            .filter(|m| m.id != self.number())
-            .for_each(|m| states[m.state as usize] += 1);
+        self.core.borrow().members().for_each(|m| states[m.state as usize] += 1);
         states
     }
 
-    fn number(&self) -> Id {
-        self.core.borrow().config().number
-    }
-
     /// What an operator is told.
     pub fn status(&self) -> MembershipStatus {
         let core = self.core.borrow();
--- a/crates/rig/src/faults/play.rs
+++ b/crates/rig/src/faults/play.rs
@@ -4,7 +4,7 @@
 use super::journal::Entry;
 use super::timeline::Timeline;
 use crate::server::Plan;
-use crate::traffic::{fates, Fate, Load, Record, Traffic};
+use crate::traffic::{fates, Load, Record, Traffic};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -117,10 +117,10 @@
                 match &trouble.what {
                     What::Kill { instances }
                     | What::Term { instances }
+                    | What::Restart { instances }
                     | What::Stop { instances, on: true } => {
                         instances.iter().for_each(|n| away.from(*n));
                     }
-                    What::Restart { instances } => instances.iter().for_each(|n| away.from(*n)),
                     _ => {}
                 }
                 cluster.suffer(&trouble.what).await;
@@ -145,8 +145,7 @@
     let records = traffic.finish().await;
     let entries = cluster.journal.entries();
     let breaches = cluster.world.audit_but(&records, |record| away.during(record) && record.crossed);
-    let lost = |r: &&Record| matches!(r.fate, Fate::Lost | Fate::Unanswered | Fate::NoConnection);
-    let unanswered = records.iter().filter(lost).filter(|record| !away.during(record));
+    let unanswered = records.iter().filter(|record| !record.fate.is_answer() && !away.during(record));
     let troubled: Vec<usize> = timeline
         .troubles
         .iter()
