--- a/crates/rig/src/faults/streams.rs
+++ b/crates/rig/src/faults/streams.rs
@@ -100,7 +100,7 @@
     ways.spawn(way(far_in, near_out, back.clone(), end.clone(), b));
     let ended = async { while ways.join_next().await.is_some() {} };
     tokio::pin!(ended);
-    let half_open = loop {
+    loop {
         tokio::select! {
             () = &mut ended => return,
             changed = there.changed() => if changed.is_err() { return },
@@ -111,14 +111,11 @@
             return;
         }
         if self::silences(&there, &back) != silences {
-            break true;
+            break;
         }
-    };
-    if half_open {
-        // Both sides hold it for open, and neither hears of the other again. Its halves live in their tasks, which are
-        // kept and never again looked at.
-        std::future::pending::<()>().await;
     }
+    // Both sides hold it for open. Its halves live in their tasks, which are kept and never again looked at.
+    std::future::pending::<()>().await;
 }
 
 fn resets(there: &watch::Receiver<Link>, back: &watch::Receiver<Link>) -> u64 {
