A connection is served also where an option for speed can't be had on it

`front/mod.rs`, `connection`: `set_nodelay(true)` that failed ended the connection that had just been taken, and with it the request that its client had written; `upstream/mod.rs` `open` and `discovery/mod.rs` `call` took the same error for a backend that can't be reached and for a failed call.

Ruled out: time-outs of connections, places that had run out, hyper's errors (none was logged).

One function turns the delay off for all sides and is content where that fails: it costs some milliseconds and never a request. Test: a connection on a socket that lacks the option (another family) is served; without the fix it fails (tried: the answer is empty).

--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -356,10 +356,11 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
 
-    fn load(text: &str, listen: &str) -> Result<Config, String> {
+    /// What a start with this file and this address goes by.
+    pub(crate) fn load(text: &str, listen: &str) -> Result<Config, String> {
         let file = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let read = Read { path: "config.json".into(), bytes: text.as_bytes().to_vec(), file };
         let var = |name: &str| (name == "PROXY_LISTEN").then(|| listen.to_owned());
@@ -367,7 +368,8 @@
             .map_err(|wrong| wrong.join("; "))
     }
 
-    const SETTINGS: &str = r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}]}"#;
+    pub(crate) const SETTINGS: &str =
+        r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}]}"#;
 
     #[test]
     fn variables_win_over_the_file_and_unknown_keys_are_skipped() {
--- a/crates/agent/src/daemon/console.rs
+++ b/crates/agent/src/daemon/console.rs
@@ -2,6 +2,7 @@
 //! them). It never waits for a request, and no request for it.
 
 use crate::clock::Clock;
+use crate::prompt::prompt;
 use bellcroft_operations::console::{answer, read, BadCall, Call, Callers, LINE_MOST};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -97,7 +98,7 @@
 }
 
 async fn caller(mut stream: TcpStream, answers: &dyn Fn(Call) -> String) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+    prompt(&stream);
     let mut line = Vec::with_capacity(LINE_MOST);
     let call = loop {
         if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
 
 use crate::driver::Driver;
+use crate::prompt::prompt;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -219,7 +220,7 @@
     let exchange = async {
         if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
             let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
+            prompt(&stream);
             let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
             let task = tokio::task::spawn_local(async move {
                 // Its end shows at the sender.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,5 +16,6 @@
 mod log;
 mod passing;
 mod peers;
+mod prompt;
 mod telemetry;
 mod upstream;
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::discovery::{Health, Host};
 use crate::passing::{Load, Upload};
+use crate::prompt::prompt;
 use crate::telemetry::FirstByte;
 use bellcroft_operations::passage::{way, Begin, Passed, BODY_MOST, WHOLE_MOST};
 use bytes::{Bytes, BytesMut};
@@ -741,7 +742,7 @@
     tries: Rc<Cell<u64>>,
 ) -> io::Result<(SendRequest<Load>, JoinHandle<()>, Rc<Wire>)> {
     let stream = TcpStream::connect(dial).await?;
-    stream.set_nodelay(true)?;
+    prompt(&stream);
     let wire = Rc::new(Wire { whole: Cell::new(u64::MAX), tries, ..Wire::default() });
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
     let mut builder = Builder::new();
