A client that leaves behind unread bytes is noticed while its request waits

`front/framing.rs`, `Framed::poll_read`, stage `Whole`: with bytes behind the request that waits, the end of the stream was kept for later (`ended && !ahead.is_empty()`), and past 16 KiB of them the socket was not read at all, so that the end, and with a full window even the client's FIN, stayed in the kernels. hyper reads no body that nobody takes, so a client that left while its long body waited was not noticed either. Such a request was sent on whenever a server came up.

A test over loopback with no server up: clients send up to 1 MiB behind their request, or part of a long body, and leave by FIN, RST or half-close; a server comes up 0.3 s later and gets their requests. Ruled out: what the decisions hold (`ClientGone` drops it at once, and what is connecting is called off).

The end of the stream ends what waits, wherever it lies. A request's connection is read on: 80 KiB behind it are kept (the longest one that is taken whole), more is dropped and the stream taken to end there. The closing of a client's side is also awaited beside all reading, which sees it behind a body that is not read.

Open: a client that leaves with more of a long body (over 64 KiB) unsent than the kernels hold is seen only once its body is read.

--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -7,17 +7,19 @@
 
 use crate::telemetry::Owing;
 use bellcroft_operations::chunks::{Chunks, NotChunked};
-use bellcroft_operations::passage::Patience;
+use bellcroft_operations::passage::{Patience, BODY_MOST, WHOLE_MOST};
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use micasail::Time;
+use rustix::io::Errno;
+use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -27,6 +29,12 @@
 const LINES_MOST: usize = 100;
 /// Read at a time.
 const CHUNK: usize = 16 << 10;
+/// What is kept of what comes behind a request that waits: the longest one that is taken whole. More is read and dropped,
+/// for a client that leaves says so behind all that it has sent, and its kernel can't deliver that word while ours takes
+/// nothing.
+const AHEAD_MOST: usize = HEAD_MOST + WHOLE_MOST;
+/// So much is dropped at the most; whoever sends on is no longer read.
+const DROPPED_MOST: u64 = BODY_MOST;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,6 +126,11 @@
         self.lingers.get()
     }
 
+    /// Whether a request of it is held by others: its body by whoever takes it in, or all of it until its answer.
+    pub fn waits(&self) -> bool {
+        matches!(self.phase.get().0, Phase::Coming | Phase::Open) && self.lingers.get().is_none()
+    }
+
     fn body(&self, change: impl FnOnce(&mut Patience, Time)) {
         let mut patience = self.patience.get();
         change(&mut patience, Time(self.begin.elapsed().as_micros() as u64));
@@ -163,6 +176,14 @@
     }
 }
 
+/// Waits until a client has closed its side, however much of what it had sent is unread: the end of a stream is read last,
+/// and may lie behind a flood that nobody reads while the request before it waits.
+pub async fn left(stream: &TcpStream) {
+    // Of the end alone there is no interest; this one is of urgent data too, which is not asked of the kernel and so never
+    // shows. An error is an end as well.
+    let _ = stream.ready(Interest::PRIORITY).await;
+}
+
 /// How far the present request has been read.
 enum Stage {
     /// Its head is coming.
@@ -179,7 +200,7 @@
 
 /// A client's connection, read request by request.
 pub struct Framed {
-    io: TokioIo<TcpStream>,
+    io: Rc<TcpStream>,
     line: Rc<Line>,
     stage: Stage,
     /// What has been read and not been passed on; its first `pass` bytes may be.
@@ -188,19 +209,22 @@
     /// A head that was not whole at this length is not parsed again before more has come.
     parsed: usize,
     ended: bool,
+    /// How much behind `ahead` has been dropped; with the first byte the stream ends there for all that follow.
+    dropped: u64,
 }
 
 impl Framed {
     /// Wraps a connection.
-    pub fn new(stream: TcpStream, line: Rc<Line>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, line: Rc<Line>) -> Self {
         Framed {
-            io: TokioIo::new(stream),
+            io: stream,
             line,
             stage: Stage::Head,
             ahead: BytesMut::new(),
             pass: 0,
             parsed: 0,
             ended: false,
+            dropped: 0,
         }
     }
 
@@ -210,11 +234,17 @@
             return Poll::Ready(Ok(false));
         }
         loop {
-            ready!(self.io.inner().poll_read_ready(cx))?;
+            ready!(self.io.poll_read_ready(cx))?;
             let mut chunk = [0; CHUNK];
-            match self.io.inner().try_read(&mut chunk) {
+            match self.io.try_read(&mut chunk) {
                 Ok(n) => {
-                    self.ahead.extend_from_slice(&chunk[..n]);
+                    let kept = match self.stage {
+                        Stage::Whole => n.min(AHEAD_MOST.saturating_sub(self.ahead.len())),
+                        _ => n,
+                    };
+                    let kept = if self.dropped > 0 { 0 } else { kept };
+                    self.ahead.extend_from_slice(&chunk[..kept]);
+                    self.dropped += (n - kept) as u64;
                     if matches!(self.stage, Stage::Body(_) | Stage::Chunked(_)) {
                         self.line.body(|patience, now| patience.came(n, now));
                     }
@@ -272,6 +302,23 @@
         self.parsed = 0;
     }
 
+    /// Writes by `write` as much as the kernel takes now.
+    fn poll_out(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            let ready = self.io.poll_write_ready(cx);
+            self.line.wrote(ready.is_ready());
+            ready!(ready)?;
+            match write(&self.io) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+
     /// Reads away what comes of a request that nobody wants any more, until its client has nothing left to say: were the
     /// socket closed on unread bytes, the kernel would take back the answer that tells the client so.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -312,6 +359,10 @@
                     if this.take_head() {
                         continue;
                     }
+                    // What was behind has been dropped: what has come of a request before it will not become whole.
+                    if this.dropped > 0 {
+                        return Poll::Ready(Ok(()));
+                    }
                 }
                 Stage::Body(left) if !this.ahead.is_empty() => {
                     this.pass = left.min(this.ahead.len() as u64) as usize;
@@ -341,8 +392,11 @@
                     continue;
                 }
                 Stage::Shut => return Poll::Pending,
-                // Enough has been read ahead; the answer to the present request wakes this again.
-                Stage::Whole if this.ahead.len() >= HEAD_MOST || (this.ended && !this.ahead.is_empty()) => {
+                Stage::Body(_) | Stage::Chunked(_) if this.dropped > 0 => {
+                    return Poll::Ready(Ok(()));
+                }
+                // Only its leaving is still of interest, and that shows at the socket (`left`).
+                Stage::Whole if this.dropped >= DROPPED_MOST => {
                     *this.line.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
@@ -350,7 +404,6 @@
             }
             match this.poll_fill(cx) {
                 Poll::Ready(Ok(true)) => {}
-                Poll::Ready(Ok(false)) if matches!(this.stage, Stage::Whole) && !this.ahead.is_empty() => {}
                 Poll::Ready(Ok(false)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
                 Poll::Pending => {
@@ -366,41 +419,41 @@
 }
 
 impl Write for Framed {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.line.wrote(wrote.is_ready());
-        wrote
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_out(cx, |io| io.try_write(buf))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_flush(cx))?;
-        // hyper flushes only once it has written all that it had.
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes only once it has written all that it had, and nothing is kept back here.
         self.line.flushed();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.line.lingers.get().is_none() {
-            ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+            match shutdown(&self.io, Shutdown::Write) {
+                // Its client was first.
+                Ok(()) | Err(Errno::NOTCONN) => {}
+                Err(e) => return Poll::Ready(Err(e.into())),
+            }
         }
         match self.stage {
+            _ if self.dropped > 0 => self.poll_linger(cx),
             Stage::Body(_) | Stage::Chunked(_) => self.poll_linger(cx),
             Stage::Head | Stage::Whole | Stage::Shut => Poll::Ready(Ok(())),
         }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.line.wrote(wrote.is_ready());
-        wrote
+        self.poll_out(cx, |io| io.try_write_vectored(bufs))
     }
 }
 
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::daemon::status::{Ended, Tally};
 use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
-use crate::front::framing::{Framed, Line, Phase, HEAD_MOST};
+use crate::front::framing::{left, Framed, Line, Phase, HEAD_MOST};
 use crate::front::reply::{Ending, Reply};
 use crate::passing::{Kept, Upload};
 use crate::prompt::prompt;
@@ -58,8 +58,10 @@
 const CROWDED: f64 = 0.5;
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
 const MUTE_LEAST: Duration = Duration::from_millis(100);
-/// How often a connection's time is looked at.
+/// How often a connection's time is looked at; one whose client has closed its side much more often, for nothing may go
+/// out for that client any more.
 const LOOK: Duration = Duration::from_millis(250);
+const LOOK_LEFT: Duration = Duration::from_millis(20);
 /// The longest id of a request that is kept.
 const ID_MOST: usize = 256;
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
@@ -243,27 +245,32 @@
 
     async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
         prompt(&stream);
-        let taken = Instant::now();
+        let (stream, taken) = (Rc::new(stream), Instant::now());
         let mut changed = self.changed.subscribe();
         let (server, read) = (self.clone(), line.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
-        let mut connection = pin!(builder.serve_connection(Framed::new(stream, line.clone()), service));
+        let framed = Framed::new(stream.clone(), line.clone());
+        let mut connection = pin!(builder.serve_connection(framed, service));
+        let (mut leaving, mut gone) = (pin!(left(&stream)), false);
         loop {
             let until = self.until(&line, taken);
-            if Instant::now() >= until {
+            if Instant::now() >= until || (gone && line.waits()) {
                 return;
             }
+            let look = if gone { LOOK_LEFT } else { LOOK };
             // What has come is looked at before the connection's time.
             tokio::select! {
                 biased;
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return,
                 () = leave.notified() => return,
+                // A client that closes its side has gone away (the protocol's page): what it waits for ends with it.
+                () = leaving.as_mut(), if !gone => gone = true,
                 // What is idle may have to close; a request that is on its way, or is the first, is still answered.
                 _ = changed.changed() => {}
-                () = sleep_until(until.min(Instant::now() + LOOK)) => {}
+                () = sleep_until(until.min(Instant::now() + look)) => {}
             }
         }
     }
