A list that is pushed is followed over sockets, and a mute watch ends by the settings' grace

`discovery/mod.rs`: a watch was given up 2.5 s after its wait whatever the settings, but what it missed counts as told 2 s after it. At the worst phase (silent as it began) the agent acted 7.85 s after the call and the answer to a new one, where 7 s, the grace and 50 ms are allowed: fine with this deployment's 2 s, 0.55 s too late with the other customer's 250 ms.

A directory that pushes is never called by the code before (the test fails, tried).

How discovery is asked comes from the settings: pushed lists are watched by short calls, again 50 ms after a failure, from the whole list on; where lists are asked for, a watch's patience is what is left of 2 s and the grace after a second for asking anew, 2.5 s at most, as before with this deployment. Unit test of the clocks at their worst phase for graces from 0 to 10 s; `endings.rs` follows a pushed list through silences and versions that begin anew.

--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -17,10 +17,23 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-/// How long a watch waits for news. Short enough that a mute discovery is found out soon.
+/// How long a watch of a service for all waits for news. Short enough that a mute discovery is found out soon.
 const WAIT: Duration = Duration::from_millis(5_000);
 /// A call that has said nothing this long after it should have is mute: discovery is down or cut off.
 const MUTE: Duration = Duration::from_millis(2_500);
+/// What a mute watch has missed counts as told this long after its wait (the platform's page), and nothing may go to a
+/// server that leaves once its grace is over after that.
+const TOLD: Duration = Duration::from_millis(2_000);
+/// Of that time this is kept for asking anew: the pause before it (300 ms at most), the look at timers (50 ms), and the
+/// answer of a service that works through its calls in turn.
+const ANEW: Duration = Duration::from_millis(1_000);
+/// A discovery on this machine answers at once and at no cost, and what it has counts as told whether or not it was
+/// asked. So it is asked often: a wait and the patience with it are this part of the grace each, within these bounds.
+const PUSHED_PART: u32 = 4;
+const PUSHED_LEAST: Duration = Duration::from_millis(60);
+const PUSHED_MOST: Duration = Duration::from_millis(500);
+/// And asked again this soon after a failure.
+const PUSHED_PAUSE: Duration = Duration::from_millis(50);
 /// The longest list that is read.
 const LIST_MOST: usize = 4 << 20;
 
@@ -125,17 +138,47 @@
     })
 }
 
+/// How discovery is to be asked, by the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Manner {
+    /// A watch waits for news for so long.
+    wait: Duration,
+    /// A watch that has said nothing so long after its wait is mute.
+    watch_mute: Duration,
+    /// Any other call that has said nothing for so long.
+    mute: Duration,
+    /// After a failure it is asked again this soon; none where the decisions say when, for it is one service for all.
+    again: Option<Duration>,
+}
+
+impl Manner {
+    /// By how lists come and how long sends to a server that leaves may go on.
+    pub fn new(lists: micasail::Discovery, grace: Duration) -> Self {
+        match lists {
+            micasail::Discovery::OnRequest => {
+                let watch_mute = (TOLD + grace).saturating_sub(ANEW).min(MUTE);
+                Manner { wait: WAIT, watch_mute, mute: MUTE, again: None }
+            }
+            micasail::Discovery::Pushed => {
+                let part = (grace / PUSHED_PART).clamp(PUSHED_LEAST, PUSHED_MOST);
+                Manner { wait: part, watch_mute: part, mute: part, again: Some(PUSHED_PAUSE) }
+            }
+        }
+    }
+}
+
 /// The calls to discovery; at most one watch and one call for the whole list at a time.
 pub struct Discovery {
     address: SocketAddr,
+    manner: Manner,
     watch: Option<JoinHandle<()>>,
     fetch: Option<JoinHandle<()>>,
 }
 
 impl Discovery {
     /// Knows where discovery is; calls nobody yet.
-    pub fn new(address: SocketAddr) -> Self {
-        Discovery { address, watch: None, fetch: None }
+    pub fn new(address: SocketAddr, manner: Manner) -> Self {
+        Discovery { address, manner, watch: None, fetch: None }
     }
 
     /// Where discovery is.
@@ -143,6 +186,16 @@
         self.address
     }
 
+    /// It is asked like this from its next call on.
+    pub fn retune(&mut self, manner: Manner) {
+        self.manner = manner;
+    }
+
+    /// Whether nobody else says when a watch begins.
+    pub fn follows_by_itself(&self) -> bool {
+        self.manner.again.is_some()
+    }
+
     /// Discovery has moved: calls to the old address, and their connections, end.
     pub fn relocate(&mut self, address: SocketAddr) {
         self.address = address;
@@ -158,7 +211,7 @@
             watch.abort();
         }
         if active {
-            let watch = watch(self.address, driver.clone(), seq);
+            let watch = watch(self.address, self.manner, driver.clone(), seq);
             self.watch = Some(tokio::task::spawn_local(watch));
         }
     }
@@ -168,31 +221,37 @@
         if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
             return;
         }
-        let (address, driver) = (self.address, driver.clone());
+        let (address, mute, driver) = (self.address, self.manner.mute, driver.clone());
         self.fetch = Some(tokio::task::spawn_local(async move {
             let mut connection = None;
-            driver.listed(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
+            driver.listed(call(address, &mut connection, "/v1/endpoints", mute).await);
         }));
     }
 }
 
 /// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
-/// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: Option<u64>) {
+/// told, and begins another when it sees fit. Only what costs nobody anything is asked again from here.
+async fn watch(address: SocketAddr, manner: Manner, driver: Rc<Driver>, mut seq: Option<u64>) {
     let mut connection = None;
     loop {
-        let (path, wait) = match seq {
-            Some(seq) => (format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
-            None => ("/v1/endpoints".to_owned(), Duration::ZERO),
+        let (path, within) = match seq {
+            Some(seq) => {
+                let wait = manner.wait;
+                let path = format!("/v1/endpoints?after={seq}&wait_ms={}", wait.as_millis());
+                (path, wait + manner.watch_mute)
+            }
+            None => ("/v1/endpoints".to_owned(), manner.mute),
         };
         // A change is one of a list that is known; as a first answer it would say nothing of the others.
-        let answer = call(address, &mut connection, &path, wait).await.filter(|l| seq.is_some() || l.whole);
+        let answer = call(address, &mut connection, &path, within).await.filter(|l| seq.is_some() || l.whole);
+        // Versions may begin anew with a discovery that does: after a failure its whole list is asked for.
+        seq = answer.as_ref().map(|list| list.seq);
         let failed = answer.is_none();
-        if let Some(list) = &answer {
-            seq = Some(list.seq);
+        match (failed, manner.again) {
+            (true, Some(pause)) => tokio::time::sleep(pause).await,
+            _ => driver.listed(answer),
         }
-        driver.listed(answer);
-        if failed {
+        if failed && manner.again.is_none() {
             return;
         }
     }
@@ -214,7 +273,7 @@
     address: SocketAddr,
     kept: &mut Option<Connection>,
     path: &str,
-    wait: Duration,
+    within: Duration,
 ) -> Option<List> {
     let mut connection = kept.take();
     let exchange = async {
@@ -239,7 +298,7 @@
         parse_list(&serde_json::from_slice(&body).ok()?)
     };
     // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
-    let answer = tokio::time::timeout(wait + MUTE, exchange).await.ok().flatten();
+    let answer = tokio::time::timeout(within, exchange).await.ok().flatten();
     if answer.is_some() {
         *kept = connection;
     }
@@ -251,6 +310,22 @@
     use super::*;
     use serde_json::json;
 
+    /// The platform's clocks at their worst phase, for graces from none to long: a watch that fell silent as it began.
+    #[test]
+    fn a_mute_watch_is_over_before_what_it_missed_has_to_be_obeyed() {
+        for ms in [0, 50, 250, 1_000, 2_000, 10_000] {
+            let grace = Duration::from_millis(ms);
+            let asked = Manner::new(micasail::Discovery::OnRequest, grace);
+            let told = asked.wait + TOLD;
+            assert!(asked.wait + asked.watch_mute + ANEW <= told + grace, "{ms}: {asked:?}");
+            assert!(asked.watch_mute >= Duration::from_millis(1_000), "{ms}: a busy service is given time");
+            let pushed = Manner::new(micasail::Discovery::Pushed, grace);
+            let late = pushed.wait + pushed.watch_mute + PUSHED_PAUSE;
+            // What is pushed counts at once; each time limit on sockets is 50 ms longer.
+            assert!(late <= grace + Duration::from_millis(50) || ms < 150, "{ms}: {pushed:?}");
+        }
+    }
+
     #[test]
     fn entries_without_sense_are_left_out_and_unknown_fields_skipped() {
         let list = parse_list(&json!({"seq": 7, "whole": true, "novel": 1, "hosts": [
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
-use crate::discovery::{Discovery, Health, List};
+use crate::discovery::{Discovery, Health, List, Manner};
 use crate::passing::{Load, Upload};
 use crate::peers::{named, Decisions, Peers};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
@@ -177,6 +177,7 @@
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
         ));
+        let manner = manner(&config.settings);
         let mut balancer = Balancer::new(config.settings, config.seed)?;
         let mut actions = Vec::new();
         balancer.start(clock.now(), &mut actions);
@@ -194,7 +195,7 @@
             up: HashSet::new(),
             seq: Some(config.known.seq),
             left_out: HashSet::new(),
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, manner),
             routes,
             ids,
             attempts_most: Attempts::default(),
@@ -219,6 +220,11 @@
             for action in actions {
                 driver.carry_out(&mut state, action);
             }
+            // The decisions take a list that is pushed to come by itself; over sockets nothing does.
+            if state.discovery.follows_by_itself() {
+                let seq = state.seq;
+                state.discovery.follow(&driver, true, seq);
+            }
         }
         driver.pump();
         Ok(driver)
@@ -261,7 +267,7 @@
     /// # Errors
     ///
     /// The decisions cannot work with them; nothing has changed then.
-    pub fn retune(&self, newer: &Config) -> Result<(), SettingsError> {
+    pub fn retune(self: &Rc<Self>, newer: &Config) -> Result<(), SettingsError> {
         newer.settings.check()?;
         let mut state = self.state.borrow_mut();
         let (old, now) = (self.names(), self.clock.now());
@@ -288,6 +294,13 @@
             state.attempts_most.changed(former.max_attempts, now);
         }
         state.balancer.retune(settings, &changed)?;
+        let followed = state.discovery.follows_by_itself();
+        let manner = manner(state.balancer.settings());
+        state.discovery.retune(manner);
+        if followed != state.discovery.follows_by_itself() {
+            let seq = state.seq;
+            state.discovery.follow(self, true, seq);
+        }
         state.recent.resize_with(book.len(), Recent::default);
         changed.iter().for_each(|(place, _)| state.recent[*place] = Recent::default());
         self.upstream.retune(
@@ -857,6 +870,11 @@
     }
 }
 
+/// How these settings would have discovery asked.
+fn manner(settings: &Settings) -> Manner {
+    Manner::new(settings.discovery, Duration::from_micros(settings.drain_grace.0))
+}
+
 /// The name of a request's route.
 fn route_of(arrival: &Arrival) -> &str {
     arrival.route.as_ref().map_or(NO_ROUTE, |route| &route.name)
--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -51,6 +51,31 @@
     assert_eq!(agent.figure("svc.upstream_tries").await, asked, "attempts that were written whole");
 }
 
+/// Settings that say that lists are pushed: over sockets nothing comes by itself, so the agent asks, also after a silence,
+/// and whatever number a discovery that has begun anew gives its list.
+#[tokio::test]
+async fn a_list_that_is_pushed_is_followed_and_again_after_a_silence() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let mut directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "draining")]);
+    config["settings"]["discovery"] = "pushed".into();
+    let agent = Agent::with(config, |_| {}).await;
+    for seq in [7, 3] {
+        // Each of these calls was made while it says nothing.
+        for _ in 0..3 {
+            directory.next_call().await;
+        }
+        directory.list(seq, &[host("s", backend.address, "up")]);
+        agent.ready().await;
+        assert_eq!(agent.get("/read").await.status(), 200);
+        directory.list(seq + 1, &[host("s", backend.address, "draining")]);
+        let taken = format!("after={}&", seq + 1);
+        while !directory.next_call().await.contains(&taken) {}
+        assert_eq!(agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+        directory.mood.send_replace(Mood::Mute);
+    }
+}
+
 /// Clients whose request waits for a server leave, with bytes behind their request up to every limit of what is read
 /// ahead, so that the end of their stream lies behind what nobody reads. A server comes up when the time is over: only
 /// those who are still there get it.
