A passed-on answer that trickles ends with its request's time, a long one by how little it brings

`upstream/mod.rs`, `Relay::poll_next`: an answer that had begun to be passed on had no end but 30 s of silence.

A long one may be silent for 30 s in all, and longer only by what it brings (4 KiB a second), the measure that slow clients already have.

Unit test for the long one.

--- a/crates/agent/src/front/reply.rs
+++ b/crates/agent/src/front/reply.rs
@@ -64,8 +64,8 @@
     }
 
     /// One that is passed on as it comes.
-    pub fn passing(relay: Relay) -> Self {
-        Reply { content: Content::Passing(Box::new(relay)), ending: None, line: None }
+    pub fn passing(relay: Box<Relay>) -> Self {
+        Reply { content: Content::Passing(relay), ending: None, line: None }
     }
 
     /// What ends with it.
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -7,7 +7,7 @@
 use crate::passing::{Load, Upload};
 use crate::prompt::prompt;
 use crate::telemetry::FirstByte;
-use bellcroft_operations::passage::{way, Begin, Passed, BODY_MOST, WHOLE_MOST};
+use bellcroft_operations::passage::{way, Begin, Passed, Patience, BODY_MOST, WHOLE_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -16,7 +16,7 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use micasail::{Outcome, ServerId, Time};
+use micasail::{Outcome, ServerId, Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -29,7 +29,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant, Sleep};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant, Sleep};
 
 /// An idle connection is given up after this share of the time in the settings: one that the backend closes
 /// while a request is on its way to it costs that request a reset of which nobody knows whether it ran.
@@ -45,8 +45,8 @@
 const ANSWER_MOST: u64 = 2 * (WHOLE_MOST + HEAD_MOST) as u64;
 /// The same for one that is passed on: pieces of a single byte each carry six of framing.
 const PASSED_MOST: u64 = 8 * BODY_MOST;
-/// A backend that has begun a long answer and says nothing for this long will not end it.
-const QUIET_MOST: Duration = Duration::from_secs(30);
+/// A backend that has begun a long answer and says nothing for this long, or brings next to nothing, will not end it.
+const QUIET_MOST: Span = Span(30_000_000);
 /// Read at a time.
 const CHUNK: usize = 16 << 10;
 
@@ -229,7 +229,7 @@
     /// It has come whole.
     Whole(Bytes),
     /// It is long, and has begun.
-    Passing(Relay),
+    Passing(Box<Relay>),
 }
 
 /// A long answer that is passed on as it comes. Its connection serves the next attempt once it is over, and ends if it is
@@ -239,7 +239,11 @@
     rest: Incoming,
     length: Option<u64>,
     passed: Passed,
-    quiet: Pin<Box<Sleep>>,
+    /// What has not told its length and is no long one yet has its request's time, and no other.
+    until: Instant,
+    begin: Instant,
+    patience: Patience,
+    over_at: Pin<Box<Sleep>>,
     /// None once it is over.
     connection: Option<(Rc<Upstream>, Connection)>,
 }
@@ -255,6 +259,15 @@
         self.connection.is_none()
     }
 
+    /// Whether it may still be one that the platform carries, whose time is that of its last byte.
+    fn short(&self) -> bool {
+        self.length.is_none() && self.passed.total() <= WHOLE_MOST as u64
+    }
+
+    fn now(&self) -> Time {
+        Time(self.begin.elapsed().as_micros() as u64)
+    }
+
     fn finish(&mut self) {
         if let Some((upstream, connection)) = self.connection.take() {
             upstream.settle(connection);
@@ -267,9 +280,19 @@
             return Poll::Ready(Some(Ok(first)));
         }
         loop {
+            if self.short() && Instant::now() >= self.until {
+                return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+            }
             match Pin::new(&mut self.rest).poll_frame(cx) {
                 Poll::Pending => {
-                    ready!(self.quiet.as_mut().poll(cx));
+                    self.patience.waits(self.now());
+                    let quiet = self.patience.until().map(|at| self.begin + Duration::from_micros(at.0));
+                    let quiet = quiet.unwrap_or(self.until);
+                    let at = if self.short() { quiet.min(self.until) } else { quiet };
+                    if self.over_at.deadline() != at {
+                        self.over_at.as_mut().reset(at);
+                    }
+                    ready!(self.over_at.as_mut().poll(cx));
                     return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
                 }
                 Poll::Ready(None) => {
@@ -287,7 +310,7 @@
                     if self.length == Some(self.passed.total()) {
                         self.finish();
                     }
-                    self.quiet.as_mut().reset(Instant::now() + QUIET_MOST);
+                    self.patience.came(data.len(), self.now());
                     return Poll::Ready(Some(Ok(data)));
                 }
             }
@@ -563,7 +586,10 @@
             let wire = connection.wire.clone();
             // A body that is still coming takes its client's time, not the backend's.
             let first_byte = limits.first_byte.filter(|_| progress.upload.is_none());
-            let ended = self.exchange(connection, request, first_byte).await;
+            let mut ended = self.exchange(connection, request, first_byte).await;
+            if let Some(Ended { answer: Some((_, Content::Passing(relay))), .. }) = &mut ended {
+                relay.until = progress.until.get().unwrap_or(limits.until);
+            }
             if whole == u64::MAX && progress.may_have_run() {
                 self.tries.set(self.tries.get() + 1);
             }
@@ -655,14 +681,17 @@
             connection.wire.readable.set(PASSED_MOST);
             let mut passed = Passed::default();
             passed.add(first.len()).ok()?;
-            Content::Passing(Relay {
+            Content::Passing(Box::new(Relay {
                 first: Some(first),
                 rest,
                 length,
                 passed,
-                quiet: Box::pin(sleep(QUIET_MOST)),
+                until: Instant::now(),
+                begin: Instant::now(),
+                patience: Patience::of(QUIET_MOST),
+                over_at: Box::pin(sleep_until(Instant::now())),
                 connection: Some((self.clone(), connection)),
-            })
+            }))
         } else {
             return None;
         };
--- a/crates/operations/src/passage.rs
+++ b/crates/operations/src/passage.rs
@@ -82,14 +82,26 @@
 
 /// How long a body that is coming is waited for. Only the time counts in which its reader had room for more: what a slow
 /// server takes is not its client's fault.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Patience {
+    gap: Span,
     came: u64,
     waited: Span,
     since: Option<Time>,
 }
 
+impl Default for Patience {
+    fn default() -> Self {
+        Patience::of(GAP_MOST)
+    }
+}
+
 impl Patience {
+    /// With one who may say nothing for so long.
+    pub fn of(gap: Span) -> Self {
+        Patience { gap, came: 0, waited: Span::ZERO, since: None }
+    }
+
     /// There is room for more, and nothing has come.
     pub fn waits(&mut self, now: Time) {
         self.since.get_or_insert(now);
@@ -105,8 +117,8 @@
 
     /// When it is over; none while nothing is waited for.
     pub fn until(&self) -> Option<Time> {
-        let earned = Span(GAP_MOST.0 + self.came * 1_000_000 / SLOWEST);
-        self.since.map(|since| since + earned.less(self.waited).min(GAP_MOST))
+        let earned = Span(self.gap.0 + self.came * 1_000_000 / SLOWEST);
+        self.since.map(|since| since + earned.less(self.waited).min(self.gap))
     }
 }
 
@@ -250,6 +262,24 @@
         assert!(bytes <= 4, "a byte now and then holds no place");
     }
 
+    /// A side that is given more time at once trickles no longer for it.
+    #[test]
+    fn a_trickle_ends_whatever_the_gap() {
+        let gap = Span(30_000_000);
+        let (mut trickle, mut now, mut bytes) = (Patience::of(gap), Time(0), 0);
+        loop {
+            trickle.waits(now);
+            let next = now + Span(1_000_000);
+            if trickle.until().is_none_or(|until| until <= next) {
+                break;
+            }
+            now = next;
+            trickle.came(1, now);
+            bytes += 1;
+        }
+        assert!((25..=30).contains(&bytes), "{bytes}: silent for the gap in all, not each time");
+    }
+
     /// However many bodies there are, what they keep is bounded by a little each beyond the share.
     #[test]
     fn begins_share_the_memory_that_there_is() {
