The end waits by the deadlines of the present settings, not by those of the start

`daemon/mod.rs`, `serve`: the longest deadline was read once, at the start. After a SIGHUP with longer ones the process gave up at its end what was still to be answered: a request of 20 s got a 504 after 0.85 s. Seen in the test below; ruled out: the operator's `stop_within`, which was not set.

The patience of the end is read when the end begins. Test in `endings.rs` (SIGHUP to longer deadlines, a request that its backend holds, SIGTERM): 504 without the mend, 200 with it (tried).

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -362,6 +362,14 @@
         Ok(())
     }
 
+    /// How long what is open is waited for at the end: by the settings that hold then, not by those of the start.
+    fn patience(&self) -> Duration {
+        let config = self.config.borrow();
+        let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let longest = Duration::from_micros(longest.0);
+        config.daemon.stop_within.map_or(longest, |most| most.min(longest))
+    }
+
     fn name(&self) -> String {
         self.config.borrow().name.clone()
     }
@@ -410,8 +418,6 @@
     let (listener, origin) = listen(&config, meet.as_deref()).await?;
     let given = matches!(origin, Origin::Given);
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let longest = Duration::from_micros(longest.0);
     let name = config.name.clone();
     let sockets = config.sockets.saturating_sub(SPARE_SOCKETS);
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
@@ -603,8 +609,7 @@
         instance.listener.borrow_mut().take();
     }
     // What is in flight has its deadline; past the longest one nothing is owed any more.
-    let patience = instance.config.borrow().daemon.stop_within.unwrap_or(longest);
-    let last = told + front::ACCEPT_ON + patience.min(longest);
+    let last = told + front::ACCEPT_ON + instance.patience();
     loop {
         sleep(FLUSH).await;
         if !server.busy() {
