A send decided for a request that has just ended leaves no attempt in flight

`driver.rs`, `send`: a decision to send for a request that was no longer open was dropped without a word, and the balancer kept the attempt in flight for good. That happens where decisions wait for the list (a process that stood still, membership on): the request and its client's leaving are both queued, and the first is decided before the second is told. The same holds for a second copy that falls due while the answer's word is queued.

With the dropped sends logged: 60 requests whose clients left within the wait, 60 such sends, and afterwards 429 for a client that stayed, for both servers were taken for full.

A send names its attempt's number (the decisions count attempts, not the driver), and one that can't be made is told as never sent. No decision changes.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -550,8 +550,8 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, server, timeout_at, write_by } => {
-                self.send(state, request, server, (timeout_at, write_by));
+            Action::Send { request, attempt, server, timeout_at, write_by } => {
+                self.send(state, (request, attempt.0), server, (timeout_at, write_by));
             }
             Action::Cancel { request, attempt } => {
                 if let Some(progress) = state.attempts.get(&(request, attempt.0)) {
@@ -598,13 +598,18 @@
     fn send(
         self: &Rc<Self>,
         state: &mut State,
-        request: RequestId,
+        (request, attempt): (RequestId, u32),
         server: ServerId,
         (timeout_at, write_by): (Time, Time),
     ) {
-        let Some(open) = state.open.get_mut(&request) else { return };
-        let attempt = open.sends;
-        open.sends += 1;
+        let Some(open) = state.open.get_mut(&request) else {
+            // It ended while decisions waited, and the word of that is queued behind what they now decide.
+            let (attempt, outcome) = (AttemptNo(attempt), Outcome::NotSent);
+            let (elapsed, report, closed) = (Span::ZERO, None, true);
+            state.queue.push_back(Event::Outcome { request, attempt, outcome, elapsed, report, closed });
+            return;
+        };
+        open.sends = attempt + 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
         let upload = open.parts.body.upload().cloned();
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -517,7 +517,7 @@
     fn carry_out(&mut self, instance: usize, actions: &mut Vec<Action>) {
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, server, timeout_at, write_by } => {
+                Action::Send { request, server, timeout_at, write_by, .. } => {
                     self.send(instance, request.0, server.0 as usize, timeout_at, write_by);
                 }
                 Action::Cancel { request, attempt } => self.call_off(request.0, attempt.0, Ended::Cancelled),
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -452,6 +452,7 @@
         self.attempts.insert((id, number), (server, now));
         out.push(Action::Send {
             request: micasail::RequestId(id),
+            attempt: micasail::AttemptNo(number),
             server: micasail::ServerId(server),
             timeout_at,
             write_by,
--- a/src/api.rs
+++ b/src/api.rs
@@ -753,6 +753,9 @@
     Send {
         /// The request.
         request: RequestId,
+        /// Its number among the request's attempts, under which its outcome is told. Each has one, also one that can't
+        /// be made as the request has just ended ([`Outcome::NotSent`] then): what is counted as in flight would stay.
+        attempt: AttemptNo,
         /// Where to.
         server: ServerId,
         /// When the attempt times out.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -773,7 +773,8 @@
         let again = attempt > 0;
         let flight = Flight { server, class, sent: now, trial, again, counted: false, coming, limits };
         self.flights.insert((id, attempt), flight);
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at, write_by });
+        let (attempt, server) = (AttemptNo(attempt), s.listed.server);
+        out.push(Action::Send { request: id, attempt, server, timeout_at, write_by });
     }
 
     /// Sends the second copies that are due. They are the first to stop when capacity is short: while
