Windows of zero and shares beyond one are refused at the start, and the exit looks twice

`src/api.rs`, `check`: a keyed class with a window of zero or less and a tenant's share outside 0 to 1 were taken as they stood (seen by starting the program on sixteen bad files: these were the ones that started wrongly). They end the start with 2 and a line that names the key; at SIGHUP all stays as it was. Tests in `settings.rs` and, with the real program at start and SIGHUP, in `service.rs`; without the check the start goes on (tried by hand, before).

`daemon/mod.rs`: after the look that found nothing owed 30 ms passed before the exit, in which a request could come on a connection that had been silent. The exit now follows a second look that finds the same, so nothing passes between a look and the exit but what the operator's file has written there. By reading; there is no test that can hold that instant from outside.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -610,18 +610,22 @@
     }
     // What is in flight has its deadline; past the longest one nothing is owed any more.
     let last = told + front::ACCEPT_ON + instance.patience();
+    let mut quiet = false;
     loop {
         sleep(FLUSH).await;
-        if !server.busy() {
+        let busy = server.busy();
+        // Two looks: what was answered at the first is written by the second, and what has come between is seen.
+        if quiet && !busy {
             break;
         }
+        quiet = !busy;
         if Instant::now() >= last {
             // The operator's patience is over before the clients' is: they hear so and are not left waiting.
             instance.driver.give_up_all();
+            sleep(FLUSH).await;
             break;
         }
     }
-    sleep(FLUSH).await;
     // The last counts are of all that was answered, so they leave last.
     let remote = instance.remote.borrow_mut().take();
     if let Some(remote) = remote {
--- a/crates/agent/tests/service.rs
+++ b/crates/agent/tests/service.rs
@@ -162,6 +162,43 @@
     }
 }
 
+/// Settings that no agent can go by end the start with 2 and one line that names the key; at SIGHUP all stays as it was and
+/// the log says why.
+#[tokio::test]
+async fn settings_without_sense_end_the_start_and_change_nothing_at_a_reload() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let good = config(directory.address, &[host("s", backend.address, "up")]);
+    let agent = Agent::with(good.clone(), |_| {}).await;
+    let changes: [(&str, &str, serde_json::Value); 6] = [
+        ("/settings/classes/0/effect", "maybe", "maybe".into()),
+        ("/settings/classes/1/dedupWindowMs", "dedup window", 0.into()),
+        ("/settings/classes/1/dedupWindowMs", "dedup window", (-5).into()),
+        ("/settings/parties/0/fraction", "fraction", 1.5.into()),
+        ("/settings/classes/2/aimMs", "aim", 0.into()),
+        ("/discovery", "PROXY_DISCOVERY", "nowhere".into()),
+    ];
+    for (refused, (place, named, value)) in (1..).zip(changes) {
+        let mut bad = good.clone();
+        *bad.pointer_mut(place).expect("it is there") = value;
+        let file = write_config(&bad.to_string());
+        let output = soon("the end", command(&file).output()).await.expect("output");
+        std::fs::remove_file(&file).expect("the file is there");
+        assert_eq!(output.status.code(), Some(2), "{place}");
+        let log = String::from_utf8(output.stderr).expect("UTF-8");
+        assert!(log.lines().count() == 1 && log.contains(named), "{place}: {log}");
+        agent.replace(&bad.to_string());
+        agent.hang_up().await;
+        soon("a refusal", async {
+            while agent.logged("all stays as it was") < refused {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        assert_eq!(agent.get("/read").await.status(), 200, "{place}");
+    }
+}
+
 /// With no descriptor left for another connection the agent goes on, and serves again when there are some.
 #[tokio::test]
 async fn running_out_of_descriptors_is_survived() {
--- a/src/api.rs
+++ b/src/api.rs
@@ -366,6 +366,14 @@
             if class.deadline == Span::ZERO {
                 return Err(SettingsError::ZeroSpan { setting: "deadline" });
             }
+            if matches!(class.effect, Effect::Deduplicated { window: Span::ZERO, .. }) {
+                return Err(SettingsError::ZeroSpan { setting: "dedup window" });
+            }
+        }
+        // A share may be the sum of others.
+        let share = |value: f64| (0.0..=1.0 + 1e-6).contains(&value);
+        if let Some(tenant) = self.tenants.iter().find(|tenant| !share(tenant.fraction)) {
+            return Err(SettingsError::BadShare { value: tenant.fraction });
         }
         let numbers = [("cold_share", self.cold_share), ("overload_factor", self.overload_factor)];
         let numbers = numbers.into_iter().chain(self.classes.iter().map(|c| ("worth", c.worth)));
@@ -391,6 +399,11 @@
         /// What it was.
         value: f64,
     },
+    /// A tenant's share is not from 0 to 1.
+    BadShare {
+        /// What it was.
+        value: f64,
+    },
     /// A span that must be above zero is zero.
     ZeroSpan {
         /// Which setting.
@@ -407,6 +420,9 @@
             SettingsError::BadNumber { setting, value } => {
                 write!(f, "setting {setting} is {value}; a finite number of zero or more is needed")
             }
+            SettingsError::BadShare { value } => {
+                write!(f, "a tenant's share (fraction) is {value}; a number from 0 to 1 is needed")
+            }
             SettingsError::ZeroSpan { setting } => write!(f, "setting {setting} is zero; it must be longer"),
             SettingsError::NoAttempts => {
                 write!(f, "settings allow no attempt for a request; at least one is needed")
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -17,6 +17,14 @@
         with(|s| s.classes[0].deadline = Span::ZERO),
         Some(SettingsError::ZeroSpan { setting: "deadline" })
     );
+    let keyed =
+        with(|s| s.classes[0].effect = Effect::Deduplicated { group: Group::All, window: Span::ZERO });
+    assert_eq!(keyed, Some(SettingsError::ZeroSpan { setting: "dedup window" }));
+    for fraction in [1.5, -0.1, f64::NAN] {
+        let tenants = vec![Tenant { fraction, ..Tenant::default() }];
+        let wrong = Balancer::new(Settings { tenants, ..Settings::default() }, 1).err();
+        assert!(matches!(wrong, Some(SettingsError::BadShare { .. })), "{fraction}");
+    }
     assert!(matches!(with(|s| s.cold_share = f64::NAN), Some(SettingsError::BadNumber { .. })));
     assert!(matches!(with(|s| s.overload_factor = -1.0), Some(SettingsError::BadNumber { .. })));
     assert!(matches!(with(|s| s.classes[0].worth = f64::INFINITY), Some(SettingsError::BadNumber { .. })));
