--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -269,3 +269,31 @@
     assert!(agent.end().await.success());
     assert!(backend.seen.try_recv().is_err(), "sent twice");
 }
+
+/// A second word to end, and a word to read the files again, change nothing for what is in flight while an instance ends.
+#[tokio::test]
+async fn a_second_word_to_end_and_a_reload_change_nothing_at_the_end() {
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut agent =
+        Agent::with(patient(directory.address, &[host("s", backend.address, "up")]), |_| {}).await;
+    let mut idle = agent.client().await;
+    assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 200);
+    let mut client = agent.client().await;
+    client.send(&request("POST", "/pay", "20000m", "b")).await;
+    backend.next().await;
+    agent.term().await;
+    // The first word has been heard: what is idle has been closed for it.
+    idle.closed().await;
+    agent.term().await;
+    agent.hang_up().await;
+    // It still takes who comes, and says that it is not ready: the two have not ended it.
+    assert_eq!(agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+    word.notify_one();
+    assert_eq!(client.answer().await.status(), 200);
+    assert!(agent.end().await.success());
+    assert_eq!(agent.logged("discovery is at"), 0, "it was read again");
+    assert!(backend.seen.try_recv().is_err(), "sent twice");
+}
