A connection to a server rests 8 ms after an answer, so that a late second answer is nobody's

`crates/agent/src/upstream/mod.rs`, `connection` and `settle`: a connection was used again at once after its answer. Ruled out: telling the two apart at the reader (answers carry nothing of their request), and resting in the pool alone (the next request would open a new connection, at the price of a handshake).

The most recently used connection that has rested is taken; where none has, the one that has rested longest, once it has, in a task of its own like a connection that is being opened; a new one only where neither can be had in time. What comes while it rests ends it, and one whose backend is another process by then is not used.

--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -38,6 +38,10 @@
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// After a whole answer a connection is ready again at once, or there is something wrong with it.
 const SETTLE: Duration = Duration::from_millis(5);
+/// A connection rests for so long after an answer. A server may say a second one some milliseconds later (the standing
+/// page), and whoever reads it once the next request is out can't tell whose it is: it would be served to another client.
+/// What comes while a connection rests ends it. Second answers of join days came 1.0 to 3.4 ms late.
+const REST: Duration = Duration::from_millis(8);
 /// The longest head of an answer, and the most that hyper buffers.
 const HEAD_MOST: usize = 16 << 10;
 /// All bytes that one answer may bring: its body, what its framing adds, and heads, those of 1xx answers ahead of
@@ -332,9 +336,18 @@
     server: ServerId,
     life: u64,
     idle_since: Instant,
+    /// When the last answer over it had come.
+    answered: Option<Instant>,
     _place: Place,
 }
 
+impl Connection {
+    /// From when on it may carry a request.
+    fn rested_at(&self) -> Instant {
+        self.answered.map_or(self.idle_since, |answered| answered + REST)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -490,40 +503,69 @@
         }
     }
 
-    /// The most recently used connection that still stands, or a fresh one. What this process lacks, a place or an
+    /// The most recently used connection that still stands and has rested, else the one that has rested longest once it
+    /// has, or a fresh one where there is none or none has rested `by` then. What this process lacks, a place or an
     /// address, is no fault of the backend's.
-    async fn connection(self: &Rc<Self>, server: ServerId) -> Result<Connection, Outcome> {
-        let (dial, life) = {
-            let mut remotes = self.remotes.borrow_mut();
-            let remote = remotes.get_mut(&server).ok_or(Outcome::NotSent)?;
-            while let Some(connection) = remote.idle.pop() {
-                if connection.idle_since.elapsed() < self.idle_most.get() && connection.sender.is_ready() {
-                    return Ok(connection);
-                }
+    async fn connection(self: &Rc<Self>, server: ServerId, by: Instant) -> Result<Connection, Outcome> {
+        loop {
+            let Some(connection) = self.kept(server, by)? else { break };
+            if connection.rested_at() <= Instant::now() {
+                return Ok(connection);
             }
+            // Like one that is being opened, it outlives an attempt that is given up meanwhile.
+            let rested = async move {
+                sleep_until(connection.rested_at()).await;
+                Some(connection)
+            };
+            // What has come meanwhile has closed it, and its backend may be another one by now.
+            let kept = self.fetch(rested).await.filter(|c| c.sender.is_ready() && self.current(c));
+            if let Some(connection) = kept {
+                return Ok(connection);
+            }
+        }
+        let (dial, life) = {
+            let remotes = self.remotes.borrow();
+            let remote = remotes.get(&server).ok_or(Outcome::NotSent)?;
             (remote.dial.ok_or(Outcome::NotSent)?, remote.life)
         };
         let place = self.place().ok_or(Outcome::NotSent)?;
-        // A task of its own: when its attempt is given up meanwhile, the connection, which has cost the
-        // backend work by then, serves the next one.
+        let upstream = self.clone();
+        let opened = async move {
+            let opened = timeout(upstream.connect_timeout.get(), open(dial, upstream.tries.clone())).await;
+            let (sender, task, wire) = opened.ok()?.ok()?;
+            let now = Instant::now();
+            // Nothing has been said over it that a second answer could follow.
+            let (idle_since, answered) = (now, None);
+            Some(Connection { sender, task, wire, server, life, idle_since, answered, _place: place })
+        };
+        self.fetch(opened).await.ok_or(Outcome::ConnectFailed)
+    }
+
+    /// Waits for a connection in a task of its own: when its attempt is given up meanwhile, the connection, which has cost
+    /// the backend work by then, serves the next one.
+    async fn fetch(
+        self: &Rc<Self>,
+        coming: impl Future<Output = Option<Connection>> + 'static,
+    ) -> Option<Connection> {
         let (tell, told) = oneshot::channel();
         let upstream = self.clone();
         tokio::task::spawn_local(async move {
-            let opened = timeout(upstream.connect_timeout.get(), open(dial, upstream.tries.clone())).await;
-            let opened = opened.ok().and_then(Result::ok).map(|(sender, task, wire)| Connection {
-                sender,
-                task,
-                wire,
-                server,
-                life,
-                idle_since: Instant::now(),
-                _place: place,
-            });
-            if let Err(Some(connection)) = tell.send(opened) {
+            if let Err(Some(connection)) = tell.send(coming.await) {
                 upstream.park(connection);
             }
         });
-        told.await.ok().flatten().ok_or(Outcome::ConnectFailed)
+        told.await.ok().flatten()
+    }
+
+    /// Takes the connection to a backend that is to be used next out of those that are idle.
+    fn kept(&self, server: ServerId, by: Instant) -> Result<Option<Connection>, Outcome> {
+        let mut remotes = self.remotes.borrow_mut();
+        let idle = &mut remotes.get_mut(&server).ok_or(Outcome::NotSent)?.idle;
+        idle.retain(|c| c.idle_since.elapsed() < self.idle_most.get() && c.sender.is_ready());
+        let now = Instant::now();
+        let rested = idle.iter().rposition(|c| c.rested_at() <= now);
+        let soon = || idle.first().is_some_and(|c| c.rested_at() < by).then_some(0);
+        Ok(rested.or_else(soon).map(|place| idle.remove(place)))
     }
 
     /// A place for one more connection; an idle one of another backend gives way if all are taken.
@@ -542,10 +584,17 @@
         oldest.map(|remote| remote.idle.remove(0)).is_some()
     }
 
+    /// Whether a connection leads to the process that its backend is now.
+    fn current(&self, connection: &Connection) -> bool {
+        self.remotes.borrow().get(&connection.server).is_some_and(|remote| remote.life == connection.life)
+    }
+
     fn park(&self, mut connection: Connection) {
+        if !self.current(&connection) || connection.sender.is_closed() {
+            return;
+        }
         let mut remotes = self.remotes.borrow_mut();
-        let Some(remote) = remotes.get_mut(&connection.server) else { return };
-        if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
+        if let Some(remote) = remotes.get_mut(&connection.server).filter(|remote| remote.open) {
             connection.idle_since = Instant::now();
             remote.idle.push(connection);
         }
@@ -564,7 +613,7 @@
             // still be answered in the wanted time.
             let begun = Instant::now();
             let by = limits.connect.map_or(limits.write_by, |most| limits.write_by.min(begun + most));
-            let connecting = timeout_at(by, self.connection(server)).await;
+            let connecting = timeout_at(by, self.connection(server, by)).await;
             let connection = match connecting.unwrap_or(Err(Outcome::ConnectFailed)) {
                 Ok(connection) => connection,
                 Err(outcome) => return Some(Ended::without_answer(outcome)),
@@ -626,7 +675,8 @@
         let path = if self.fields.borrow().is_empty() { "/health" } else { "/status/load" };
         let request = Request::get(path).header("host", "backend").body(Load::Whole(Bytes::new()));
         let exchange = async {
-            let (connection, request) = match (self.connection(server).await, request) {
+            let by = Instant::now() + PROBE_WAIT;
+            let (connection, request) = match (self.connection(server, by).await, request) {
                 (Ok(connection), Ok(request)) => (connection, request),
                 (Err(outcome), _) => return Ended::without_answer(outcome),
                 (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
@@ -702,6 +752,7 @@
     /// Keeps a connection whose answer is over for the next attempt. One that brings more than the answer is closed by
     /// hyper instead of becoming ready. The answer is good all the same and does not wait for that.
     fn settle(self: &Rc<Self>, mut connection: Connection) {
+        connection.answered = Some(Instant::now());
         if connection.sender.is_ready() {
             self.park(connection);
         } else if !connection.sender.is_closed() {
