A limit that is missing or a time below zero ends the start, and names its key

`crates/settings/src/lib.rs`, `settings` and `names`: a limit that a configuration lacks took the library's default (six attempts, 250 ms to connect, 15 s of keep-alive, a drain's grace), and a negative time counted as none, without a word.

`faults` names what a real agent can't go by: limits.maxAttempts, limits.connectTimeoutMs, limits.keepaliveMs, rules.stopSendingWithinMs and, where lists are asked for, rules.askWithinMs, all of which the wire's page has in every settings object; and times below zero. The start ends with 2; at SIGHUP all stays as it was. The simulator's adapter, which is given all of them, is left alone.

`settings_without_sense_...` of `service.rs` has six more rows, each at the start and at SIGHUP; it failed without the check (tried once: the start went on). The fixture of the configuration's unit tests names its limits now.

--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -188,6 +188,12 @@
         if let Err(e) = settings.check() {
             wrong.push(format!("{}: settings: {e}", at("settings")));
         }
+        for (key, why) in micasail_settings::faults(&file.settings) {
+            // What is missing has no line of its own.
+            let name = key.rsplit('.').next().unwrap_or(key);
+            let place = if text.contains(&format!("\"{name}\"")) { at(name) } else { at("settings") };
+            wrong.push(format!("{place}: settings: {why}"));
+        }
         let names = micasail_settings::names(&file.settings);
         if let Some(place) = names.classes.iter().position(String::is_empty) {
             wrong.push(format!("{}: settings give class {place} no name", at("classes")));
@@ -368,8 +374,8 @@
             .map_err(|wrong| wrong.join("; "))
     }
 
-    pub(crate) const SETTINGS: &str =
-        r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}]}"#;
+    pub(crate) const SETTINGS: &str = r#"{"classes":[{"name":"a","aimMs":100,"deadlineMs":200,"effect":"idempotent"}],
+        "limits":{"maxAttempts":3,"connectTimeoutMs":100,"keepaliveMs":10000},"rules":{"stopSendingWithinMs":2000}}"#;
 
     #[test]
     fn variables_win_over_the_file_and_unknown_keys_are_skipped() {
--- a/crates/agent/tests/service.rs
+++ b/crates/agent/tests/service.rs
@@ -170,13 +170,24 @@
     let directory = Directory::start(Mood::Mute).await;
     let good = config(directory.address, &[host("s", backend.address, "up")]);
     let agent = Agent::with(good.clone(), |_| {}).await;
-    let changes: [(&str, &str, serde_json::Value); 6] = [
+    // Null stands for a key that is not there.
+    let changes: [(&str, &str, serde_json::Value); 12] = [
         ("/settings/classes/0/effect", "maybe", "maybe".into()),
         ("/settings/classes/1/dedupWindowMs", "dedup window", 0.into()),
         ("/settings/classes/1/dedupWindowMs", "dedup window", (-5).into()),
         ("/settings/parties/0/fraction", "fraction", 1.5.into()),
         ("/settings/classes/2/aimMs", "aim", 0.into()),
         ("/discovery", "PROXY_DISCOVERY", "nowhere".into()),
+        ("/settings/limits/maxAttempts", "limits.maxAttempts is missing", serde_json::Value::Null),
+        ("/settings/limits/connectTimeoutMs", "limits.connectTimeoutMs is missing", serde_json::Value::Null),
+        ("/settings/limits/keepaliveMs", "limits.keepaliveMs is missing", serde_json::Value::Null),
+        ("/settings/rules/askWithinMs", "rules.askWithinMs is missing", serde_json::Value::Null),
+        (
+            "/settings/rules/stopSendingWithinMs",
+            "rules.stopSendingWithinMs is missing",
+            serde_json::Value::Null,
+        ),
+        ("/settings/rules/stopSendingWithinMs", "rules.stopSendingWithinMs is -1", (-1).into()),
     ];
     for (refused, (place, named, value)) in (1..).zip(changes) {
         let mut bad = good.clone();
