Clients that leave before a retry, a second copy, the rest of an attempt, or a place: tests with one conservation check

The counts that a scenario has to come back to were checked piecemeal.

`crates/agent/tests/leaving.rs`, four tests with the real program; servers hold their side until the leaving is known to have been noticed, and one who stays shows that the retry, the copy and the answer do come for it. By FIN, reset and half-close; the retry for all three effects, 36 times. `Conserved`: no request in progress, no id held, sockets back to what the agent had and servers hold, as the kernel counts them (`Agent::sockets` in the rig).

No fault was found by them. Tried once with `Driver::gone` doing nothing: retry and copy failed. With the watch on the socket's end (`left`) taken out the row of the places still passed, for hyper's own reading meets the end there; it guards the order, not that mend. The row of the part was not tried without a mend.

--- /dev/null
+++ b/crates/agent/tests/leaving.rs
@@ -0,0 +1,351 @@
+//! A client leaves at one moment of its request after another: before a retry, before a second copy, in the middle of the
+//! bytes of an attempt. Stand-ins hold their side until the leaving is known to have been noticed; one who stays shows that
+//! what must not happen for the others does happen for it.
+
+use rig::*;
+use serde_json::Value;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio::sync::{mpsc, Notify};
+
+/// How a client leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leaving {
+    Fin,
+    Reset,
+    Half,
+}
+
+const ALL: [Leaving; 3] = [Leaving::Fin, Leaving::Reset, Leaving::Half];
+
+impl Leaving {
+    /// The client leaves; one that has closed its sending side alone is given back and stays open.
+    async fn of(self, mut client: Client) -> Option<Client> {
+        match self {
+            Leaving::Fin => {}
+            Leaving::Reset => client.stream.set_zero_linger().expect("an option"),
+            Leaving::Half => {
+                client.stream.shutdown().await.expect("it is open");
+                return Some(client);
+            }
+        }
+        None
+    }
+}
+
+/// A configuration with a second address, and with times so long that what waits goes on waiting.
+fn patient(directory: SocketAddr, hosts: &[Value]) -> Value {
+    let mut config = config(directory, hosts);
+    config["console"] = "127.0.0.1:0".into();
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["aimMs"], class["deadlineMs"]) = (20_000.into(), 25_000.into());
+        class["dedupWindowMs"] = 60_000.into();
+    }
+    config
+}
+
+/// A request with an id of the test's own.
+fn named(id: &str, method: &str, path: &str, body: &str) -> String {
+    let text = request(method, path, "20000m", body);
+    let (before, rest) = text.split_once("X-Request-ID: ").expect("an id");
+    let (_, after) = rest.split_once("\r\n").expect("more lines");
+    format!("{before}X-Request-ID: {id}\r\n{after}")
+}
+
+/// Nothing is left of what was asked, whoever asked: no request in progress, no id held, no place of a client's connection
+/// or of one to a server that no server holds any more.
+struct Conserved {
+    before: usize,
+}
+
+impl Conserved {
+    /// What is to be come back to: an agent that nobody has asked anything.
+    fn of(agent: &Agent) -> Self {
+        Conserved { before: agent.sockets() }
+    }
+
+    /// With all clients gone, and servers that hold at most so many connections.
+    async fn holds(&self, agent: &Agent, ids: &[String], servers: usize) {
+        agent.until("svc.in_progress", |open| open == 0).await;
+        for id in ids.iter().rev().take(3) {
+            let answer = agent.client().await.ask(&named(id, "GET", "/read/again", "")).await;
+            assert_eq!(answer.status(), 200, "{id} is held by nobody");
+        }
+        soon("sockets are given back", async {
+            while agent.sockets() > self.before + servers {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+    }
+}
+
+/// So many servers, that decisions need not spare one that has just turned something away or says nothing.
+async fn several<S: Fn(&Message) -> Reply + Send + Sync + 'static>(script: impl Fn() -> S) -> Vec<Backend> {
+    let mut servers = Vec::new();
+    for _ in 0..12 {
+        servers.push(Backend::start(script()).await);
+    }
+    servers
+}
+
+/// All of them, up.
+fn listed(servers: &[Backend]) -> Vec<Value> {
+    servers.iter().enumerate().map(|(n, server)| host(&format!("s{n}"), server.address, "up")).collect()
+}
+
+/// Servers that hold the first attempt of each request until the test's word, and then say that it never ran; whoever gets
+/// it next serves it.
+struct Turning {
+    servers: Vec<Backend>,
+    held: mpsc::Receiver<String>,
+    word: Arc<Notify>,
+}
+
+impl Turning {
+    async fn start() -> Self {
+        let (tell, held) = mpsc::channel(16);
+        let word = Arc::new(Notify::new());
+        let ids = Arc::new(Mutex::new(HashSet::new()));
+        let script = || {
+            let (tell, word, ids) = (tell.clone(), word.clone(), ids.clone());
+            move |message: &Message| {
+                let id = message.header("x-request-id").unwrap_or_default().to_owned();
+                if !message.target().contains("/held") || !ids.lock().expect("it is whole").insert(id.clone())
+                {
+                    return Reply::Bytes(ok("x"));
+                }
+                let _ = tell.try_send(id);
+                let busy = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+                Reply::When(word.clone(), busy)
+            }
+        };
+        let servers = several(script).await;
+        Turning { servers, held, word }
+    }
+
+    /// The requests that servers have got since the last look, by their ids.
+    fn got(&mut self) -> Vec<String> {
+        let mut got = Vec::new();
+        for server in &mut self.servers {
+            while let Ok(message) = server.seen.try_recv() {
+                got.push(message.header("x-request-id").unwrap_or_default().to_owned());
+            }
+        }
+        got
+    }
+}
+
+/// The attempt of a request is turned away only when its client has left: nothing is sent again, whatever the class. For
+/// one that stays it is, over the same servers.
+#[tokio::test]
+async fn nothing_is_tried_again_for_a_client_that_has_left() {
+    let mut turning = Turning::start().await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = listed(&turning.servers);
+    let agent = Agent::with(patient(directory.address, &hosts), |_| {}).await;
+    let conserved = Conserved::of(&agent);
+    let mut ids = Vec::new();
+    for round in 0..4 {
+        for leaving in ALL {
+            for (method, path) in [("GET", "/read/held"), ("POST", "/save/held"), ("POST", "/pay/held")] {
+                let id = format!("left-{round}-{leaving:?}-{path}");
+                let mut client = agent.client().await;
+                client.send(&named(&id, method, path, "")).await;
+                assert_eq!(soon("an attempt", turning.held.recv()).await, Some(id.clone()));
+                let half = leaving.of(client).await;
+                agent.until("svc.in_progress", |open| open == 0).await;
+                turning.word.notify_one();
+                ids.push(id);
+                // Its answer was on its way before any of this one's.
+                let stays = format!("stays-{round}-{leaving:?}-{path}");
+                let mut client = agent.client().await;
+                client.send(&named(&stays, method, path, "")).await;
+                assert_eq!(soon("an attempt", turning.held.recv()).await, Some(stays.clone()));
+                turning.word.notify_one();
+                assert_eq!(client.answer().await.status(), 200);
+                drop(half);
+                let mut got = turning.got();
+                got.sort();
+                assert_eq!(got, [ids.last().expect("one").clone(), stays.clone(), stays], "once and twice");
+            }
+        }
+    }
+    let servers = turning.servers.iter().map(Backend::connections).sum();
+    conserved.holds(&agent, &ids, servers).await;
+}
+
+/// A second copy is due, and its client has left: none goes out. One that stays, and asked later, gets its own.
+#[tokio::test]
+async fn no_second_copy_goes_out_for_a_client_that_has_left() {
+    let (tell, mut came) = mpsc::channel(16);
+    let word = Arc::new(Notify::new());
+    let script = || {
+        let (tell, word) = (tell.clone(), word.clone());
+        move |message: &Message| match message.target().contains("/held") {
+            true => {
+                let _ = tell.try_send(message.header("x-request-id").unwrap_or_default().to_owned());
+                Reply::When(word.clone(), ok("x"))
+            }
+            false => Reply::Bytes(ok("x")),
+        }
+    };
+    let servers = several(script).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = listed(&servers);
+    let folder = Folder::new();
+    let route = "[[route]]\nname = \"r\"\nmatch = { class = \"read\" }\nsecond_copy_after = \"250ms\"\nsecond_copies_most = 1.0\nattempts = 2\n";
+    let operator = folder.write("agent.toml", route);
+    let agent = Agent::operated(patient(directory.address, &hosts), &operator).await;
+    let conserved = Conserved::of(&agent);
+    let mut ids = Vec::new();
+    for (round, leaving) in ALL.into_iter().cycle().take(12).enumerate() {
+        let (left, stays) = (format!("left-{round}"), format!("stays-{round}"));
+        let mut leaves = agent.client().await;
+        leaves.send(&named(&left, "GET", "/read/held", "")).await;
+        assert_eq!(soon("its attempt", came.recv()).await, Some(left.clone()));
+        let half = leaving.of(leaves).await;
+        agent.until("svc.in_progress", |open| open == 0).await;
+        let mut client = agent.client().await;
+        client.send(&named(&stays, "GET", "/read/held", "")).await;
+        // Its copy is due after the other one's would have been.
+        for attempt in 0..2 {
+            assert_eq!(soon("an attempt", came.recv()).await, Some(stays.clone()), "{leaving:?}: {attempt}");
+        }
+        let words = async {
+            loop {
+                // A server that has just told is not waiting yet.
+                word.notify_waiters();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::select! {
+            answer = client.answer() => assert_eq!(answer.status(), 200),
+            () = words => {}
+        }
+        drop(half);
+        ids.push(left);
+    }
+    let held = servers.iter().map(Backend::connections).sum();
+    conserved.holds(&agent, &ids, held).await;
+}
+
+/// A server has taken a part of a request when its client leaves: the rest is not written, though all of it is at hand, and
+/// nothing else gets the connection.
+#[tokio::test]
+async fn an_attempt_that_is_written_in_part_ends_there() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // The kernels hold less than the request.
+    socket.set_recv_buffer_size(4 << 10).expect("an option");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(64).expect("a listener");
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("s", listener.local_addr().expect("an address"), "up")];
+    let agent = Agent::with(patient(directory.address, &hosts), |_| {}).await;
+    let body = "b".repeat(12 << 20);
+    for leaving in ALL {
+        let mut client = agent.client().await;
+        let text = request("POST", "/save/part", "20000m", &body);
+        let id = text.split_once("X-Request-ID: ").and_then(|(_, rest)| rest.split_once("\r\n"));
+        let id = id.expect("an id").0.to_owned();
+        // It goes on sending for as long as anybody takes it, until it leaves.
+        let (mut reads, mut writes) = client.stream.into_split();
+        let leave = Arc::new(Notify::new());
+        let word = leave.clone();
+        let sending = tokio::spawn(async move {
+            tokio::select! {
+                _ = writes.write_all(text.as_bytes()) => panic!("the kernels hold all of it: nothing is shown"),
+                () = word.notified() => {}
+            }
+            writes
+        });
+        let (mut server, _) = soon("a connection", listener.accept()).await.expect("a connection");
+        // It is under way, and the server takes no more.
+        let mut begin = vec![0; 1 << 10];
+        soon("its begin", server.read_exact(&mut begin)).await.expect("its begin");
+        assert!(String::from_utf8_lossy(&begin).contains(&id));
+        leave.notify_one();
+        let mut writes = sending.await.expect("no panic");
+        client = match leaving {
+            Leaving::Half => {
+                writes.shutdown().await.expect("it is open");
+                Client { stream: reads.reunite(writes).expect("of one connection") }
+            }
+            Leaving::Fin | Leaving::Reset => {
+                let stream = reads.reunite(writes).expect("of one connection");
+                if matches!(leaving, Leaving::Reset) {
+                    stream.set_zero_linger().expect("an option");
+                }
+                drop(stream);
+                agent.client().await
+            }
+        };
+        reads = client.stream.into_split().0;
+        // The server takes what there is, and meets the end before the whole of it.
+        let mut got = begin.len();
+        let mut rest = vec![0; 64 << 10];
+        loop {
+            match soon("the attempt's end", server.read(&mut rest)).await {
+                Ok(0) | Err(_) => break,
+                Ok(n) => got += n,
+            }
+        }
+        assert!(got < body.len(), "{leaving:?}: {got} bytes are all of it");
+        drop(reads);
+        agent.until("svc.in_progress", |open| open == 0).await;
+        assert_eq!(agent.figure("svc.upstream_tries").await, 0, "{leaving:?}: it was written whole");
+    }
+}
+
+/// All places are taken: whoever connects now, asks and leaves, is taken only when places are free again, long after it has
+/// left. Nothing goes out for it, be its request short or with a body, alone or with more behind it.
+#[tokio::test]
+async fn who_asked_and_left_before_there_was_a_place_is_not_sent_on() {
+    let mut server = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let listed = |health: &str| vec![host("s", server.address, health)];
+    let (away, here) = (listed("draining"), listed("up"));
+    let mut texts = vec![
+        request("GET", "/read/left", "20000m", ""),
+        request("POST", "/save/left", "20000m", &"b".repeat(60_000)),
+    ];
+    texts.push(texts[0].clone() + &texts[1]);
+    for leaving in ALL {
+        let directory = Directory::start(Mood::Mute).await;
+        directory.list(1, &away);
+        let mut config = patient(directory.address, &away);
+        // Twenty-eight places for clients.
+        config["limits"]["sockets"] = 80.into();
+        let agent = Agent::with(config, |_| {}).await;
+        let mut stay = Vec::new();
+        for _ in 0..28 {
+            let mut client = agent.client().await;
+            client.send(&request("GET", "/read/stays", "20000m", "")).await;
+            stay.push(client);
+        }
+        agent.until("svc.in_progress", |open| open == 28).await;
+        let mut half = Vec::new();
+        for text in texts.iter().cycle().take(30) {
+            let mut client = agent.client().await;
+            client.send(text).await;
+            half.push(leaving.of(client).await);
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        directory.list(2, &here);
+        for mut client in stay {
+            // In a crowd each answer is the last on its connection, which frees the place.
+            assert_eq!(client.answer().await.status(), 200);
+        }
+        for _ in 0..3 {
+            let answer = agent.client().await.ask(&request("GET", "/read/stays", "20000m", "")).await;
+            assert_eq!(answer.status(), 200);
+        }
+        let got: Vec<String> =
+            std::iter::from_fn(|| server.seen.try_recv().ok()).map(|m| m.target().to_owned()).collect();
+        assert!(got.iter().all(|target| target == "/read/stays"), "{leaving:?}: {got:?}");
+        assert_eq!((got.len(), agent.figure("svc.upstream_tries").await), (31, 31), "{leaving:?}");
+    }
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -162,6 +162,14 @@
         .await;
     }
 
+    /// Sockets that it has open, as its kernel counts them.
+    pub fn sockets(&self) -> usize {
+        let id = self.child.id().expect("it runs");
+        let files = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors");
+        let names = files.filter_map(|file| std::fs::read_link(file.ok()?.path()).ok());
+        names.filter(|name| name.to_string_lossy().starts_with("socket:")).count()
+    }
+
     /// A new connection to it.
     pub async fn client(&self) -> Client {
         Client { stream: TcpStream::connect(self.address).await.expect("a connection") }
