A watch that is answered with an older version than it asked after has the whole list told anew

`crates/agent/src/discovery/mod.rs`, `watch`: an asked discovery that begins anew with lower versions answers the watch of a version that it does not have with changes of its own, or with none. They were taken as changes of the list that is held, and what the service told before them was missed for good.

Such an answer is put aside and the whole list asked for at once. An answer with the whole list stands as before.

--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -244,7 +244,14 @@
         };
         // A change is one of a list that is known; as a first answer it would say nothing of the others.
         let answer = call(address, &mut connection, &path, within).await.filter(|l| seq.is_some() || l.whole);
-        // Versions may begin anew with a discovery that does: after a failure its whole list is asked for.
+        // A lower version than the one that is known is of a service that has begun anew: its changes are of a list that
+        // nobody here has, and what it told before them would be missed for good. So the whole of it is asked for.
+        let anew = |list: &List| !list.whole && seq.is_some_and(|known| list.seq < known);
+        if answer.as_ref().is_some_and(anew) {
+            seq = None;
+            continue;
+        }
+        // After a failure the whole list is asked for too.
         seq = answer.as_ref().map(|list| list.seq);
         let failed = answer.is_none();
         match (failed, manner.again) {
