Read once more: one way to leave, to name a request, to hold an answer; a rest is one instant; faults are one table

`endings.rs` and `leaving.rs` each had their own ways for a client to leave, their own patient settings and their own way to name a request; four tests wrote the server that holds its answer anew; two read what a server is told of the wait. A test of a part of an attempt split and joined its client for nothing, and its comment claimed more than it shows. In the program a connection kept when it had been answered though only the end of its rest is asked for, `park` looked its server up twice, and the check of limits had each key in two tables and spoke of factors that it does not check.

`Leaving`, `Client::leave`, `patient_config`, `request_as`, `Backend::held` in the rig, called by the tests. `rested_at` in place of `answered`; one table in `faults`, so that what is missing and what is below zero is told in the order of the keys. Behaviour and assertions stay.

--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -251,7 +251,7 @@
             seq = None;
             continue;
         }
-        // After a failure the whole list is asked for too.
+        // After a failure too, where it is asked again from here.
         seq = answer.as_ref().map(|list| list.seq);
         let failed = answer.is_none();
         match (failed, manner.again) {
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -336,16 +336,9 @@
     server: ServerId,
     life: u64,
     idle_since: Instant,
-    /// When the last answer over it had come.
-    answered: Option<Instant>,
-    _place: Place,
-}
-
-impl Connection {
     /// From when on it may carry a request.
-    fn rested_at(&self) -> Instant {
-        self.answered.map_or(self.idle_since, |answered| answered + REST)
-    }
+    rested_at: Instant,
+    _place: Place,
 }
 
 impl Drop for Connection {
@@ -507,14 +500,13 @@
     /// has, or a fresh one where there is none or none has rested `by` then. What this process lacks, a place or an
     /// address, is no fault of the backend's.
     async fn connection(self: &Rc<Self>, server: ServerId, by: Instant) -> Result<Connection, Outcome> {
-        loop {
-            let Some(connection) = self.kept(server, by)? else { break };
-            if connection.rested_at() <= Instant::now() {
+        while let Some(connection) = self.kept(server, by)? {
+            if connection.rested_at <= Instant::now() {
                 return Ok(connection);
             }
             // Like one that is being opened, it outlives an attempt that is given up meanwhile.
             let rested = async move {
-                sleep_until(connection.rested_at()).await;
+                sleep_until(connection.rested_at).await;
                 Some(connection)
             };
             // What has come meanwhile has closed it, and its backend may be another one by now.
@@ -533,10 +525,9 @@
         let opened = async move {
             let opened = timeout(upstream.connect_timeout.get(), open(dial, upstream.tries.clone())).await;
             let (sender, task, wire) = opened.ok()?.ok()?;
-            let now = Instant::now();
             // Nothing has been said over it that a second answer could follow.
-            let (idle_since, answered) = (now, None);
-            Some(Connection { sender, task, wire, server, life, idle_since, answered, _place: place })
+            let (idle_since, rested_at) = (Instant::now(), Instant::now());
+            Some(Connection { sender, task, wire, server, life, idle_since, rested_at, _place: place })
         };
         self.fetch(opened).await.ok_or(Outcome::ConnectFailed)
     }
@@ -563,8 +554,8 @@
         let idle = &mut remotes.get_mut(&server).ok_or(Outcome::NotSent)?.idle;
         idle.retain(|c| c.idle_since.elapsed() < self.idle_most.get() && c.sender.is_ready());
         let now = Instant::now();
-        let rested = idle.iter().rposition(|c| c.rested_at() <= now);
-        let soon = || idle.first().is_some_and(|c| c.rested_at() < by).then_some(0);
+        let rested = idle.iter().rposition(|c| c.rested_at <= now);
+        let soon = || idle.first().is_some_and(|c| c.rested_at < by).then_some(0);
         Ok(rested.or_else(soon).map(|place| idle.remove(place)))
     }
 
@@ -590,11 +581,9 @@
     }
 
     fn park(&self, mut connection: Connection) {
-        if !self.current(&connection) || connection.sender.is_closed() {
-            return;
-        }
         let mut remotes = self.remotes.borrow_mut();
-        if let Some(remote) = remotes.get_mut(&connection.server).filter(|remote| remote.open) {
+        let Some(remote) = remotes.get_mut(&connection.server) else { return };
+        if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
             remote.idle.push(connection);
         }
@@ -752,7 +741,7 @@
     /// Keeps a connection whose answer is over for the next attempt. One that brings more than the answer is closed by
     /// hyper instead of becoming ready. The answer is good all the same and does not wait for that.
     fn settle(self: &Rc<Self>, mut connection: Connection) {
-        connection.answered = Some(Instant::now());
+        connection.rested_at = Instant::now() + REST;
         if connection.sender.is_ready() {
             self.park(connection);
         } else if !connection.sender.is_closed() {
--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -15,6 +15,12 @@
     (directory, agent)
 }
 
+/// How long the agent waits, as it tells a server.
+fn told_wait(seen: &Message) -> Duration {
+    let wait = seen.header("x-timeout").and_then(|w| w.strip_suffix('u')).expect("a wait");
+    Duration::from_micros(wait.parse().expect("microseconds"))
+}
+
 #[tokio::test]
 async fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
     let mut backend = Backend::start(|_| Reply::Bytes(ok("body of the answer"))).await;
@@ -28,9 +34,8 @@
     assert!(text.contains(&format!("X-Request-ID: {}\r\n", seen.header("x-request-id").expect("an id"))));
     assert_eq!(seen.header("idempotency-key"), Some("k1"));
     assert_eq!(seen.body, b"the body");
-    let wait = seen.header("x-timeout").and_then(|w| w.strip_suffix('u')).expect("a wait");
-    let wait: u64 = wait.parse().expect("microseconds");
-    assert!(wait > 0 && wait < 2_000_000, "{wait}: less than the client waits");
+    let wait = told_wait(&seen);
+    assert!(!wait.is_zero() && wait < Duration::from_secs(2), "{wait:?}: less than the client waits");
 }
 
 #[tokio::test]
@@ -150,8 +155,7 @@
         assert_eq!(answer.status(), 504);
         let seen = backend.next().await;
         assert_eq!(seen.connection, 0);
-        let told = seen.header("x-timeout").and_then(|w| w.strip_suffix('u')).expect("a wait");
-        let told = Duration::from_micros(told.parse().expect("microseconds"));
+        let told = told_wait(&seen);
         assert!(told < WAIT, "the server is told that the agent waits longer than its client: {told:?}");
         assert_eq!(soon("the mute connection's end", backend.closed.recv()).await, Some(0));
         // It is suspect now, but the only one there is.
--- a/crates/agent/tests/clients.rs
+++ b/crates/agent/tests/clients.rs
@@ -144,9 +144,7 @@
 /// A second request under an id that is open is turned away; the first one is served, and the id is free again.
 #[tokio::test]
 async fn an_open_id_is_not_taken_twice() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("first"))).await;
+    let (mut backend, word) = Backend::held("first").await;
     let directory = Directory::start(Mood::Mute).await;
     let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
     let text = request("POST", "/pay", "20000m", "b");
--- a/crates/agent/tests/daemon.rs
+++ b/crates/agent/tests/daemon.rs
@@ -5,12 +5,10 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::process::{Child, Command};
-use tokio::sync::Notify;
 
 /// An instance with an operator's file and a state directory.
 struct Daemon {
@@ -167,9 +165,7 @@
 /// A stop while a request is on the wire: its client hears its one true outcome, and nothing goes out afterwards.
 #[tokio::test]
 async fn a_stop_with_a_request_on_the_wire_ends_it_with_its_true_outcome() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("logged"))).await;
+    let (mut backend, word) = Backend::held("logged").await;
     let directory = Directory::start(Mood::Mute).await;
     let mut config = config(directory.address, &[host("s", backend.address, "up")]);
     // One copy, whose outcome the test holds back for a while.
--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -2,39 +2,14 @@
 //! to have happened; what servers and clients have seen decides.
 
 use rig::*;
-use serde_json::Value;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// From so long after its client's leaving nothing new goes out for a request (the users' term).
 const AFTER_LEAVING: Duration = Duration::from_millis(300);
 
-/// How a client leaves.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Leaving {
-    /// It closes.
-    Fin,
-    /// It closes, and the kernel resets the connection.
-    Reset,
-    /// It closes its sending side alone; by the protocol's page a client that closes has gone away.
-    Half,
-}
-
-/// A configuration with a second address, and with aims so long that what waits goes on waiting.
-fn patient(directory: SocketAddr, hosts: &[Value]) -> Value {
-    let mut config = config(directory, hosts);
-    config["console"] = "127.0.0.1:0".into();
-    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
-        (class["aimMs"], class["deadlineMs"]) = (20_000.into(), 25_000.into());
-    }
-    config
-}
-
 /// Nothing is left of what was asked: no request is in progress, and the backend has seen these and no others.
 async fn conserved(agent: &Agent, backend: &mut Backend, asked: u64) {
     agent.until("svc.in_progress", |open| open == 0).await;
@@ -81,9 +56,11 @@
     let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
     let hosts = |health: &str| vec![host("s", backend.address, health)];
     let (away, here) = (hosts("draining"), hosts("up"));
-    for leaving in [Leaving::Fin, Leaving::Reset, Leaving::Half] {
+    for leaving in Leaving::ALL {
         let directory = Directory::start(Mood::Mute).await;
-        let agent = Agent::with(patient(directory.address, &away), |_| {}).await;
+        // Its watch waits, so that the server comes up as soon as the list says so.
+        directory.list(1, &away);
+        let agent = Agent::with(patient_config(directory.address, &away), |_| {}).await;
         let whole = || request("GET", "/read/left", "20000m", "");
         let coming = |sent: usize| {
             let head = request("POST", "/save/left", "20000m", "");
@@ -106,15 +83,8 @@
         }
         agent.until("svc.in_progress", |open| open >= left.len() as u64).await;
         let mut kept = Vec::new();
-        for mut client in left {
-            match leaving {
-                Leaving::Fin => drop(client),
-                Leaving::Reset => client.stream.set_zero_linger().expect("an option"),
-                Leaving::Half => {
-                    client.stream.shutdown().await.expect("it is open");
-                    kept.push(client);
-                }
-            }
+        for client in left {
+            kept.extend(client.leave(leaving).await);
         }
         sleep(AFTER_LEAVING).await;
         let mut stays = agent.client().await;
@@ -176,7 +146,7 @@
     let directory = Directory::start(Mood::Mute).await;
     // As many as there are instances on the roster: with fewer an instance would not go by what a server holds.
     let hosts = [host("s", backend.address, "up"), host("t", other.address, "up")];
-    let config = patient(directory.address, &hosts);
+    let config = patient_config(directory.address, &hosts);
     let folder = Folder::new();
     let text =
         "[membership]\ncluster = \"rig\"\nlisten = \"127.0.0.1:0\"\nnumber = 0\npeers = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n";
@@ -227,11 +197,9 @@
 /// started with.
 #[tokio::test]
 async fn an_end_waits_by_the_deadlines_of_the_present_settings() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("x"))).await;
+    let (mut backend, word) = Backend::held("x").await;
     let directory = Directory::start(Mood::Mute).await;
-    let mut config = patient(directory.address, &[host("s", backend.address, "up")]);
+    let mut config = patient_config(directory.address, &[host("s", backend.address, "up")]);
     let long = config.to_string();
     for class in config["settings"]["classes"].as_array_mut().expect("classes") {
         (class["aimMs"], class["deadlineMs"]) = (100.into(), 200.into());
@@ -255,12 +223,10 @@
 /// A second word to end, and a word to read the files again, change nothing for what is in flight while an instance ends.
 #[tokio::test]
 async fn a_second_word_to_end_and_a_reload_change_nothing_at_the_end() {
-    let word = Arc::new(Notify::new());
-    let gate = word.clone();
-    let mut backend = Backend::start(move |_| Reply::When(gate.clone(), ok("x"))).await;
+    let (mut backend, word) = Backend::held("x").await;
     let directory = Directory::start(Mood::Mute).await;
     let mut agent =
-        Agent::with(patient(directory.address, &[host("s", backend.address, "up")]), |_| {}).await;
+        Agent::with(patient_config(directory.address, &[host("s", backend.address, "up")]), |_| {}).await;
     let mut idle = agent.client().await;
     assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 200);
     let mut client = agent.client().await;
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -5,55 +5,15 @@
 use rig::*;
 use serde_json::Value;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, Notify};
 
-/// How a client leaves.
-#[derive(Debug, Clone, Copy)]
-enum Leaving {
-    Fin,
-    Reset,
-    Half,
-}
-
-const ALL: [Leaving; 3] = [Leaving::Fin, Leaving::Reset, Leaving::Half];
-
-impl Leaving {
-    /// The client leaves; one that has closed its sending side alone is given back and stays open.
-    async fn of(self, mut client: Client) -> Option<Client> {
-        match self {
-            Leaving::Fin => {}
-            Leaving::Reset => client.stream.set_zero_linger().expect("an option"),
-            Leaving::Half => {
-                client.stream.shutdown().await.expect("it is open");
-                return Some(client);
-            }
-        }
-        None
-    }
-}
-
-/// A configuration with a second address, and with times so long that what waits goes on waiting.
-fn patient(directory: SocketAddr, hosts: &[Value]) -> Value {
-    let mut config = config(directory, hosts);
-    config["console"] = "127.0.0.1:0".into();
-    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
-        (class["aimMs"], class["deadlineMs"]) = (20_000.into(), 25_000.into());
-        class["dedupWindowMs"] = 60_000.into();
-    }
-    config
-}
-
 /// A request with an id of the test's own.
 fn named(id: &str, method: &str, path: &str, body: &str) -> String {
-    let text = request(method, path, "20000m", body);
-    let (before, rest) = text.split_once("X-Request-ID: ").expect("an id");
-    let (_, after) = rest.split_once("\r\n").expect("more lines");
-    format!("{before}X-Request-ID: {id}\r\n{after}")
+    request_as(id, method, path, "20000m", body)
 }
 
 /// Nothing is left of what was asked, whoever asked: no request in progress, no id held, no place of a client's connection
@@ -147,17 +107,17 @@
     let mut turning = Turning::start().await;
     let directory = Directory::start(Mood::Mute).await;
     let hosts = listed(&turning.servers);
-    let agent = Agent::with(patient(directory.address, &hosts), |_| {}).await;
+    let agent = Agent::with(patient_config(directory.address, &hosts), |_| {}).await;
     let conserved = Conserved::of(&agent);
     let mut ids = Vec::new();
     for round in 0..4 {
-        for leaving in ALL {
+        for leaving in Leaving::ALL {
             for (method, path) in [("GET", "/read/held"), ("POST", "/save/held"), ("POST", "/pay/held")] {
                 let id = format!("left-{round}-{leaving:?}-{path}");
                 let mut client = agent.client().await;
                 client.send(&named(&id, method, path, "")).await;
                 assert_eq!(soon("an attempt", turning.held.recv()).await, Some(id.clone()));
-                let half = leaving.of(client).await;
+                let half = client.leave(leaving).await;
                 agent.until("svc.in_progress", |open| open == 0).await;
                 turning.word.notify_one();
                 ids.push(id);
@@ -200,15 +160,15 @@
     let folder = Folder::new();
     let route = "[[route]]\nname = \"r\"\nmatch = { class = \"read\" }\nsecond_copy_after = \"250ms\"\nsecond_copies_most = 1.0\nattempts = 2\n";
     let operator = folder.write("agent.toml", route);
-    let agent = Agent::operated(patient(directory.address, &hosts), &operator).await;
+    let agent = Agent::operated(patient_config(directory.address, &hosts), &operator).await;
     let conserved = Conserved::of(&agent);
     let mut ids = Vec::new();
-    for (round, leaving) in ALL.into_iter().cycle().take(12).enumerate() {
+    for (round, leaving) in Leaving::ALL.into_iter().cycle().take(12).enumerate() {
         let (left, stays) = (format!("left-{round}"), format!("stays-{round}"));
         let mut leaves = agent.client().await;
         leaves.send(&named(&left, "GET", "/read/held", "")).await;
         assert_eq!(soon("its attempt", came.recv()).await, Some(left.clone()));
-        let half = leaving.of(leaves).await;
+        let half = leaves.leave(leaving).await;
         agent.until("svc.in_progress", |open| open == 0).await;
         let mut client = agent.client().await;
         client.send(&named(&stays, "GET", "/read/held", "")).await;
@@ -234,8 +194,7 @@
     conserved.holds(&agent, &ids, held).await;
 }
 
-/// A server has taken a part of a request when its client leaves: the rest is not written, though all of it is at hand, and
-/// nothing else gets the connection.
+/// A server has taken a part of a request when its client leaves: the rest is not written, and the connection ends.
 #[tokio::test]
 async fn an_attempt_that_is_written_in_part_ends_there() {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -245,46 +204,28 @@
     let listener = socket.listen(64).expect("a listener");
     let directory = Directory::start(Mood::Mute).await;
     let hosts = [host("s", listener.local_addr().expect("an address"), "up")];
-    let agent = Agent::with(patient(directory.address, &hosts), |_| {}).await;
+    let agent = Agent::with(patient_config(directory.address, &hosts), |_| {}).await;
     let body = "b".repeat(12 << 20);
-    for leaving in ALL {
+    for leaving in Leaving::ALL {
+        let id = format!("part-{leaving:?}");
+        let text = named(&id, "POST", "/save/part", &body);
         let mut client = agent.client().await;
-        let text = request("POST", "/save/part", "20000m", &body);
-        let id = text.split_once("X-Request-ID: ").and_then(|(_, rest)| rest.split_once("\r\n"));
-        let id = id.expect("an id").0.to_owned();
         // It goes on sending for as long as anybody takes it, until it leaves.
-        let (mut reads, mut writes) = client.stream.into_split();
-        let leave = Arc::new(Notify::new());
-        let word = leave.clone();
+        let word = Arc::new(Notify::new());
+        let leave = word.clone();
         let sending = tokio::spawn(async move {
             tokio::select! {
-                _ = writes.write_all(text.as_bytes()) => panic!("the kernels hold all of it: nothing is shown"),
-                () = word.notified() => {}
+                _ = client.stream.write_all(text.as_bytes()) => panic!("the kernels hold all of it: nothing is shown"),
+                () = leave.notified() => client,
             }
-            writes
         });
         let (mut server, _) = soon("a connection", listener.accept()).await.expect("a connection");
         // It is under way, and the server takes no more.
         let mut begin = vec![0; 1 << 10];
         soon("its begin", server.read_exact(&mut begin)).await.expect("its begin");
         assert!(String::from_utf8_lossy(&begin).contains(&id));
-        leave.notify_one();
-        let mut writes = sending.await.expect("no panic");
-        client = match leaving {
-            Leaving::Half => {
-                writes.shutdown().await.expect("it is open");
-                Client { stream: reads.reunite(writes).expect("of one connection") }
-            }
-            Leaving::Fin | Leaving::Reset => {
-                let stream = reads.reunite(writes).expect("of one connection");
-                if matches!(leaving, Leaving::Reset) {
-                    stream.set_zero_linger().expect("an option");
-                }
-                drop(stream);
-                agent.client().await
-            }
-        };
-        reads = client.stream.into_split().0;
+        word.notify_one();
+        let half = sending.await.expect("no panic").leave(leaving).await;
         // The server takes what there is, and meets the end before the whole of it.
         let mut got = begin.len();
         let mut rest = vec![0; 64 << 10];
@@ -295,7 +236,7 @@
             }
         }
         assert!(got < body.len(), "{leaving:?}: {got} bytes are all of it");
-        drop(reads);
+        drop(half);
         agent.until("svc.in_progress", |open| open == 0).await;
         assert_eq!(agent.figure("svc.upstream_tries").await, 0, "{leaving:?}: it was written whole");
     }
@@ -313,10 +254,10 @@
         request("POST", "/save/left", "20000m", &"b".repeat(60_000)),
     ];
     texts.push(texts[0].clone() + &texts[1]);
-    for leaving in ALL {
+    for leaving in Leaving::ALL {
         let directory = Directory::start(Mood::Mute).await;
         directory.list(1, &away);
-        let mut config = patient(directory.address, &away);
+        let mut config = patient_config(directory.address, &away);
         // Twenty-eight places for clients.
         config["limits"]["sockets"] = 80.into();
         let agent = Agent::with(config, |_| {}).await;
@@ -331,7 +272,7 @@
         for text in texts.iter().cycle().take(30) {
             let mut client = agent.client().await;
             client.send(text).await;
-            half.push(leaving.of(client).await);
+            half.push(client.leave(leaving).await);
         }
         tokio::time::sleep(Duration::from_millis(300)).await;
         directory.list(2, &here);
--- a/crates/agent/tests/watches.rs
+++ b/crates/agent/tests/watches.rs
@@ -99,8 +99,7 @@
     config["known"]["seq"] = 50.into();
     let agent = Agent::with(config, |_| {}).await;
     let list = |seq: u64, whole: bool, hosts: Vec<Value>| json!({"seq": seq, "whole": whole, "hosts": hosts});
-    let all = [list(50, true, both.to_vec())];
-    let mut watch = discovery.watch(50, &all[0]).await;
+    let mut watch = discovery.watch(50, &list(50, true, both.to_vec())).await;
     let mut known = 50;
     for turn in 0..6_usize {
         let (drains, stays) = [("one", "two"), ("two", "one")][turn % 2];
--- a/crates/rig/src/backend.rs
+++ b/crates/rig/src/backend.rs
@@ -1,6 +1,6 @@
 //! A backend that answers by a test's script.
 
-use crate::http::{read_message, soon, Message};
+use crate::http::{ok, read_message, soon, Message};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -81,6 +81,13 @@
         Backend { address, seen, connections, closed, closes }
     }
 
+    /// Starts one that holds each request until the word, and then answers it with this body.
+    pub async fn held(body: &'static str) -> (Self, Arc<Notify>) {
+        let word = Arc::new(Notify::new());
+        let gate = word.clone();
+        (Self::start(move |_| Reply::When(gate.clone(), ok(body))).await, word)
+    }
+
     /// The next request.
     pub async fn next(&mut self) -> Message {
         soon("a request at the backend", self.seen.recv()).await.expect("a request")
--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -91,13 +91,18 @@
 
 /// A request of the class that its path names, with an id of its own; `save` carries an idempotency key.
 pub fn request(method: &str, path: &str, wait: &str, body: &str) -> String {
+    static NUMBER: AtomicUsize = AtomicUsize::new(1);
+    let id = NUMBER.fetch_add(1, Ordering::SeqCst);
+    request_as(&format!("id{id}"), method, path, wait, body)
+}
+
+/// The same with an id of the test's.
+pub fn request_as(id: &str, method: &str, path: &str, wait: &str, body: &str) -> String {
     let class = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or_default();
     let key = if class == "save" { "Idempotency-Key: k1\r\n" } else { "" };
     let length = if method == "POST" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
-    static NUMBER: AtomicUsize = AtomicUsize::new(1);
-    let id = NUMBER.fetch_add(1, Ordering::SeqCst);
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: id{id}\r\nX-Priority-Class: {class}\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
          X-Tenant-Id: acme\r\nX-Timeout: {wait}\r\n{key}{length}\r\n{body}"
     )
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,11 +22,13 @@
 pub use directory::{host, Directory, Mood};
 pub use fleet::{bellcroft, instances, phases, Fleet};
 pub use folder::{Folder, Manager};
-pub use http::{ok, read_message, request, soon, Message, LONG};
+pub use http::{ok, read_message, request, request_as, soon, Message, LONG};
 pub use incidents::{stage, Incident, Staged};
 pub use metrics::*;
 pub use page::write_into;
-pub use process::{command, config, kill, program, settings, write_config, Agent, Client};
+pub use process::{
+    command, config, kill, patient_config, program, settings, write_config, Agent, Client, Leaving,
+};
 pub use server::{Plan, Seen, Server, Work};
 pub use traffic::{fates, p99, wanted_share, Class, Fate, Load, Record, Traffic, CLASSES};
 pub use world::World;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -51,6 +51,17 @@
            "known": {"seq": 1, "whole": true, "hosts": hosts}, "settings": settings()})
 }
 
+/// The same with a second address, and with times so long that what waits goes on waiting.
+pub fn patient_config(directory: SocketAddr, hosts: &[Value]) -> Value {
+    let mut config = config(directory, hosts);
+    config["console"] = "127.0.0.1:0".into();
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["aimMs"], class["deadlineMs"]) = (20_000.into(), 25_000.into());
+        class["dedupWindowMs"] = 60_000.into();
+    }
+    config
+}
+
 /// A file of its own with this text.
 pub fn write_config(text: &str) -> PathBuf {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
@@ -221,6 +232,22 @@
     assert!(sent.success());
 }
 
+/// How a client leaves.
+#[derive(Debug, Clone, Copy)]
+pub enum Leaving {
+    /// It closes.
+    Fin,
+    /// It closes, and the kernel resets the connection.
+    Reset,
+    /// It closes its sending side alone; by the protocol's page a client that closes has gone away.
+    Half,
+}
+
+impl Leaving {
+    /// Each way.
+    pub const ALL: [Leaving; 3] = [Leaving::Fin, Leaving::Reset, Leaving::Half];
+}
+
 /// The application's side of a connection.
 pub struct Client {
     /// The connection.
@@ -244,6 +271,21 @@
         self.answer().await
     }
 
+    /// Leaves. One that has closed its sending side alone is given back, and stays open for as long as it is kept.
+    pub async fn leave(mut self, how: Leaving) -> Option<Self> {
+        match how {
+            Leaving::Fin => None,
+            Leaving::Reset => {
+                self.stream.set_zero_linger().expect("an option");
+                None
+            }
+            Leaving::Half => {
+                self.stream.shutdown().await.expect("it is open");
+                Some(self)
+            }
+        }
+    }
+
     /// Waits until the other side closes, with nothing said before.
     pub async fn closed(&mut self) {
         let mut rest = [0; 1];
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -157,36 +157,30 @@
     pub(crate) fall_ms: Option<f64>,
 }
 
-/// What of the settings a real agent can't go by, by the key that is at fault: a limit or a rule's time that is missing, or
-/// a time or factor that can't be. What a deployment does not say must not be another one's, as the defaults would be; the
-/// simulator says all of them itself.
+/// What of the settings a real agent can't go by, by the key that is at fault: a limit or a rule's time that is missing or
+/// below zero. What a deployment does not say must not be another one's, as the defaults would be; the simulator says all of
+/// them itself.
 pub fn faults(params: &Params) -> Vec<(&'static str, String)> {
     let (limits, rules) = (&params.limits, &params.rules);
     let asked = matches!(params.discovery, Some(DiscoveryWord::OnRequest));
-    let missing = [
-        ("limits.maxAttempts", limits.max_attempts.is_none()),
-        ("limits.connectTimeoutMs", limits.connect_timeout_ms.is_none()),
-        ("limits.keepaliveMs", limits.keepalive_ms.is_none()),
-        ("rules.stopSendingWithinMs", rules.stop_sending_within_ms.is_none()),
-        ("rules.askWithinMs", asked && rules.ask_within_ms.is_none()),
+    let keys = [
+        ("limits.maxAttempts", limits.max_attempts.map(f64::from), true),
+        ("limits.connectTimeoutMs", limits.connect_timeout_ms, true),
+        ("limits.keepaliveMs", limits.keepalive_ms, true),
+        ("limits.maxRetryAfterMs", Some(limits.max_retry_after_ms), false),
+        ("rules.askWithinMs", rules.ask_within_ms, asked),
+        ("rules.fallMs", rules.fall_ms, false),
+        ("rules.stopSendingWithinMs", rules.stop_sending_within_ms, true),
+        ("rules.warmAfterMs", rules.warm_after_ms, false),
     ];
-    let missing = missing.into_iter().filter(|(_, missing)| *missing);
-    let mut faults: Vec<_> = missing.map(|(key, _)| (key, format!("{key} is missing"))).collect();
-    let times = [
-        ("limits.connectTimeoutMs", limits.connect_timeout_ms),
-        ("limits.keepaliveMs", limits.keepalive_ms),
-        ("limits.maxRetryAfterMs", Some(limits.max_retry_after_ms)),
-        ("rules.askWithinMs", rules.ask_within_ms),
-        ("rules.fallMs", rules.fall_ms),
-        ("rules.stopSendingWithinMs", rules.stop_sending_within_ms),
-        ("rules.warmAfterMs", rules.warm_after_ms),
-    ];
-    for (key, value) in times {
-        if let Some(value) = value.filter(|value| *value < 0.0) {
-            faults.push((key, format!("{key} is {value}; a time of at least 0 was expected")));
+    let fault = |(key, value, needed): (&'static str, Option<f64>, bool)| match value {
+        None if needed => Some((key, format!("{key} is missing"))),
+        Some(value) if value < 0.0 => {
+            Some((key, format!("{key} is {value}; a time of at least 0 was expected")))
         }
-    }
-    faults
+        _ => None,
+    };
+    keys.into_iter().filter_map(fault).collect()
 }
 
 /// What a real agent needs of the settings beside those that the decisions rest on.
