Rename and split discovery: codec, client, policy and watch; tests move to a file

Manner is WatchPolicy, Host EndpointRecord, List EndpointList, left_out rejected_entries, *_MOST MAX_*, MUTE CALL_TIMEOUT. The two of the unit test module's subjects are public now, for tests live in files. No change of behaviour.

--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -1,6 +1,6 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
-use crate::discovery::{self, List};
+use crate::discovery::codec::{self, EndpointList};
 use bellcroft_membership as membership;
 use bellcroft_operator::{AgentFile, Daemon, Fault, RemoteWrite};
 use bellcroft_routes::{Platform, Spec};
@@ -39,7 +39,7 @@
     /// The names in the settings and the limits of sockets.
     pub names: Names,
     /// The server list as the agent last had it.
-    pub known: List,
+    pub known: EndpointList,
     /// The operator's word on its state and its end.
     pub daemon: Daemon,
     /// The operator's routes; they keep the rules with these settings.
@@ -210,8 +210,8 @@
         }
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
-            serde_json::Value::Null => Some(List::default()),
-            value => discovery::parse_list(&value),
+            serde_json::Value::Null => Some(EndpointList::default()),
+            value => codec::parse_list(&value),
         };
         if known.is_none() {
             wrong.push(format!("{}: known is no server list", at("known")));
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -6,7 +6,9 @@
 use crate::clock::Clock;
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
-use crate::discovery::{Discovery, Health, List, Manner};
+use crate::discovery::codec::{EndpointList, Health};
+use crate::discovery::policy::WatchPolicy;
+use crate::discovery::Discovery;
 use crate::passing::{Load, Upload};
 use crate::peers::{named, Decisions, Peers};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
@@ -35,7 +37,7 @@
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// Entries of the list that are left out are told once each, this many at most: a list may bring new ones for ever.
-const LEFT_OUT_TOLD: usize = 200;
+const MAX_REPORTED_ENTRIES: usize = 200;
 
 /// A server's name and number are kept this long after it has left: longer than the balancer remembers the number,
 /// so that a name that shares it by chance is not taken for the one that left.
@@ -129,7 +131,7 @@
     /// The version of the list; none after discovery has moved, for versions are each service's own.
     seq: Option<u64>,
     /// What of the list was left out, and has been told.
-    left_out: HashSet<String>,
+    rejected_entries: HashSet<String>,
     discovery: Discovery,
     routes: Rc<Table>,
     ids: Ids,
@@ -177,7 +179,7 @@
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
         ));
-        let manner = manner(&config.settings);
+        let watch_policy = watch_policy(&config.settings);
         let mut balancer = Balancer::new(config.settings, config.seed)?;
         let mut actions = Vec::new();
         balancer.start(clock.now(), &mut actions);
@@ -194,8 +196,8 @@
             left: HashMap::new(),
             up: HashSet::new(),
             seq: Some(config.known.seq),
-            left_out: HashSet::new(),
-            discovery: Discovery::new(config.discovery, manner),
+            rejected_entries: HashSet::new(),
+            discovery: Discovery::new(config.discovery, watch_policy),
             routes,
             ids,
             attempts_most: Attempts::default(),
@@ -295,8 +297,8 @@
         }
         state.balancer.retune(settings, &changed)?;
         let followed = state.discovery.follows_by_itself();
-        let manner = manner(state.balancer.settings());
-        state.discovery.retune(manner);
+        let watch_policy = watch_policy(state.balancer.settings());
+        state.discovery.retune(watch_policy);
         if followed != state.discovery.follows_by_itself() {
             let seq = state.seq;
             state.discovery.follow(self, true, seq);
@@ -441,7 +443,7 @@
     }
 
     /// News of discovery; `None` for a call that failed.
-    pub fn listed(self: &Rc<Self>, list: Option<List>) {
+    pub fn listed(self: &Rc<Self>, list: Option<EndpointList>) {
         if let Some(telemetry) = &self.telemetry {
             telemetry.list_call(self.clock.now(), list.is_some());
         }
@@ -697,12 +699,13 @@
     }
 
     /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
-    fn take_list(&self, state: &mut State, list: List) -> Vec<Listed> {
+    fn take_list(&self, state: &mut State, list: EndpointList) -> Vec<Listed> {
         state.seq = Some(list.seq);
-        for entry in list.left_out {
-            if state.left_out.len() < LEFT_OUT_TOLD && !state.left_out.contains(&entry) {
+        for entry in list.rejected_entries {
+            if state.rejected_entries.len() < MAX_REPORTED_ENTRIES && !state.rejected_entries.contains(&entry)
+            {
                 warn!(target: "bellcroft::discovery", "list: {entry}; it is left out");
-                state.left_out.insert(entry);
+                state.rejected_entries.insert(entry);
             }
         }
         let mut lines = Vec::with_capacity(list.hosts.len());
@@ -876,8 +879,8 @@
 }
 
 /// How these settings would have discovery asked.
-fn manner(settings: &Settings) -> Manner {
-    Manner::new(settings.discovery, Duration::from_micros(settings.drain_grace.0))
+fn watch_policy(settings: &Settings) -> WatchPolicy {
+    WatchPolicy::new(settings.discovery, Duration::from_micros(settings.drain_grace.0))
 }
 
 /// The name of a request's route.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod cli;
 mod clock;
 mod daemon;
-mod discovery;
+pub mod discovery;
 mod driver;
 mod exit;
 mod fleet;
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -3,7 +3,7 @@
 //! A connection carries one exchange at a time and is used again only after a whole answer. Whatever else ends
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
-use crate::discovery::{Health, Host};
+use crate::discovery::codec::{EndpointRecord, Health};
 use crate::passing::{Load, Upload};
 use crate::prompt::prompt;
 use crate::telemetry::FirstByte;
@@ -408,7 +408,7 @@
 
     /// Takes in a line of the list. A new address or a new process means new connections; one that drains keeps
     /// none that are idle, and one that has left is forgotten. What is out goes on.
-    pub fn describe(&self, server: ServerId, host: &Host) {
+    pub fn describe(&self, server: ServerId, host: &EndpointRecord) {
         if host.health == Health::Removed {
             return self.forget(server);
         }
