Discovery: a silent watch and a failed call fit the 6 s clock; calls as a schedule

Cause: a watch waited 5 s and was given 2.5 s more before it counted as silent (WAIT, watch_mute in discovery/mod.rs), then a pause of up to 0.3 s and the tick: 7.85 s and the answer, against 6 s and the drain grace; after failed calls ask_pause in logic.rs reached 3.75 s behind a call that hung 2.5 s: 6.3 s.

Now a watch waits 3 to 4 s, drawn anew each time; 0.5 s after its wait a call that is answered at once goes out on another connection beside it, and another 1 s later; the first complete answer wins. A watch that is begun after a failure asks at once before it waits. Pauses are 2 s at most with jitter and tick. Which call is made when is a state machine without sockets (schedule.rs); errors of calls are typed.

Measured: watch_schedule.rs plays 12,000 scenarios for asked and pushed lists each, in virtual time, with the agent's schedule and the balancer's own pauses: least margin 0.35 s asked (answers of up to 0.25 s), 3 ms pushed (grace 0, answers of up to 2 ms).

--- a/crates/agent/src/daemon/config.rs
+++ b/crates/agent/src/daemon/config.rs
@@ -210,11 +210,11 @@
         }
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
-            serde_json::Value::Null => Some(EndpointList::default()),
+            serde_json::Value::Null => Ok(EndpointList::default()),
             value => codec::parse_list(&value),
         };
-        if known.is_none() {
-            wrong.push(format!("{}: known is no server list", at("known")));
+        if let Err(why) = &known {
+            wrong.push(format!("{}: known is no server list: {why}", at("known")));
         }
         let slot = raw["settings"]["slotNo"].as_u64().and_then(|slot| u32::try_from(slot).ok());
         let peering = operator.membership.and_then(|section| {
@@ -228,7 +228,7 @@
         settings.peers |= peering.is_some();
         let refusals = bellcroft_routes::check(&operator.routes, &platform(&settings, &names));
         wrong.extend(refusals.iter().map(|refusal| format!("{operator_file}:{refusal}")));
-        let (Some(listen), Some(discovery), Some(known), true) = (listen, discovery, known, wrong.is_empty())
+        let (Some(listen), Some(discovery), Ok(known), true) = (listen, discovery, known, wrong.is_empty())
         else {
             return Err(wrong);
         };
--- a/crates/agent/src/discovery/client.rs
+++ b/crates/agent/src/discovery/client.rs
@@ -1,14 +1,15 @@
-//! One call to discovery over HTTP/1.1.
+//! One call to discovery over HTTP/1.1; its time limit is its caller's.
 
 use super::codec::{parse_list, EndpointList};
+use super::error::CallError;
 use crate::prompt::prompt;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -26,39 +27,56 @@
     }
 }
 
-/// One call; `None` if it failed in any way. The connection is kept for the next call only if all went well.
+/// One call. The connection is kept for the next call only if all went well.
 pub(crate) async fn call(
     address: SocketAddr,
     kept: &mut Option<Connection>,
     path: &str,
-    within: Duration,
-) -> Option<EndpointList> {
-    let mut connection = kept.take();
-    let exchange = async {
-        if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
-            let stream = TcpStream::connect(address).await.ok()?;
-            prompt(&stream);
-            let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
-            let task = tokio::task::spawn_local(async move {
-                // Its end shows at the sender.
-                let _ = driven.await;
-            });
-            connection = Some((sender, Ended(task)));
-        }
-        let (sender, _) = connection.as_mut()?;
-        sender.ready().await.ok()?;
-        let request = Request::get(path).header("host", address.to_string()).body(Empty::new()).ok()?;
-        let response = sender.send_request(request).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?.to_bytes();
-        parse_list(&serde_json::from_slice(&body).ok()?)
+) -> Result<EndpointList, CallError> {
+    let mut connection = match kept.take() {
+        Some(open) if !open.0.is_closed() => open,
+        _ => connect(address).await?,
     };
-    // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
-    let answer = tokio::time::timeout(within, exchange).await.ok().flatten();
-    if answer.is_some() {
-        *kept = connection;
+    let sender = &mut connection.0;
+    sender.ready().await.map_err(|_| CallError::Reset)?;
+    let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
+    let request = request.map_err(|e| CallError::Unreadable(e.to_string()))?;
+    let response = sender.send_request(request).await.map_err(|e| no_answer(&e))?;
+    if response.status() != StatusCode::OK {
+        return Err(CallError::Status(response.status().as_u16()));
     }
-    answer
+    let list = read_list(response.into_body()).await?;
+    *kept = Some(connection);
+    Ok(list)
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
+    let stream = TcpStream::connect(address).await.map_err(|e| CallError::connect(&e))?;
+    prompt(&stream);
+    let (sender, driven) = handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Reset)?;
+    let task = tokio::task::spawn_local(async move {
+        // Its end shows at the sender.
+        let _ = driven.await;
+    });
+    Ok((sender, Ended(task)))
+}
+
+async fn read_list(body: Incoming) -> Result<EndpointList, CallError> {
+    let body = Limited::new(body, MAX_LIST_BYTES).collect().await.map_err(|error| match error
+        .downcast_ref::<LengthLimitError>()
+    {
+        Some(_) => CallError::TooLong,
+        None => CallError::TruncatedBody,
+    })?;
+    let unreadable = |why: String| CallError::Unreadable(why);
+    let value = serde_json::from_slice(&body.to_bytes()).map_err(|e| unreadable(e.to_string()))?;
+    parse_list(&value).map_err(|e| unreadable(e.to_string()))
+}
+
+/// A head that is no HTTP is told from a connection that ended.
+fn no_answer(error: &hyper::Error) -> CallError {
+    if error.is_parse() {
+        return CallError::Unreadable("its head is no HTTP".to_owned());
+    }
+    CallError::Reset
 }
--- a/crates/agent/src/discovery/codec.rs
+++ b/crates/agent/src/discovery/codec.rs
@@ -48,13 +48,32 @@
     Removed,
 }
 
+/// Why something is no endpoint list at all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListError {
+    /// It has no array `hosts`.
+    NoHosts,
+    /// It has no number `seq`.
+    NoVersion,
+}
+
+impl std::fmt::Display for ListError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            ListError::NoHosts => "it has no array \"hosts\"",
+            ListError::NoVersion => "it has no number \"seq\"",
+        })
+    }
+}
+
 /// The longest name that is told.
 const MAX_REPORTED_CHARS: usize = 64;
 
 /// Reads a list. An entry that makes no sense is left out, and its reason kept: one bad line must not cost the others,
 /// and a list of bad lines must not look like an empty one.
-pub fn parse_list(value: &Value) -> Option<EndpointList> {
-    let hosts = value.get("hosts")?.as_array()?;
+pub fn parse_list(value: &Value) -> Result<EndpointList, ListError> {
+    let hosts = value.get("hosts").and_then(Value::as_array).ok_or(ListError::NoHosts)?;
+    let seq = value.get("seq").and_then(Value::as_u64).ok_or(ListError::NoVersion)?;
     let (mut good, mut rejected_entries) = (Vec::with_capacity(hosts.len()), Vec::new());
     for (place, host) in hosts.iter().enumerate() {
         match parse_host(host) {
@@ -67,8 +86,8 @@
             }
         }
     }
-    Some(EndpointList {
-        seq: value.get("seq")?.as_u64()?,
+    Ok(EndpointList {
+        seq,
         whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
         hosts: good,
         rejected_entries,
--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -5,15 +5,20 @@
 
 mod client;
 pub mod codec;
+pub mod error;
 pub mod policy;
+pub mod schedule;
 mod watch;
 
 use crate::driver::Driver;
 use client::call;
-use policy::WatchPolicy;
+use policy::{WatchPolicy, CALL_TIMEOUT};
+use schedule::WatchSchedule;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use watch::Watch;
 
 /// The calls to discovery; at most one watch and one call for the whole list at a time.
 pub(crate) struct Discovery {
@@ -41,7 +46,7 @@
 
     /// Whether nobody else says when a watch begins.
     pub fn follows_by_itself(&self) -> bool {
-        self.policy.retry_delay.is_some()
+        self.policy.restarts_by_itself()
     }
 
     /// Discovery has moved: calls to the old address, and their connections, end.
@@ -53,14 +58,17 @@
     }
 
     /// Begins a watch for what is newer than `seq`, or ends the one there is. With no `seq` it begins with the
-    /// whole list.
+    /// whole list; after a failure with a call that is answered at once.
     pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: Option<u64>) {
-        if let Some(watch) = self.watch.take() {
+        let failed = self.watch.take().is_some_and(|watch| {
+            let failed = watch.is_finished();
             watch.abort();
-        }
+            failed
+        });
         if active {
-            let watch = watch::watch(self.address, self.policy, driver.clone(), seq);
-            self.watch = Some(tokio::task::spawn_local(watch));
+            let schedule = WatchSchedule::new(self.policy, seq, fastrand::u64(..));
+            let watch = Watch::new(self.address, driver.clone(), schedule);
+            self.watch = Some(tokio::task::spawn_local(watch.run(failed)));
         }
     }
 
@@ -69,10 +77,13 @@
         if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
             return;
         }
-        let (address, mute, driver) = (self.address, self.policy.call_timeout, driver.clone());
+        let (address, driver) = (self.address, driver.clone());
         self.fetch = Some(tokio::task::spawn_local(async move {
             let mut connection = None;
-            driver.listed(call(address, &mut connection, "/v1/endpoints", mute).await);
+            match timeout(CALL_TIMEOUT, call(address, &mut connection, "/v1/endpoints")).await {
+                Ok(Ok(list)) => driver.on_endpoints(list),
+                _ => driver.on_watch_failed(),
+            }
         }));
     }
 }
--- a/crates/agent/src/discovery/policy.rs
+++ b/crates/agent/src/discovery/policy.rs
@@ -1,58 +1,110 @@
-//! When discovery is called, and how long each call may take.
+//! The time limits of calls to discovery.
+//!
+//! The platform's clock: what discovery has counts as notified [`NOTIFIED_AFTER`] after it had the change and could be
+//! reached, whatever call failed or waits; where lists are pushed, at once. The latest moments at which discovery is
+//! asked are [`WatchPolicy::silent_watch_asks`] and [`WatchPolicy::unreachable_asks`].
 
+use micasail::{Discovery, MAX_WATCH_RETRY_DELAY};
 use std::time::Duration;
 
-/// How long a watch of a service for all waits for news. Short enough that a mute discovery is found out soon.
-pub const WATCH_WAIT: Duration = Duration::from_millis(5_000);
-/// A call that has said nothing this long after it should have is mute: discovery is down or cut off.
-pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// What a mute watch has missed counts as told this long after its wait (the platform's page), and nothing may go to a
-/// server that leaves once its grace is over after that.
-pub const NOTIFIED_AFTER_WAIT: Duration = Duration::from_millis(2_000);
-/// Of that time this is kept for asking anew: the pause before it (300 ms at most), the look at timers (50 ms), and the
-/// answer of a service that works through its calls in turn.
-pub const REASK_RESERVE: Duration = Duration::from_millis(1_000);
-/// A discovery on this machine answers at once and at no cost, and what it has counts as told whether or not it was
-/// asked. So it is asked often: a wait and the patience with it are this part of the grace each, within these bounds.
+/// A change counts as notified this long after discovery had it and could be reached.
+pub const NOTIFIED_AFTER: Duration = Duration::from_millis(6_000);
+/// Each time limit of the platform is this much longer on sockets.
+pub const SOCKET_ALLOWANCE: Duration = Duration::from_millis(50);
+/// The longest that a watch of a shared service asks it to wait.
+pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// Each wait is drawn from this part of the longest on, so that instances that were answered together part again.
+pub const MIN_WATCH_WAIT_PART: f64 = 0.75;
+/// A watch that has not answered this long after its wait has fallen silent.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
+/// A second call is made beside one that has not answered for so long.
+pub const HEDGE_DELAY: Duration = Duration::from_millis(1_000);
+/// A call that has not answered for so long, beyond its wait, has failed.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_250);
+/// Calls that ask for an answer at once, one beside the other, before the failure is reported.
+pub const MAX_ASKS: u32 = 2;
+
+/// A discovery on this machine answers at once and at no cost. All limits are this part of the drain grace period.
 pub const PUSHED_GRACE_PARTS: u32 = 4;
-/// The shortest such wait.
-pub const MIN_PUSHED_WAIT: Duration = Duration::from_millis(60);
-/// The longest such wait.
-pub const MAX_PUSHED_WAIT: Duration = Duration::from_millis(500);
-/// And asked again this soon after a failure.
-pub const PUSHED_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The shortest limit of a pushed list's watch, for drain grace periods near zero.
+pub const MIN_PUSHED_LIMIT: Duration = Duration::from_millis(15);
+/// The longest limit of a pushed list's watch.
+pub const MAX_PUSHED_LIMIT: Duration = Duration::from_millis(500);
+/// The longest pause after a failed call, where lists are pushed.
+pub const MAX_PUSHED_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// How discovery is to be asked, by the settings.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WatchPolicy {
-    /// A watch waits for news for so long.
-    pub wait: Duration,
-    /// A watch that has said nothing so long after its wait is mute.
-    pub watch_timeout: Duration,
-    /// Any other call that has said nothing for so long.
+    /// The longest wait of a watch.
+    pub max_wait: Duration,
+    /// The part of it from which each wait is drawn.
+    pub min_wait_part: f64,
+    /// A watch that has not answered so long after its wait has fallen silent.
+    pub silence_timeout: Duration,
+    /// A second call is made beside one that has not answered for so long.
+    pub hedge_delay: Duration,
+    /// A call that has not answered for so long, beyond its wait, has failed.
     pub call_timeout: Duration,
-    /// After a failure it is asked again this soon; none where the decisions say when, for it is one service for all.
+    /// The pause after a failure; none where the balancer decides it, for discovery is one service for all.
     pub retry_delay: Option<Duration>,
 }
 
 impl WatchPolicy {
-    /// By how lists come and how long sends to a server that leaves may go on.
-    pub fn new(lists: micasail::Discovery, grace: Duration) -> Self {
+    /// By how lists come and how long sends to a draining server may go on.
+    pub fn new(lists: Discovery, drain_grace: Duration) -> Self {
         match lists {
-            micasail::Discovery::OnRequest => {
-                let watch_timeout =
-                    (NOTIFIED_AFTER_WAIT + grace).saturating_sub(REASK_RESERVE).min(CALL_TIMEOUT);
-                WatchPolicy { wait: WATCH_WAIT, watch_timeout, call_timeout: CALL_TIMEOUT, retry_delay: None }
-            }
-            micasail::Discovery::Pushed => {
-                let part = (grace / PUSHED_GRACE_PARTS).clamp(MIN_PUSHED_WAIT, MAX_PUSHED_WAIT);
+            Discovery::OnRequest => WatchPolicy {
+                max_wait: MAX_WATCH_WAIT,
+                min_wait_part: MIN_WATCH_WAIT_PART,
+                silence_timeout: SILENCE_TIMEOUT,
+                hedge_delay: HEDGE_DELAY,
+                call_timeout: CALL_TIMEOUT,
+                retry_delay: None,
+            },
+            Discovery::Pushed => {
+                let limit = (drain_grace / PUSHED_GRACE_PARTS).clamp(MIN_PUSHED_LIMIT, MAX_PUSHED_LIMIT);
                 WatchPolicy {
-                    wait: part,
-                    watch_timeout: part,
-                    call_timeout: part,
-                    retry_delay: Some(PUSHED_RETRY_DELAY),
+                    max_wait: limit,
+                    min_wait_part: 1.0,
+                    silence_timeout: limit,
+                    hedge_delay: limit,
+                    call_timeout: limit,
+                    retry_delay: Some(limit.min(MAX_PUSHED_RETRY_DELAY)),
                 }
             }
         }
     }
+
+    /// Whether nobody else decides when a watch begins.
+    pub fn restarts_by_itself(&self) -> bool {
+        self.retry_delay.is_some()
+    }
+
+    /// The longest pause from a failure to the next call.
+    pub fn max_retry_delay(&self) -> Duration {
+        self.retry_delay.unwrap_or(Duration::from_micros(MAX_WATCH_RETRY_DELAY.0))
+    }
+
+    /// The latest moments, from a watch's falling silent, at which discovery is asked first and again.
+    pub fn silent_watch_asks(&self) -> [Duration; 2] {
+        let first = self.max_wait + self.silence_timeout;
+        [first, first + self.hedge_delay]
+    }
+
+    /// The latest moments, from discovery's return, at which it is asked first and again: a call that hangs had begun
+    /// just before.
+    pub fn unreachable_asks(&self) -> [Duration; 2] {
+        let first = self.call_timeout + self.max_retry_delay();
+        [first, first + self.hedge_delay]
+    }
+
+    /// When a change counts as notified, from when discovery had it and could be reached, with the drain grace period
+    /// where lists are pushed.
+    pub fn obeyed_by(&self, drain_grace: Duration) -> Duration {
+        match self.retry_delay {
+            None => NOTIFIED_AFTER,
+            Some(_) => drain_grace + SOCKET_ALLOWANCE,
+        }
+    }
 }
--- a/crates/agent/src/discovery/watch.rs
+++ b/crates/agent/src/discovery/watch.rs
@@ -1,48 +1,111 @@
-//! One watch of discovery, from its first call to the call that fails.
+//! The sockets of a [`WatchSchedule`]: makes the calls that it asks for and tells it how they end.
 
-use super::client::call;
+use super::client::{call, Connection};
 use super::codec::EndpointList;
-use super::policy::WatchPolicy;
+use super::error::CallError;
+use super::schedule::{AnswerVersion, CallId, Query, Step, WatchSchedule};
 use crate::driver::Driver;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
 
-/// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
-/// told, and begins another when it sees fit. Only what costs nobody anything is asked again from here.
-pub(crate) async fn watch(
+/// How a call ended, with its connection where that may serve the next.
+struct CallEnd {
+    id: CallId,
+    answer: Result<EndpointList, CallError>,
+    connection: Option<Connection>,
+}
+
+/// A call's task, which ends with this.
+struct CallTask(JoinHandle<()>);
+
+impl Drop for CallTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A watch that is kept up until it fails, or for ever where it restarts by itself.
+pub(crate) struct Watch {
     address: SocketAddr,
-    policy: WatchPolicy,
     driver: Rc<Driver>,
-    mut seq: Option<u64>,
-) {
-    let mut connection = None;
-    loop {
-        let (path, within) = match seq {
-            Some(seq) => {
-                let wait = policy.wait;
-                let path = format!("/v1/endpoints?after={seq}&wait_ms={}", wait.as_millis());
-                (path, wait + policy.watch_timeout)
-            }
-            None => ("/v1/endpoints".to_owned(), policy.call_timeout),
-        };
-        // A change is one of a list that is known; as a first answer it would say nothing of the others.
-        let answer = call(address, &mut connection, &path, within).await.filter(|l| seq.is_some() || l.whole);
-        // A lower version than the one that is known is of a service that has begun anew: its changes are of a list that
-        // nobody here has, and what it told before them would be missed for good. So the whole of it is asked for.
-        let anew = |list: &EndpointList| !list.whole && seq.is_some_and(|known| list.seq < known);
-        if answer.as_ref().is_some_and(anew) {
-            seq = None;
-            continue;
+    schedule: WatchSchedule,
+    epoch: Instant,
+    tasks: HashMap<CallId, CallTask>,
+    /// The connection of the last answer.
+    spare: Option<Connection>,
+    report: UnboundedSender<CallEnd>,
+    ends: UnboundedReceiver<CallEnd>,
+}
+
+impl Watch {
+    /// A watch that asks nobody yet.
+    pub(crate) fn new(address: SocketAddr, driver: Rc<Driver>, schedule: WatchSchedule) -> Self {
+        let (report, ends) = unbounded_channel();
+        let (epoch, tasks) = (Instant::now(), HashMap::new());
+        Watch { address, driver, schedule, epoch, tasks, spare: None, report, ends }
+    }
+
+    /// Keeps it up; returns when it has failed and the balancer is to say when the next begins.
+    pub(crate) async fn run(mut self, after_failure: bool) {
+        let mut steps = Vec::new();
+        self.schedule.begin(self.epoch.elapsed(), after_failure, &mut steps);
+        self.carry_out(steps, None);
+        while let Some(due) = self.schedule.next_due() {
+            let mut steps = Vec::new();
+            let answer = tokio::select! {
+                Some(end) = self.ends.recv() => self.on_end(end, &mut steps),
+                () = sleep_until(self.epoch + due) => {
+                    self.schedule.on_time(self.epoch.elapsed(), &mut steps);
+                    None
+                }
+            };
+            self.carry_out(steps, answer);
         }
-        // After a failure too, where it is asked again from here.
-        seq = answer.as_ref().map(|list| list.seq);
-        let failed = answer.is_none();
-        match (failed, policy.retry_delay) {
-            (true, Some(pause)) => tokio::time::sleep(pause).await,
-            _ => driver.listed(answer),
+        self.driver.on_watch_failed();
+    }
+
+    fn on_end(&mut self, end: CallEnd, steps: &mut Vec<Step>) -> Option<EndpointList> {
+        // What was cancelled while its end was on the way is over.
+        self.tasks.remove(&end.id)?;
+        let version = |list: &EndpointList| AnswerVersion { version: list.seq, full: list.whole };
+        let (head, list) = match end.answer {
+            Ok(list) => (Ok(version(&list)), Some(list)),
+            Err(error) => (Err(error), None),
+        };
+        if list.is_some() {
+            self.spare = end.connection;
         }
-        if failed && policy.retry_delay.is_none() {
-            return;
+        self.schedule.on_answer(self.epoch.elapsed(), end.id, head, steps);
+        list
+    }
+
+    /// Does what the schedule says; `answer` is the list of the call that has just ended.
+    fn carry_out(&mut self, steps: Vec<Step>, mut answer: Option<EndpointList>) {
+        for step in steps {
+            match step {
+                Step::Call { id, query } => self.call(id, query),
+                Step::Cancel(id) => drop(self.tasks.remove(&id)),
+                Step::Deliver(_) => {
+                    if let Some(list) = answer.take() {
+                        self.driver.on_endpoints(list);
+                    }
+                }
+                Step::WatchSilent { .. } | Step::CallFailed { .. } | Step::Idle => {}
+            }
         }
     }
+
+    fn call(&mut self, id: CallId, query: Query) {
+        let (address, report, mut connection) = (self.address, self.report.clone(), self.spare.take());
+        let task = tokio::task::spawn_local(async move {
+            let answer = call(address, &mut connection, &query.path()).await;
+            // The watch is over if nobody takes it.
+            let _ = report.send(CallEnd { id, answer, connection });
+        });
+        self.tasks.insert(id, CallTask(task));
+    }
 }
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -442,25 +442,36 @@
         self.pump();
     }
 
-    /// News of discovery; `None` for a call that failed.
-    pub fn listed(self: &Rc<Self>, list: Option<EndpointList>) {
+    /// Discovery has answered with this list.
+    pub fn on_endpoints(self: &Rc<Self>, list: EndpointList) {
         if let Some(telemetry) = &self.telemetry {
-            telemetry.list_call(self.clock.now(), list.is_some());
+            telemetry.list_call(self.clock.now(), true);
         }
-        {
-            let mut state = self.state.borrow_mut();
-            let update = match list {
-                None => ListUpdate::Failed,
-                Some(list) if list.whole => ListUpdate::Complete(self.take_list(&mut state, list)),
-                Some(list) => ListUpdate::Changes(self.take_list(&mut state, list)),
-            };
-            if let (Some(mut waking), false) = (self.waking.get(), update == ListUpdate::Failed) {
-                waking.listed();
-                self.waking.set(Some(waking));
+        if let Some(mut waking) = self.waking.get() {
+            waking.listed();
+            self.waking.set(Some(waking));
+        }
+        let update = {
+            let state = &mut self.state.borrow_mut();
+            match list.whole {
+                true => ListUpdate::Complete(self.take_list(state, list)),
+                false => ListUpdate::Changes(self.take_list(state, list)),
             }
-            // Before all else that is queued: what waits for the list is to be decided by it.
-            state.queue.push_front(Event::List(update));
+        };
+        self.update_list(update);
+    }
+
+    /// The watch of discovery has failed: the balancer says when the next begins.
+    pub fn on_watch_failed(self: &Rc<Self>) {
+        if let Some(telemetry) = &self.telemetry {
+            telemetry.list_call(self.clock.now(), false);
         }
+        self.update_list(ListUpdate::Failed);
+    }
+
+    /// Before all else that is queued: what waits for the list is to be decided by it.
+    fn update_list(self: &Rc<Self>, update: ListUpdate) {
+        self.state.borrow_mut().queue.push_front(Event::List(update));
         self.pump();
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -116,8 +116,9 @@
 const COME_BACK: f64 = 0.25;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
-const ASK_AGAIN: Span = Span(200_000);
+/// Pause before the list is asked for again, with jitter down to half; doubled on each failure up to a quarter
+/// of what the site asks, and as far as [`MAX_WATCH_RETRY_DELAY`] allows.
+const ASK_AGAIN: Span = Span(600_000);
 
 /// An open connection to each server, per hundred balancers, and a new one for each request cost this much
 /// each where the site names no price; and an idle one lasts about so many seconds.
@@ -1134,9 +1135,10 @@
     fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
         let (lines, complete) = match update {
             ListUpdate::Failed => {
-                let jitter = 0.5 + self.rng.f64();
-                self.ask_at = Some(now + self.ask_pause * jitter);
-                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                let jitter = 0.5 + 0.5 * self.rng.f64();
+                let most = MAX_WATCH_RETRY_DELAY.less(TICK_IDLE).min(self.settings.ask_within * 0.25);
+                self.ask_at = Some(now + self.ask_pause.min(most) * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(most);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
