--- /dev/null
+++ b/crates/agent/src/discovery/watch.rs
@@ -0,0 +1,111 @@
+//! The sockets of a [`WatchSchedule`]: makes the calls that it asks for and tells it how they end.
+
+use super::client::{call, Connection};
+use super::codec::EndpointList;
+use super::error::CallError;
+use super::schedule::{AnswerVersion, CallId, Query, Step, WatchSchedule};
+use crate::driver::Driver;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
+
+/// How a call ended, with its connection where that may serve the next.
+struct CallEnd {
+    id: CallId,
+    answer: Result<EndpointList, CallError>,
+    connection: Option<Connection>,
+}
+
+/// A call's task, which ends with this.
+struct CallTask(JoinHandle<()>);
+
+impl Drop for CallTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A watch that is kept up until it fails, or for ever where it restarts by itself.
+pub(crate) struct Watch {
+    address: SocketAddr,
+    driver: Rc<Driver>,
+    schedule: WatchSchedule,
+    epoch: Instant,
+    tasks: HashMap<CallId, CallTask>,
+    /// The connection of the last answer.
+    spare: Option<Connection>,
+    report: UnboundedSender<CallEnd>,
+    ends: UnboundedReceiver<CallEnd>,
+}
+
+impl Watch {
+    /// A watch that asks nobody yet.
+    pub(crate) fn new(address: SocketAddr, driver: Rc<Driver>, schedule: WatchSchedule) -> Self {
+        let (report, ends) = unbounded_channel();
+        let (epoch, tasks) = (Instant::now(), HashMap::new());
+        Watch { address, driver, schedule, epoch, tasks, spare: None, report, ends }
+    }
+
+    /// Keeps it up; returns when it has failed and the balancer is to say when the next begins.
+    pub(crate) async fn run(mut self, after_failure: bool) {
+        let mut steps = Vec::new();
+        self.schedule.begin(self.epoch.elapsed(), after_failure, &mut steps);
+        self.carry_out(steps, None);
+        while let Some(due) = self.schedule.next_due() {
+            let mut steps = Vec::new();
+            let answer = tokio::select! {
+                Some(end) = self.ends.recv() => self.on_end(end, &mut steps),
+                () = sleep_until(self.epoch + due) => {
+                    self.schedule.on_time(self.epoch.elapsed(), &mut steps);
+                    None
+                }
+            };
+            self.carry_out(steps, answer);
+        }
+        self.driver.on_watch_failed();
+    }
+
+    fn on_end(&mut self, end: CallEnd, steps: &mut Vec<Step>) -> Option<EndpointList> {
+        // What was cancelled while its end was on the way is over.
+        self.tasks.remove(&end.id)?;
+        let version = |list: &EndpointList| AnswerVersion { version: list.seq, full: list.whole };
+        let (head, list) = match end.answer {
+            Ok(list) => (Ok(version(&list)), Some(list)),
+            Err(error) => (Err(error), None),
+        };
+        if list.is_some() {
+            self.spare = end.connection;
+        }
+        self.schedule.on_answer(self.epoch.elapsed(), end.id, head, steps);
+        list
+    }
+
+    /// Does what the schedule says; `answer` is the list of the call that has just ended.
+    fn carry_out(&mut self, steps: Vec<Step>, mut answer: Option<EndpointList>) {
+        for step in steps {
+            match step {
+                Step::Call { id, query } => self.call(id, query),
+                Step::Cancel(id) => drop(self.tasks.remove(&id)),
+                Step::Deliver(_) => {
+                    if let Some(list) = answer.take() {
+                        self.driver.on_endpoints(list);
+                    }
+                }
+                Step::WatchSilent { .. } | Step::CallFailed { .. } | Step::Idle => {}
+            }
+        }
+    }
+
+    fn call(&mut self, id: CallId, query: Query) {
+        let (address, report, mut connection) = (self.address, self.report.clone(), self.spare.take());
+        let task = tokio::task::spawn_local(async move {
+            let answer = call(address, &mut connection, &query.path()).await;
+            // The watch is over if nobody takes it.
+            let _ = report.send(CallEnd { id, answer, connection });
+        });
+        self.tasks.insert(id, CallTask(task));
+    }
+}
