A client that leaves: no period before it is noticed, and attempts that begin are counted

Need: an attempt that begins more than 0.1 s after its client has left is a break, also one that never comes complete.

Cause: Server::connection looked again each 20 ms (LOOK_LEFT) at a connection whose client had closed its side before its request began to wait. left_waiting now looks after each poll of the connection, which is the only place where that changes.

--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -14,6 +14,7 @@
 use rustix::io::Errno;
 use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -176,12 +177,16 @@
     }
 }
 
-/// Waits until a client has closed its side, however much of what it had sent is unread: the end of a stream is read last,
-/// and may lie behind a flood that nobody reads while the request before it waits.
-pub async fn left(stream: &TcpStream) {
+/// Waits until a client has closed its side while a request of it waits, however much of what it had sent is unread: the
+/// end of a stream is read last, and may lie behind a body that nobody reads while its request waits for a backend.
+///
+/// What the connection does changes only while it is polled, by the same task and before this: so this is looked at as soon
+/// as a request begins to wait, with no period in between.
+pub async fn left_waiting(stream: &TcpStream, line: &Line) {
     // Of the end alone there is no interest; this one is of urgent data too, which is not asked of the kernel and so never
     // shows. An error is an end as well.
     let _ = stream.ready(Interest::PRIORITY).await;
+    poll_fn(|_| if line.waits() { Poll::Ready(()) } else { Poll::Pending }).await;
 }
 
 /// How far the present request has been read.
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::daemon::status::{Ended, Tally};
 use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
-use crate::front::framing::{left, Framed, Line, Phase, HEAD_MOST};
+use crate::front::framing::{left_waiting, Framed, Line, Phase, HEAD_MOST};
 use crate::front::reply::{Ending, Reply};
 use crate::passing::{Kept, Upload};
 use crate::prompt::prompt;
@@ -58,10 +58,8 @@
 const CROWDED: f64 = 0.5;
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
 const MUTE_LEAST: Duration = Duration::from_millis(100);
-/// How often a connection's time is looked at; one whose client has closed its side much more often, for nothing may go
-/// out for that client any more.
+/// How often a connection's time is looked at.
 const LOOK: Duration = Duration::from_millis(250);
-const LOOK_LEFT: Duration = Duration::from_millis(20);
 /// The longest id of a request that is kept.
 const ID_MOST: usize = 256;
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
@@ -253,13 +251,12 @@
         builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
         let framed = Framed::new(stream.clone(), line.clone());
         let mut connection = pin!(builder.serve_connection(framed, service));
-        let (mut leaving, mut gone) = (pin!(left(&stream)), false);
+        let mut leaving = pin!(left_waiting(&stream, &line));
         loop {
             let until = self.until(&line, taken);
-            if Instant::now() >= until || (gone && line.waits()) {
+            if Instant::now() >= until {
                 return;
             }
-            let look = if gone { LOOK_LEFT } else { LOOK };
             // What has come is looked at before the connection's time.
             tokio::select! {
                 biased;
@@ -267,10 +264,10 @@
                 _ = connection.as_mut() => return,
                 () = leave.notified() => return,
                 // A client that closes its side has gone away (the protocol's page): what it waits for ends with it.
-                () = leaving.as_mut(), if !gone => gone = true,
+                () = leaving.as_mut() => return,
                 // What is idle may have to close; a request that is on its way, or is the first, is still answered.
                 _ = changed.changed() => {}
-                () = sleep_until(until.min(Instant::now() + look)) => {}
+                () = sleep_until(until.min(Instant::now() + LOOK)) => {}
             }
         }
     }
--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -7,10 +7,15 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-/// From so long after its client's leaving nothing new goes out for a request (the users' term).
-const AFTER_LEAVING: Duration = Duration::from_millis(300);
+/// From so long after its client's leaving no attempt begins for a request (the users' term).
+const AFTER_LEAVING: Duration = Duration::from_millis(100);
 
-/// Nothing is left of what was asked: no request is in progress, and the backend has seen these and no others.
+/// The path of a request whose body is more than the agent and both kernels hold while nobody reads it: the end of its stream
+/// can't reach the agent before an attempt reads on.
+const BEYOND_THE_KERNELS: &str = "/save/long";
+
+/// Nothing is left of what was asked: no request is in progress, and the backend has seen these and no others. No attempt
+/// has begun for any other either, but for those whose path says that nobody could know that their client had left.
 async fn conserved(agent: &Agent, backend: &mut Backend, asked: u64) {
     agent.until("svc.in_progress", |open| open == 0).await;
     let seen: Vec<String> = std::iter::from_fn(|| backend.seen.try_recv().ok())
@@ -21,6 +26,10 @@
         "sent on for those who had left: {seen:?}"
     );
     assert_eq!(seen.len() as u64, asked);
+    let mut begun: Vec<String> = std::iter::from_fn(|| backend.begun.try_recv().ok()).collect();
+    begun.retain(|path| !path.contains(BEYOND_THE_KERNELS));
+    assert!(begun.iter().all(|path| path.contains("sentinel")), "begun for those who had left: {begun:?}");
+    assert_eq!(begun.len() as u64, asked);
 }
 
 /// Settings that say that lists are pushed: over sockets nothing comes by itself, so the agent asks, also after a silence,
@@ -50,7 +59,7 @@
 
 /// Clients whose request waits for a server leave, with bytes behind their request up to every limit of what is read
 /// ahead, so that the end of their stream lies behind what nobody reads. A server comes up when the time is over: only
-/// those who are still there get it.
+/// those who are still there get it, and for the others no attempt begins: not one byte of it goes out.
 #[tokio::test]
 async fn a_client_that_leaves_while_its_request_waits_is_not_sent_on() {
     let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
@@ -62,15 +71,19 @@
         directory.list(1, &away);
         let agent = Agent::with(patient_config(directory.address, &away), |_| {}).await;
         let whole = || request("GET", "/read/left", "20000m", "");
-        let coming = |sent: usize| {
-            let head = request("POST", "/save/left", "20000m", "");
-            head.replace("Content-Length: 0", "Content-Length: 300000") + &"b".repeat(sent)
+        let coming = |path: &str, length: usize, sent: usize| {
+            let head = request("POST", path, "20000m", "");
+            head.replace("Content-Length: 0", &format!("Content-Length: {length}")) + &"b".repeat(sent)
         };
         let next = request("POST", "/save/left", "20000m", &"n".repeat(60_000));
         let behind = |bytes: usize| whole() + &next.chars().cycle().take(bytes).collect::<String>();
         let floods = [0, 1, next.len(), (16 << 10) - 1, 16 << 10, (16 << 10) + 1, 64 << 10, 1 << 20];
         let mut texts: Vec<String> = floods.map(behind).to_vec();
-        texts.extend([coming(100_000), coming(299_999), coming(300_000)]);
+        texts.extend(
+            [(300_000, 100_000), (100_000, 99_999), (100_000, 100_000)]
+                .map(|(length, sent)| coming("/save/left", length, sent)),
+        );
+        texts.extend([299_999, 300_000].map(|sent| coming(BEYOND_THE_KERNELS, 300_000, sent)));
         let mut left = Vec::new();
         for text in texts.iter().cycle().take(6 * texts.len()) {
             // An id of its own for each, and the same bytes else.
--- a/crates/rig/src/backend.rs
+++ b/crates/rig/src/backend.rs
@@ -1,6 +1,6 @@
 //! A backend that answers by a test's script.
 
-use crate::http::{ok, read_message, soon, Message};
+use crate::http::{ok, read_body, read_head, soon, Message};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -26,6 +26,8 @@
     pub address: SocketAddr,
     /// Requests as they come.
     pub seen: mpsc::Receiver<Message>,
+    /// Paths and ids of all requests whose head has come, also of those that never come complete.
+    pub begun: mpsc::UnboundedReceiver<String>,
     /// Connections taken so far.
     pub connections: Arc<AtomicUsize>,
     /// Connections that their other side has closed.
@@ -40,6 +42,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (tell, seen) = mpsc::channel(1024);
+        let (tell_begun, begun) = mpsc::unbounded_channel();
         let (tell_closed, closed) = mpsc::channel(1024);
         let connections = Arc::new(AtomicUsize::new(0));
         let closes = watch::Sender::new(false);
@@ -49,9 +52,15 @@
             while let Ok((mut stream, _)) = listener.accept().await {
                 let number = count.fetch_add(1, Ordering::SeqCst);
                 let (tell, tell_closed, script) = (tell.clone(), tell_closed.clone(), script.clone());
+                let tell_begun = tell_begun.clone();
                 let mut closing = closing.subscribe();
                 let serving = async move {
-                    while let Some(message) = read_message(&mut stream, number).await {
+                    while let Some(mut message) = read_head(&mut stream, number).await {
+                        let id = message.header("x-request-id").unwrap_or_default();
+                        let _ = tell_begun.send(format!("{} {id}", message.target()));
+                        if read_body(&mut stream, &mut message).await.is_none() {
+                            break;
+                        }
                         let reply = script(&message);
                         // A test that counts otherwise need not look at each.
                         let _ = tell.try_send(message);
@@ -78,7 +87,7 @@
                 });
             }
         });
-        Backend { address, seen, connections, closed, closes }
+        Backend { address, seen, begun, connections, closed, closes }
     }
 
     /// Starts one that holds each request until the word, and then answers it with this body.
--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -59,6 +59,13 @@
 
 /// Reads one message; `None` if the connection ends first.
 pub async fn read_message(stream: &mut (impl AsyncRead + Unpin), connection: usize) -> Option<Message> {
+    let mut message = read_head(stream, connection).await?;
+    read_body(stream, &mut message).await?;
+    Some(message)
+}
+
+/// Reads the head of a message and whatever of its body comes along; `None` if the connection ends first.
+pub async fn read_head(stream: &mut (impl AsyncRead + Unpin), connection: usize) -> Option<Message> {
     let mut bytes = Vec::new();
     let mut first_byte = None;
     let end = loop {
@@ -73,7 +80,11 @@
     let body = bytes.split_off(end);
     let head = String::from_utf8(bytes).ok()?;
     let first_byte = first_byte.unwrap_or_else(Instant::now);
-    let mut message = Message { connection, head, body, first_byte, last_byte: first_byte };
+    Some(Message { connection, head, body, first_byte, last_byte: first_byte })
+}
+
+/// Reads the rest of a message's body; `None` if the connection ends first.
+pub async fn read_body(stream: &mut (impl AsyncRead + Unpin), message: &mut Message) -> Option<()> {
     let length: usize = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     while message.body.len() < length {
         if stream.read_buf(&mut message.body).await.ok()? == 0 {
@@ -81,7 +92,7 @@
         }
     }
     message.last_byte = Instant::now();
-    Some(message)
+    Some(())
 }
 
 /// The bytes of a 200 with this body.
