Tests: a burst that leaves while the agent stands still, floods and long bodies in the backlog

Need: the 0.1 s after a client's leaving hold at the worst phase too. Reckoned: between two looks at the sockets a LocalSet runs 61 tasks; those that a look wakes run in order, and an attempt is a task of its own behind them, so a leaving that the kernel had before the look ends its request before the attempt's task runs, whatever else the look brought. The first test plays it: 300 clients leave while the process is stopped and a list that brings their server up is there before them, or after; the second gets clients that sent 6 MiB behind their request, or 80,000 of 100,000 bytes of a body. Both count attempts by their heads.

--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, Notify};
 
+/// From so long after its client's leaving no attempt begins for a request (the users' term).
+const AFTER_LEAVING: Duration = Duration::from_millis(100);
+
 /// A request with an id of the test's own.
 fn named(id: &str, method: &str, path: &str, body: &str) -> String {
     request_as(id, method, path, "20000m", body)
@@ -254,6 +257,14 @@
         request("POST", "/save/left", "20000m", &"b".repeat(60_000)),
     ];
     texts.push(texts[0].clone() + &texts[1]);
+    // More behind it than the kernels hold: its end comes only while it is read.
+    texts.push(texts[0].clone() + &"f".repeat(6 << 20));
+    // A body that is passed on as it comes, complete and not.
+    let long = |sent: usize| {
+        let head = request("POST", "/save/left", "20000m", "");
+        head.replace("Content-Length: 0", "Content-Length: 100000") + &"b".repeat(sent)
+    };
+    texts.extend([long(80_000), long(100_000)]);
     for leaving in Leaving::ALL {
         let directory = Directory::start(Mood::Mute).await;
         directory.list(1, &away);
@@ -271,10 +282,12 @@
         let mut half = Vec::new();
         for text in texts.iter().cycle().take(30) {
             let mut client = agent.client().await;
-            client.send(text).await;
+            // What the kernels do not take is not sent: the client leaves all the same.
+            let sending = client.stream.write_all(text.as_bytes());
+            let _ = tokio::time::timeout(Duration::from_millis(30), sending).await;
             half.push(client.leave(leaving).await);
         }
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        tokio::time::sleep(AFTER_LEAVING).await;
         directory.list(2, &here);
         for mut client in stay {
             // In a crowd each answer is the last on its connection, which frees the place.
@@ -287,6 +300,52 @@
         let got: Vec<String> =
             std::iter::from_fn(|| server.seen.try_recv().ok()).map(|m| m.target().to_owned()).collect();
         assert!(got.iter().all(|target| target == "/read/stays"), "{leaving:?}: {got:?}");
+        let begun: Vec<String> = std::iter::from_fn(|| server.begun.try_recv().ok()).collect();
+        assert!(begun.iter().all(|path| path.contains("stays")), "{leaving:?}: begun: {begun:?}");
         assert_eq!((got.len(), agent.figure("svc.upstream_tries").await), (31, 31), "{leaving:?}");
     }
 }
+
+/// Hundreds leave while the agent stands still, and the server that their requests wait for comes up meanwhile: when it goes
+/// on, the list may be read first, and still no attempt begins for any of them.
+#[tokio::test]
+async fn a_burst_that_leaves_while_the_agent_stands_still_is_not_sent_on() {
+    const BURST: usize = 300;
+    let mut server = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let hosts = |health: &str| vec![host("s", server.address, health)];
+    let (away, here) = (hosts("draining"), hosts("up"));
+    for leaving in Leaving::ALL {
+        for list_first in [true, false] {
+            let directory = Directory::start(Mood::Mute).await;
+            directory.list(1, &away);
+            let agent = Agent::with(patient_config(directory.address, &away), |_| {}).await;
+            let process = agent.child.id().expect("it runs");
+            let mut clients = Vec::new();
+            for number in 0..BURST {
+                let mut client = agent.client().await;
+                client.send(&named(&format!("left-{number}"), "GET", "/read/left", "")).await;
+                clients.push(client);
+            }
+            agent.until("svc.in_progress", |open| open == BURST as u64).await;
+            kill("-STOP", process).await;
+            if list_first {
+                directory.list(2, &here);
+                // Its answer is written before any client leaves.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let mut half = Vec::new();
+            for client in clients {
+                half.push(client.leave(leaving).await);
+            }
+            directory.list(2, &here);
+            tokio::time::sleep(AFTER_LEAVING).await;
+            kill("-CONT", process).await;
+            agent.ready().await;
+            let answer = agent.client().await.ask(&named("stays", "GET", "/read/stays", "")).await;
+            assert_eq!(answer.status(), 200, "{leaving:?}");
+            agent.until("svc.in_progress", |open| open == 0).await;
+            let begun: Vec<String> = std::iter::from_fn(|| server.begun.try_recv().ok()).collect();
+            assert_eq!(begun, ["/read/stays stays"], "{leaving:?}, list first: {list_first}");
+        }
+    }
+}
