Descriptors: reserved by name for discovery and operators; crowds give way to the next client

Need: idle clients may hold all descriptors while discovery is down; its calls, connections to backends and the next client that asks still get theirs.

Where all places are taken and another client comes, the connection that is idle longest gives way after 100 ms, not 2.05 s. A connection that is chosen to close and has got a request meanwhile stays. An accept that fails for want of a descriptor (EMFILE and its like) closes eight connections that can be spared and holds that many fewer for 10 s; before, it was only tried again each 20 ms, so a crowd that is never idle for long kept discovery from its next connection for ever.

--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -25,7 +25,7 @@
 /// The longest answer that is read: the status of a fleet of thousands.
 const ANSWER_MOST: usize = 16 << 20;
 /// Clients at a time; one more is let go at once.
-const CLIENTS_MOST: usize = 16;
+pub(crate) const CLIENTS_MOST: usize = 16;
 
 /// An answer.
 pub struct Reply {
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod config;
 pub(crate) mod console;
 pub(crate) mod control;
+pub(crate) mod descriptors;
 pub(crate) mod notify;
 pub(crate) mod state;
 pub(crate) mod status;
@@ -21,6 +22,7 @@
 use bellcroft_telemetry::{families, Owner, Remote};
 use config::Config;
 pub(crate) use config::Sources;
+use descriptors::DescriptorBudget;
 use notify::Notify;
 use serde_json::{json, Value};
 use state::{Refused, StateDir, Writer};
@@ -36,10 +38,6 @@
 use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
 
-/// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
-const SPARE_SOCKETS: usize = 24;
-/// The part of the others that is the application's, which holds a third of all at most for its requests.
-const CLIENT_SHARE: f64 = 0.5;
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 /// How soon a start looks again whether it is ready.
@@ -419,13 +417,11 @@
     let given = matches!(origin, Origin::Given);
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let name = config.name.clone();
-    let sockets = config.sockets.saturating_sub(SPARE_SOCKETS);
-    let clients = (sockets as f64 * CLIENT_SHARE) as usize;
+    let DescriptorBudget { clients, backends } = DescriptorBudget::new(&config);
     let (notify, problem) = Notify::find(|name| std::env::var_os(name));
     problems.extend(problem);
     let counted = telemetry::instance(&config, started_ms);
-    let driver =
-        Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
+    let driver = Driver::start(config.clone(), backends, counted.clone()).map_err(|e| e.to_string())?;
     if let Some(peering) = config.peering.clone() {
         let listen = peering.0;
         let decisions = Rc::downgrade(&driver) as Weak<dyn Decisions>;
@@ -487,7 +483,7 @@
         remote: RefCell::default(),
         succession: Cell::default(),
         turned_down: Cell::new(0),
-        places: (clients, sockets - clients),
+        places: (clients, backends),
     });
     let heir = |instance: &Rc<Instance>, meet: PathBuf, listener: OwnedFd| {
         let told = instance.clone();
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod framing;
 mod reply;
 
+use crate::daemon::descriptors::DISCOVERY_CONNECTIONS;
 use crate::daemon::status::{Ended, Tally};
 use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
 use crate::front::framing::{left_waiting, Framed, Line, Phase, HEAD_MOST};
@@ -22,15 +23,18 @@
 use hyper::{Method, Request, Response, StatusCode};
 use micasail::{Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tracing::warn;
 
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
@@ -56,8 +60,14 @@
 /// can cross: clients that ask once and stay use up what they may hold long before an idle connection is old enough
 /// to be closed.
 const CROWDED: f64 = 0.5;
-/// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask.
-const MUTE_LEAST: Duration = Duration::from_millis(100);
+/// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask. So does one that
+/// has been idle for as long, if no other does: a client that comes to ask is worth more than one that may ask again.
+const MIN_SPARED_IDLE: Duration = Duration::from_millis(100);
+/// Connections that are given up at once when the process has no descriptor left: those to discovery, and as many more for
+/// backends and the next clients.
+const SHORTAGE_RESERVE: usize = 2 * DISCOVERY_CONNECTIONS;
+/// After such a shortage fewer connections are held for so long.
+const SHORTAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How often a connection's time is looked at.
 const LOOK: Duration = Duration::from_millis(250);
 /// The longest id of a request that is kept.
@@ -87,6 +97,8 @@
     changed: watch::Sender<()>,
     accepting: watch::Sender<bool>,
     most: Cell<usize>,
+    /// The process had no descriptor left: until when it holds so many connections at most.
+    shortage: Cell<Option<(Instant, usize)>>,
     held: RefCell<HashMap<u64, Held>>,
     freed: Notify,
     /// Ids of the requests that are open.
@@ -105,6 +117,7 @@
             changed: watch::Sender::new(()),
             accepting: watch::Sender::new(true),
             most: Cell::new(connections),
+            shortage: Cell::new(None),
             held: RefCell::default(),
             freed: Notify::new(),
             ids: Rc::default(),
@@ -126,13 +139,16 @@
                 };
                 match taken {
                     Ok((stream, _)) => break stream,
-                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                    Err(error) if is_descriptor_shortage(&error) => {
+                        self.on_descriptor_shortage();
+                        self.wait_for_place().await;
+                    }
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
                 }
             };
-            while self.held.borrow().len() >= self.most.get() {
-                self.give_way();
-                // A connection that leaves frees its place; one that may leave soon is found by looking again.
-                let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+            while self.held.borrow().len() >= self.max_connections() {
+                self.evict(1);
+                self.wait_for_place().await;
             }
             let held = Held { line: Line::new(), leave: Rc::default() };
             let (line, leave) = (held.line.clone(), held.leave.clone());
@@ -146,21 +162,42 @@
         }
     }
 
-    /// Closes the connection that can best be spared: one that has said nothing, else the one that has been idle
-    /// longest. One with a request open or on its way never is.
-    fn give_way(&self) {
+    /// A connection that leaves frees its place; one that may leave soon is found by looking again.
+    async fn wait_for_place(&self) {
+        let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+    }
+
+    /// How many connections it may hold at present.
+    fn max_connections(&self) -> usize {
+        let most = self.most.get();
+        match self.shortage.get() {
+            Some((until, fewer)) if Instant::now() < until => most.min(fewer),
+            _ => most,
+        }
+    }
+
+    /// The process has fewer descriptors than it was promised. Clients make room for what it can't do without.
+    fn on_descriptor_shortage(&self) {
+        let held = self.held.borrow().len();
+        // Those that were to close at the last one may not have yet.
+        if held <= self.max_connections() {
+            let fewer = held.saturating_sub(SHORTAGE_RESERVE).max(1);
+            self.shortage.set(Some((Instant::now() + SHORTAGE_TIMEOUT, fewer)));
+            warn!("no descriptor is left for a client's connection; {held} are held, {fewer} from now on");
+        }
+        self.evict(SHORTAGE_RESERVE);
+    }
+
+    /// Closes so many of the connections that can best be spared: those that have said nothing, then those that have been
+    /// idle longest. One with a request open or on its way never is.
+    fn evict(&self, count: usize) {
         let held = self.held.borrow();
-        let spare = |h: &&Held| match h.line.phase() {
-            _ if h.line.lingers().is_some() => true,
-            (Phase::Mute, since) => since.elapsed() >= MUTE_LEAST,
-            (Phase::Idle, since) => since.elapsed() >= IDLE_LEAST,
-            (Phase::Arriving | Phase::Coming | Phase::Open, _) => false,
+        let mut spared: Vec<&Held> = held.values().filter(|held| can_be_spared(&held.line)).collect();
+        let rank = |held: &&Held| {
+            (held.line.lingers().is_none(), held.line.phase().0 == Phase::Idle, held.line.phase().1)
         };
-        let rank =
-            |h: &&Held| (h.line.lingers().is_none(), h.line.phase().0 == Phase::Idle, h.line.phase().1);
-        if let Some(held) = held.values().filter(spare).min_by_key(rank) {
-            held.leave.notify_one();
-        }
+        spared.sort_by_key(rank);
+        spared.iter().take(count).for_each(|held| held.leave.notify_one());
     }
 
     /// What it is there for at present.
@@ -214,7 +251,7 @@
 
     /// Whether so large a share of the places is taken.
     fn taken(&self, share: f64) -> bool {
-        self.held.borrow().len() as f64 >= share * self.most.get() as f64
+        self.held.borrow().len() as f64 >= share * self.max_connections() as f64
     }
 
     /// Until when a connection may go on as it is.
@@ -262,7 +299,12 @@
                 biased;
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return,
-                () = leave.notified() => return,
+                () = leave.notified() => {
+                    // A request may have come since it was chosen.
+                    if can_be_spared(&line) {
+                        return;
+                    }
+                }
                 // A client that closes its side has gone away (the protocol's page): what it waits for ends with it.
                 () = leaving.as_mut() => return,
                 // What is idle may have to close; a request that is on its way, or is the first, is still answered.
@@ -468,6 +510,21 @@
     }
 }
 
+/// Whether a connection can be closed for the sake of another client's.
+fn can_be_spared(line: &Line) -> bool {
+    match line.phase() {
+        _ if line.lingers().is_some() => true,
+        (Phase::Mute | Phase::Idle, since) => since.elapsed() >= MIN_SPARED_IDLE,
+        (Phase::Arriving | Phase::Coming | Phase::Open, _) => false,
+    }
+}
+
+/// Whether an accept failed because this process, or the machine, has no descriptor or memory for another socket.
+fn is_descriptor_shortage(error: &io::Error) -> bool {
+    let shortages = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|errno| shortages.contains(&errno))
+}
+
 /// Whether a connection that has been in this phase for so long may still owe an answer.
 fn awaited(phase: Phase, for_so_long: Duration) -> bool {
     match phase {
--- /dev/null
+++ b/crates/agent/tests/descriptors.rs
@@ -0,0 +1,171 @@
+//! Idle clients hold all the descriptors that they can get while discovery is down. Discovery, backends and the next client
+//! that asks still get theirs, and what discovery has to tell when it is back is learned at once.
+
+use rig::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::process::Command;
+use tokio::task::JoinSet;
+
+/// Calls to discovery that may be open at a time.
+const DISCOVERY_CALLS: usize = 4;
+
+/// What a client that only holds a connection does with it.
+#[derive(Debug, Clone, Copy)]
+enum Crowd {
+    /// Nothing.
+    Silent,
+    /// It asks something that needs no backend, again and again, so that it is never idle for long.
+    Asking,
+}
+
+/// Holds a connection for as long as the agent lets it, and then the next one.
+async fn hold_connections(agent: SocketAddr, crowd: Crowd) {
+    loop {
+        let Ok(stream) = tokio::net::TcpStream::connect(agent).await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let mut client = Client { stream };
+        match crowd {
+            Crowd::Silent => client.closed().await,
+            Crowd::Asking => while ask_ready(&mut client).await {},
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Asks once and rests; false once the connection is over.
+async fn ask_ready(client: &mut Client) -> bool {
+    use tokio::io::AsyncWriteExt;
+    if client.stream.write_all(b"GET /ready HTTP/1.1\r\n\r\n").await.is_err() {
+        return false;
+    }
+    let answer = read_message(&mut client.stream, 0).await;
+    // Longer than an idle connection must have been to be spared, shorter than any is idle until it is closed for that.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    answer.is_some_and(|answer| !answer.last())
+}
+
+/// The same program with fewer descriptors than its configuration promises.
+fn limit_descriptors(command: &mut Command, limit: usize) {
+    let given = command.as_std();
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\"")]).arg(given.get_program()).env_clear();
+    shell.envs(given.get_envs().filter_map(|(name, value)| Some((name, value?))));
+    shell.stderr(Stdio::piped()).kill_on_drop(true);
+    *command = shell;
+}
+
+/// Descriptors that the agent holds, as its kernel counts them.
+fn descriptors(agent: &Agent) -> usize {
+    let process = agent.child.id().expect("it runs");
+    std::fs::read_dir(format!("/proc/{process}/fd")).expect("its descriptors").count()
+}
+
+/// With discovery down, a crowd of more clients than there are descriptors. Then discovery is back with a list in which the
+/// only server that was known drains: the next client is served by the new one, while the crowd goes on.
+async fn crowd_while_discovery_is_down(sockets: usize, limit: Option<usize>, crowd: Crowd) {
+    let old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::Down).await;
+    let mut config = config(directory.address, &[host("old", old.address, "up")]);
+    config["limits"]["sockets"] = sockets.into();
+    let adapt = |command: &mut Command| {
+        if let Some(limit) = limit {
+            limit_descriptors(command, limit);
+        }
+    };
+    let agent = Agent::with(config, adapt).await;
+    let mut holding = JoinSet::new();
+    for _ in 0..2 * limit.unwrap_or(sockets) {
+        holding.spawn(hold_connections(agent.address, crowd));
+    }
+    if let Some(limit) = limit {
+        soon("clients make room for what an agent can't do without", async {
+            while agent.logged("no descriptor is left") == 0 || descriptors(&agent) + DISCOVERY_CALLS > limit
+            {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+    }
+    assert_eq!(agent.get("/read").await.body, b"old", "a client that asks is served in the crowd");
+    // It goes on asking, on connections of its own.
+    for _ in 0..2 {
+        directory.next_call().await;
+    }
+    let hosts: Vec<Value> = vec![host("old", old.address, "draining"), host("new", new.address, "up")];
+    directory.list(2, &hosts);
+    while !directory.next_call().await.contains("after=2&") {}
+    assert_eq!(agent.get("/read").await.body, b"new", "{crowd:?}: the drain is learned");
+    assert_eq!(old.connections() + new.connections(), 2, "one connection for each of the two");
+    holding.shutdown().await;
+}
+
+/// Clients fill all places that the settings leave them.
+#[tokio::test]
+async fn idle_clients_that_fill_all_places_leave_discovery_and_the_next_client_theirs() {
+    for crowd in [Crowd::Silent, Crowd::Asking] {
+        crowd_while_discovery_is_down(80, None, crowd).await;
+    }
+}
+
+/// The process has fewer descriptors than it was promised, so that accepts fail for want of one.
+#[tokio::test]
+async fn idle_clients_that_use_up_descriptors_leave_discovery_and_the_next_client_theirs() {
+    for crowd in [Crowd::Silent, Crowd::Asking] {
+        crowd_while_discovery_is_down(1024, Some(64), crowd).await;
+    }
+}
+
+/// With all places taken, by requests that wait and by connections that were answered a moment ago, the next client gets the
+/// place of one that is idle before that one is as old as idle connections are closed at (2 s).
+#[tokio::test]
+async fn an_idle_connection_gives_way_at_once_where_all_places_are_taken() {
+    const PLACES: usize = 28;
+    const IDLE: usize = 13;
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Down).await;
+    // On a busy machine they may be that old before all are there; then nothing was shown, and it is done again.
+    for round in 0.. {
+        assert!(round < 10, "idle connections give way only once they are old");
+        // Requests wait for a server that is up.
+        let mut config = patient_config(directory.address, &[host("s", backend.address, "draining")]);
+        config.as_object_mut().expect("an object").remove("console");
+        config["limits"]["sockets"] = 80.into();
+        let agent = Agent::with(config, |_| {}).await;
+        let (mut idle, mut open) = (Vec::new(), Vec::new());
+        for _ in 0..IDLE {
+            let mut client = agent.client().await;
+            assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+            idle.push(client);
+        }
+        let answered = Instant::now();
+        for _ in IDLE..PLACES {
+            let mut client = agent.client().await;
+            client.send(&request("GET", "/read", "20000m", "")).await;
+            open.push(client);
+        }
+        let mut next = agent.client().await;
+        assert_eq!(next.ask("GET /ready HTTP/1.1\r\n\r\n").await.status(), 503);
+        if answered.elapsed() < Duration::from_secs(2) {
+            return;
+        }
+    }
+}
+
+/// What an instance with all its listeners holds at rest is within what is reserved for it: the rest is for connections.
+#[tokio::test]
+async fn what_an_instance_holds_at_rest_is_within_its_reserve() {
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = patient_config(directory.address, &[]);
+    config["limits"]["sockets"] = 80.into();
+    let agent = Agent::with(config, |_| {}).await;
+    agent.until("svc.in_progress", |open| open == 0).await;
+    let held = descriptors(&agent);
+    // Of 80, 42 are for connections of clients and to backends.
+    assert!(held <= 38, "{held} are held by an agent that nobody asks");
+}
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -269,8 +269,8 @@
         let directory = Directory::start(Mood::Mute).await;
         directory.list(1, &away);
         let mut config = patient_config(directory.address, &away);
-        // Twenty-eight places for clients.
-        config["limits"]["sockets"] = 80.into();
+        // Twenty-eight places for clients: half of what the reserve with a second address leaves.
+        config["limits"]["sockets"] = 94.into();
         let agent = Agent::with(config, |_| {}).await;
         let mut stay = Vec::new();
         for _ in 0..28 {
