Connections: a second one to a busy server in place of the 8 ms wait before the first is reused

`connection` in `upstream/mod.rs` slept until `rested_at` wherever all idle connections to a server rested, in the path of the request. A rest is needed: a second answer may come some milliseconds after the first, and carries no id.

The rest stays, after each answer and for each connection. A request that finds only resting connections opens one more while fewer than 8 rest (`MAX_RESTING`), and takes whichever is ready first, the new one or the one that has rested longest. Probes wait as before. No other server's idle connection gives way to such a spare. Idle connections are kept in two lists, ready and resting, each in order of time, so that a use no longer looks through all of them.

New: a request right behind another opens a second connection; 200 in a row hold at most 8; a second connection that does not come up is not waited for. Changed: `connections_are_kept_and_used_again` and the last step of `a_long_answer_begins_before_it_is_whole_and_comes_whole` asked within the rest and relied on the wait; they now pause 50 ms first, and assert the same single connection.

--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use micasail::{Outcome, ServerId, Span, Time};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -42,6 +42,9 @@
 /// page), and whoever reads it once the next request is out can't tell whose it is: it would be served to another client.
 /// What comes while a connection rests ends it. Second answers of join days came 1.0 to 3.4 ms late.
 const REST: Duration = Duration::from_millis(8);
+/// While fewer connections to a backend rest, an attempt that finds no other opens one more instead of waiting. With as
+/// many at rest the next of them is ready about a millisecond later, and is waited for.
+const MAX_RESTING: usize = 8;
 /// The longest head of an answer, and the most that hyper buffers.
 const HEAD_MOST: usize = 16 << 10;
 /// All bytes that one answer may bring: its body, what its framing adds, and heads, those of 1xx answers ahead of
@@ -356,6 +359,18 @@
     }
 }
 
+/// A connection that is being waited for in a task of its own; `None` if it did not come up.
+type Opening = oneshot::Receiver<Option<Connection>>;
+
+/// What there is among the idle connections to a backend.
+enum Idle {
+    /// One that may be used at once.
+    Ready(Connection),
+    /// The one that is ready first, out of so many that rest.
+    Resting(Connection, usize),
+    None,
+}
+
 /// A backend as the list last described it.
 struct Remote {
     dial: Option<SocketAddr>,
@@ -363,7 +378,68 @@
     /// Counts its processes and addresses; connections of an earlier one are not used again.
     life: u64,
     open: bool,
-    idle: Vec<Connection>,
+    idle: IdleConnections,
+}
+
+/// The idle connections to a backend, in the order in which they became idle.
+#[derive(Default)]
+struct IdleConnections {
+    /// Those that may be used at once; the last was used most recently.
+    ready: Vec<Connection>,
+    /// Those that rest; the first is ready first.
+    resting: VecDeque<Connection>,
+}
+
+impl IdleConnections {
+    fn clear(&mut self) {
+        self.ready.clear();
+        self.resting.clear();
+    }
+
+    /// The connection that has been idle longest.
+    fn oldest(&self) -> Option<&Connection> {
+        self.ready.first().or(self.resting.front())
+    }
+
+    fn remove_oldest(&mut self) {
+        if self.ready.is_empty() {
+            self.resting.pop_front();
+        } else {
+            self.ready.remove(0);
+        }
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Connection) -> bool) {
+        self.ready.retain(&keep);
+        self.resting.retain(&keep);
+    }
+
+    fn add(&mut self, connection: Connection) {
+        if connection.rested_at <= Instant::now() {
+            self.ready.push(connection);
+        } else {
+            let later = |c: &Connection| c.rested_at <= connection.rested_at;
+            let place = self.resting.partition_point(later);
+            self.resting.insert(place, connection);
+        }
+    }
+
+    /// Takes the most recently used connection that has rested and is fit for use; those that are not are closed.
+    fn take_ready(&mut self, idle_most: Duration) -> Option<Connection> {
+        let now = Instant::now();
+        while self.resting.front().is_some_and(|c| c.rested_at <= now) {
+            self.ready.extend(self.resting.pop_front());
+        }
+        let fit = |c: &Connection| c.idle_since.elapsed() < idle_most && c.sender.is_ready();
+        std::iter::from_fn(|| self.ready.pop()).find(fit)
+    }
+
+    /// Takes the connection that is ready first, if that is before `by`.
+    fn take_resting(&mut self, by: Instant) -> Option<Connection> {
+        self.resting.retain(|c| c.sender.is_ready());
+        self.resting.front().filter(|c| c.rested_at < by)?;
+        self.resting.pop_front()
+    }
 }
 
 /// All backends and the connections to them.
@@ -421,7 +497,13 @@
                 last.idle.clear();
             }
         }
-        let new = || Remote { dial: host.dial, born_ms: host.born_ms, life: 0, open: true, idle: Vec::new() };
+        let new = || Remote {
+            dial: host.dial,
+            born_ms: host.born_ms,
+            life: 0,
+            open: true,
+            idle: IdleConnections::default(),
+        };
         let remote = remotes.entry(server).or_insert_with(new);
         let moved = host.dial.filter(|dial| remote.dial != Some(*dial));
         if remote.life == 0 || moved.is_some() || host.born_ms != remote.born_ms {
@@ -496,25 +578,73 @@
         }
     }
 
-    /// The most recently used connection that still stands and has rested, else the one that has rested longest once it
-    /// has, or a fresh one where there is none or none has rested `by` then. What this process lacks, a place or an
-    /// address, is no fault of the backend's.
-    async fn connection(self: &Rc<Self>, server: ServerId, by: Instant) -> Result<Connection, Outcome> {
-        while let Some(connection) = self.kept(server, by)? {
-            if connection.rested_at <= Instant::now() {
-                return Ok(connection);
-            }
-            // Like one that is being opened, it outlives an attempt that is given up meanwhile.
-            let rested = async move {
-                sleep_until(connection.rested_at).await;
-                Some(connection)
+    /// The most recently used connection that has rested. Where there is none, whichever is ready first of the one that has
+    /// rested longest and, while fewer than `max_resting` rest, of a new one.
+    async fn connection(
+        self: &Rc<Self>,
+        server: ServerId,
+        by: Instant,
+        max_resting: usize,
+    ) -> Result<Connection, Outcome> {
+        loop {
+            let (resting, count) = match self.kept(server, by)? {
+                Idle::Ready(connection) => return Ok(connection),
+                Idle::Resting(connection, count) => (connection, count),
+                Idle::None => return self.open(server)?.await.ok().flatten().ok_or(Outcome::ConnectFailed),
             };
-            // What has come meanwhile has closed it, and its backend may be another one by now.
-            let kept = self.fetch(rested).await.filter(|c| c.sender.is_ready() && self.current(c));
-            if let Some(connection) = kept {
+            // No other backend's connection gives way to one that is not surely needed.
+            let spare = count < max_resting && self.held.get() < self.most.get();
+            let opening = if spare { self.open(server).ok() } else { None };
+            // In a task of its own, for an attempt that is given up meanwhile has to cost neither of them.
+            let first = self.fetch(self.clone().first_ready(resting, opening));
+            if let Some(connection) = first.await.ok().flatten() {
                 return Ok(connection);
             }
         }
+    }
+
+    /// Whichever is ready first of a connection that rests and one that is being opened. The other one goes to those that
+    /// are idle.
+    async fn first_ready(
+        self: Rc<Self>,
+        resting: Connection,
+        opening: Option<Opening>,
+    ) -> Option<Connection> {
+        let Some(mut opening) = opening else {
+            sleep_until(resting.rested_at).await;
+            return Some(resting).filter(|c| self.usable(c));
+        };
+        let rested = sleep_until(resting.rested_at);
+        tokio::pin!(rested);
+        tokio::select! {
+            biased;
+            opened = &mut opening => match opened.ok().flatten() {
+                Some(opened) => {
+                    self.keep(resting);
+                    Some(opened)
+                }
+                None => {
+                    rested.await;
+                    Some(resting).filter(|c| self.usable(c))
+                }
+            },
+            () = &mut rested => {
+                if self.usable(&resting) {
+                    return Some(resting);
+                }
+                opening.await.ok().flatten()
+            }
+        }
+    }
+
+    /// Whether a connection that has rested may be used: what has come meanwhile has closed it, and its backend may be
+    /// another one by now.
+    fn usable(&self, connection: &Connection) -> bool {
+        connection.sender.is_ready() && self.current(connection)
+    }
+
+    /// Begins to open a connection. What this process lacks, a place or an address, is no fault of the backend's.
+    fn open(self: &Rc<Self>, server: ServerId) -> Result<Opening, Outcome> {
         let (dial, life) = {
             let remotes = self.remotes.borrow();
             let remote = remotes.get(&server).ok_or(Outcome::NotSent)?;
@@ -522,22 +652,18 @@
         };
         let place = self.place().ok_or(Outcome::NotSent)?;
         let upstream = self.clone();
-        let opened = async move {
+        Ok(self.fetch(async move {
             let opened = timeout(upstream.connect_timeout.get(), open(dial, upstream.tries.clone())).await;
             let (sender, task, wire) = opened.ok()?.ok()?;
             // Nothing has been said over it that a second answer could follow.
             let (idle_since, rested_at) = (Instant::now(), Instant::now());
             Some(Connection { sender, task, wire, server, life, idle_since, rested_at, _place: place })
-        };
-        self.fetch(opened).await.ok_or(Outcome::ConnectFailed)
+        }))
     }
 
     /// Waits for a connection in a task of its own: when its attempt is given up meanwhile, the connection, which has cost
     /// the backend work by then, serves the next one.
-    async fn fetch(
-        self: &Rc<Self>,
-        coming: impl Future<Output = Option<Connection>> + 'static,
-    ) -> Option<Connection> {
+    fn fetch(self: &Rc<Self>, coming: impl Future<Output = Option<Connection>> + 'static) -> Opening {
         let (tell, told) = oneshot::channel();
         let upstream = self.clone();
         tokio::task::spawn_local(async move {
@@ -545,18 +671,18 @@
                 upstream.park(connection);
             }
         });
-        told.await.ok().flatten()
+        told
     }
 
     /// Takes the connection to a backend that is to be used next out of those that are idle.
-    fn kept(&self, server: ServerId, by: Instant) -> Result<Option<Connection>, Outcome> {
+    fn kept(&self, server: ServerId, by: Instant) -> Result<Idle, Outcome> {
         let mut remotes = self.remotes.borrow_mut();
         let idle = &mut remotes.get_mut(&server).ok_or(Outcome::NotSent)?.idle;
-        idle.retain(|c| c.idle_since.elapsed() < self.idle_most.get() && c.sender.is_ready());
-        let now = Instant::now();
-        let rested = idle.iter().rposition(|c| c.rested_at <= now);
-        let soon = || idle.first().is_some_and(|c| c.rested_at < by).then_some(0);
-        Ok(rested.or_else(soon).map(|place| idle.remove(place)))
+        if let Some(ready) = idle.take_ready(self.idle_most.get()) {
+            return Ok(Idle::Ready(ready));
+        }
+        let count = idle.resting.len();
+        Ok(idle.take_resting(by).map_or(Idle::None, |connection| Idle::Resting(connection, count)))
     }
 
     /// A place for one more connection; an idle one of another backend gives way if all are taken.
@@ -571,8 +697,9 @@
     /// Closes the connection that has been idle longest; false if none is.
     fn spare(&self) -> bool {
         let mut remotes = self.remotes.borrow_mut();
-        let oldest = remotes.values_mut().filter(|r| !r.idle.is_empty()).min_by_key(|r| r.idle[0].idle_since);
-        oldest.map(|remote| remote.idle.remove(0)).is_some()
+        let idle_since = |remote: &&mut Remote| remote.idle.oldest().map(|c| c.idle_since);
+        let oldest = remotes.values_mut().filter(|r| r.idle.oldest().is_some()).min_by_key(idle_since);
+        oldest.map(|remote| remote.idle.remove_oldest()).is_some()
     }
 
     /// Whether a connection leads to the process that its backend is now.
@@ -581,11 +708,16 @@
     }
 
     fn park(&self, mut connection: Connection) {
+        connection.idle_since = Instant::now();
+        self.keep(connection);
+    }
+
+    /// Puts a connection to those that are idle, if it may be used again.
+    fn keep(&self, connection: Connection) {
         let mut remotes = self.remotes.borrow_mut();
         let Some(remote) = remotes.get_mut(&connection.server) else { return };
         if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
-            connection.idle_since = Instant::now();
-            remote.idle.push(connection);
+            remote.idle.add(connection);
         }
     }
 
@@ -602,7 +734,7 @@
             // still be answered in the wanted time.
             let begun = Instant::now();
             let by = limits.connect.map_or(limits.write_by, |most| limits.write_by.min(begun + most));
-            let connecting = timeout_at(by, self.connection(server, by)).await;
+            let connecting = timeout_at(by, self.connection(server, by, MAX_RESTING)).await;
             let connection = match connecting.unwrap_or(Err(Outcome::ConnectFailed)) {
                 Ok(connection) => connection,
                 Err(outcome) => return Some(Ended::without_answer(outcome)),
@@ -665,7 +797,7 @@
         let request = Request::get(path).header("host", "backend").body(Load::Whole(Bytes::new()));
         let exchange = async {
             let by = Instant::now() + PROBE_WAIT;
-            let (connection, request) = match (self.connection(server, by).await, request) {
+            let (connection, request) = match (self.connection(server, by, 0).await, request) {
                 (Ok(connection), Ok(request)) => (connection, request),
                 (Err(outcome), _) => return Ended::without_answer(outcome),
                 (Ok(_), Err(_)) => return Ended::without_answer(Outcome::NotSent),
--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -46,10 +46,71 @@
     for _ in 0..20 {
         assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
         assert_eq!(backend.next().await.connection, 0);
+        tokio::time::sleep(PAST_REUSE_DELAY).await;
     }
     assert_eq!(backend.connections(), 1);
 }
 
+/// A connection that was used a moment ago can't be used yet, and its backend gets a second one in place of a wait.
+#[tokio::test]
+async fn a_request_right_behind_another_opens_a_second_connection() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let mut client = agent.client().await;
+    // On a busy machine the first connection can be ready again before the next request has come.
+    for _ in 0..4_000 {
+        assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+        if backend.next().await.connection == 1 {
+            return;
+        }
+    }
+    panic!("each request waited for the first connection");
+}
+
+/// A backend holds only so many connections: one client that never pauses gets no more than a few.
+#[tokio::test]
+async fn requests_in_a_row_hold_a_bounded_number_of_connections() {
+    const MAX_CONNECTIONS: usize = 8;
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let (_directory, agent) = world(&[&backend]).await;
+    let mut client = agent.client().await;
+    for _ in 0..200 {
+        assert_eq!(client.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+        backend.next().await;
+    }
+    assert!(backend.connections() <= MAX_CONNECTIONS, "{}", backend.connections());
+}
+
+/// The second connection need not come up: the first serves the request as soon as it may be used again.
+#[tokio::test]
+async fn a_second_connection_that_does_not_come_up_is_not_waited_for() {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", address, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 60_000.into();
+    // A further attempt would find the first connection ready.
+    config["settings"]["limits"]["maxAttempts"] = 1.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let mut client = agent.client().await;
+    client.send(&request("GET", "/read", "20000m", "")).await;
+    let mut stream = soon("the agent's connection", listener.accept()).await.expect("a connection").0;
+    // Nobody takes these two: no further connection comes up.
+    let fill = || tokio::net::TcpStream::connect(address);
+    let _fillers =
+        [fill().await.expect("a place in the backlog"), fill().await.expect("a place in the backlog")];
+    for turn in 0..40 {
+        if turn > 0 {
+            client.send(&request("GET", "/read", "20000m", "")).await;
+        }
+        soon("a request", read_message(&mut stream, 0)).await.expect("a request");
+        stream.write_all(&ok("x")).await.expect("the agent reads");
+        assert_eq!(client.answer().await.status(), 200, "{turn}");
+    }
+}
+
 /// An unsafe request whose connection breaks after its last byte may have run: it is neither sent again nor
 /// refused, for a refusal would have the client repeat it.
 #[tokio::test]
--- a/crates/agent/tests/bodies.rs
+++ b/crates/agent/tests/bodies.rs
@@ -102,7 +102,8 @@
         if !chunked {
             assert!(got.ends_with(&body), "unchanged");
         }
-        // The connection is good for the next request.
+        // The connection is good for the next request, once it may be used again.
+        tokio::time::sleep(PAST_REUSE_DELAY).await;
         client.send(&request("GET", "/read", "2000m", "")).await;
         read_until(&mut server, b"\r\n\r\n").await;
         server.write_all(&ok("next")).await.expect("it reads");
--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -8,6 +8,9 @@
 /// Nothing that is waited for takes nearly as long; a test that reaches this has failed.
 pub const LONG: Duration = Duration::from_secs(30);
 
+/// Longer than an agent keeps a connection to a server from its next use after an answer.
+pub const PAST_REUSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Waits for something that happens soon, or fails the test and says what did not happen.
 pub async fn soon<T>(what: &str, wait: impl std::future::Future<Output = T>) -> T {
     tokio::time::timeout(LONG, wait).await.unwrap_or_else(|_| panic!("{what} did not happen"))
