Rig: measure path compares two programs on the request path, open loop

The wait before a connection is reused was found by a load made for the purpose; `rig measure` had nothing that takes two programs, keeps a schedule that doesn't wait for answers, and counts the backends' connections.

It prints the latency added at p50, p90, p99 (also round by round) and p99.9, CPU per call from the scheduler's accounts, connections opened per 1,000 calls and held at the end, and the machine's cores. A round is void where the client left over 1 ms late at its 99th percentile, or a call was not served; void rounds are named, repeated, and counted in the table. The client (`open_loop`) uses threads with blocking sockets, for the async timers are a millisecond coarse.

Five in `crates/rig/tests/open_loop.rs`: schedules by seed, quantiles, each request sent once, a client that falls behind reports it, refusals and broken connections are not served.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod incidents;
 mod metrics;
+pub mod open_loop;
 mod page;
 mod process;
 mod server;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod measure;
 mod measure_membership;
+mod measure_path;
 mod measure_routes;
 mod measure_telemetry;
 mod play_faults;
@@ -69,6 +70,7 @@
         Command::Measure(measure::What::Membership(options)) => {
             runtime.block_on(measure_membership::run(&options))
         }
+        Command::Measure(measure::What::Path(options)) => runtime.block_on(measure_path::run(&options)),
         Command::Measure(measure::What::Routes(options)) => runtime.block_on(measure_routes::run(&options)),
         Command::Measure(measure::What::Telemetry(options)) => {
             runtime.block_on(measure_telemetry::run(&options))
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -16,6 +16,8 @@
     Alerts(crate::measure_telemetry::AlertOptions),
     /// Troubles with and without the example routes, and the cost of a look-up.
     Routes(crate::measure_routes::Options),
+    /// What two programs add to a request's time, its CPU and the backends' connections, beside each other.
+    Path(crate::measure_path::Options),
     /// What looking for peers costs: requests, time to answer, memory.
     Membership(crate::measure_membership::Options),
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -88,8 +88,12 @@
 }
 
 /// The real program with a configuration and nothing else of the environment.
-pub fn command(file: &PathBuf) -> Command {
-    let mut command = Command::from(program());
+pub fn command(file: &Path) -> Command {
+    command_of(program(), file)
+}
+
+fn command_of(program: std::process::Command, file: &Path) -> Command {
+    let mut command = Command::from(program);
     command.env_clear().env("PROXY_CONFIG", file).stderr(Stdio::piped()).kill_on_drop(true);
     command
 }
@@ -105,6 +109,17 @@
         let file = write_config(&config.to_string());
         let mut command = command(&file);
         adapt(&mut command);
+        Self::spawn(command, file).await
+    }
+
+    /// Starts one of another program file, such as an earlier build.
+    pub async fn of_program(program: &Path, config: Value) -> Self {
+        let file = write_config(&config.to_string());
+        Self::spawn(command_of(std::process::Command::new(program), &file), file).await
+    }
+
+    /// Starts it and waits until it listens.
+    async fn spawn(mut command: Command, file: PathBuf) -> Self {
         let mut child = command.spawn().expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
         let mut first = Vec::new();
