Discovery shows its watches and failed calls: log lines, status and metrics by cause

One line for each watch that ends or falls silent, with version, time and cause; two for each run of failed calls, its begin and its end with the count by cause. The status has a section discovery; the metrics bellcroft_list_call_failures_total by cause and bellcroft_list_silent_watches_total. Calls for pushed lists count too, which they did not.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -191,6 +191,7 @@
             bad_requests,
             servers,
             connections: self.server.connections(),
+            discovery: self.driver.discovery_status(),
             membership: self.driver.peers().map(|peers| peers.status()),
             problems,
         }
--- a/crates/agent/src/daemon/status.rs
+++ b/crates/agent/src/daemon/status.rs
@@ -1,5 +1,6 @@
 //! What an instance says of itself, in its status file and over its control socket.
 
+use crate::discovery::monitor::DiscoveryStatus;
 use crate::peers::status::MembershipStatus;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -64,6 +65,9 @@
     pub servers: Servers,
     /// Connections of clients.
     pub connections: usize,
+    /// The calls to discovery.
+    #[serde(default)]
+    pub discovery: DiscoveryStatus,
     /// The other instances, where they are looked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub membership: Option<MembershipStatus>,
--- a/crates/agent/src/discovery/mod.rs
+++ b/crates/agent/src/discovery/mod.rs
@@ -6,12 +6,14 @@
 mod client;
 pub mod codec;
 pub mod error;
+pub mod monitor;
 pub mod policy;
 pub mod schedule;
 mod watch;
 
 use crate::driver::Driver;
 use client::call;
+use error::CallError;
 use policy::{WatchPolicy, CALL_TIMEOUT};
 use schedule::WatchSchedule;
 use std::net::SocketAddr;
@@ -80,9 +82,14 @@
         let (address, driver) = (self.address, driver.clone());
         self.fetch = Some(tokio::task::spawn_local(async move {
             let mut connection = None;
-            match timeout(CALL_TIMEOUT, call(address, &mut connection, "/v1/endpoints")).await {
-                Ok(Ok(list)) => driver.on_endpoints(list),
-                _ => driver.on_watch_failed(),
+            driver.on_discovery_call();
+            let answer = timeout(CALL_TIMEOUT, call(address, &mut connection, "/v1/endpoints")).await;
+            match answer.unwrap_or(Err(CallError::Timeout)) {
+                Ok(list) => driver.on_endpoints(list),
+                Err(error) => {
+                    driver.on_call_failed(None, &error);
+                    driver.on_watch_failed();
+                }
             }
         }));
     }
--- a/crates/agent/src/discovery/schedule.rs
+++ b/crates/agent/src/discovery/schedule.rs
@@ -76,8 +76,8 @@
     },
     /// Report that a call failed.
     CallFailed {
-        /// Whether it was a watch.
-        watch: bool,
+        /// How long it was open, if it was a watch.
+        watch: Option<Duration>,
         /// Why.
         error: CallError,
     },
@@ -196,7 +196,7 @@
     }
 
     fn on_failure(&mut self, now: Duration, call: &OpenCall, error: CallError, steps: &mut Vec<Step>) {
-        let watch = matches!(call.query, Query::Watch { .. });
+        let watch = matches!(call.query, Query::Watch { .. }).then(|| now.saturating_sub(call.began));
         steps.push(Step::CallFailed { watch, error });
         if !self.calls.is_empty() {
             return;
--- a/crates/agent/src/discovery/watch.rs
+++ b/crates/agent/src/discovery/watch.rs
@@ -94,12 +94,15 @@
                         self.driver.on_endpoints(list);
                     }
                 }
-                Step::WatchSilent { .. } | Step::CallFailed { .. } | Step::Idle => {}
+                Step::WatchSilent { version, elapsed } => self.driver.on_silent_watch(version, elapsed),
+                Step::CallFailed { watch, error } => self.driver.on_call_failed(watch, &error),
+                Step::Idle => {}
             }
         }
     }
 
     fn call(&mut self, id: CallId, query: Query) {
+        self.driver.on_discovery_call();
         let (address, report, mut connection) = (self.address, self.report.clone(), self.spare.take());
         let task = tokio::task::spawn_local(async move {
             let answer = call(address, &mut connection, &query.path()).await;
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -7,6 +7,8 @@
 use crate::daemon::config::Config;
 use crate::daemon::status::Servers;
 use crate::discovery::codec::{EndpointList, Health};
+use crate::discovery::error::CallError;
+use crate::discovery::monitor::{DiscoveryStatus, Monitor};
 use crate::discovery::policy::WatchPolicy;
 use crate::discovery::Discovery;
 use crate::passing::{Load, Upload};
@@ -149,6 +151,8 @@
     /// The classes by their places.
     book: RefCell<Book>,
     upstream: Rc<Upstream>,
+    /// The calls to discovery, as operators see them.
+    monitor: RefCell<Monitor>,
     /// What is counted, if anybody wants it.
     pub telemetry: Option<Rc<Instance>>,
     state: RefCell<State>,
@@ -208,6 +212,7 @@
             names: RefCell::new(Rc::new(config.names)),
             book: RefCell::new(book),
             upstream,
+            monitor: RefCell::default(),
             telemetry,
             state: RefCell::new(state),
             wake: Notify::new(),
@@ -444,8 +449,9 @@
 
     /// Discovery has answered with this list.
     pub fn on_endpoints(self: &Rc<Self>, list: EndpointList) {
+        self.monitor.borrow_mut().on_answer(list.seq);
         if let Some(telemetry) = &self.telemetry {
-            telemetry.list_call(self.clock.now(), true);
+            telemetry.list_answered(self.clock.now());
         }
         if let Some(mut waking) = self.waking.get() {
             waking.listed();
@@ -463,10 +469,34 @@
 
     /// The watch of discovery has failed: the balancer says when the next begins.
     pub fn on_watch_failed(self: &Rc<Self>) {
+        self.update_list(ListUpdate::Failed);
+    }
+
+    /// A call to discovery goes out.
+    pub fn on_discovery_call(&self) {
+        self.monitor.borrow_mut().on_call();
+    }
+
+    /// A call to discovery has failed; of a watch, how long it had been open.
+    pub fn on_call_failed(&self, watch: Option<Duration>, error: &CallError) {
+        let version = self.state.borrow().seq;
+        self.monitor.borrow_mut().on_failure(version, watch, error);
         if let Some(telemetry) = &self.telemetry {
-            telemetry.list_call(self.clock.now(), false);
+            telemetry.list_call_failed(error.cause());
         }
-        self.update_list(ListUpdate::Failed);
+    }
+
+    /// A watch of this version has not answered so long after it began.
+    pub fn on_silent_watch(&self, version: u64, elapsed: Duration) {
+        self.monitor.borrow_mut().on_silent_watch(version, elapsed);
+        if let Some(telemetry) = &self.telemetry {
+            telemetry.watch_silent();
+        }
+    }
+
+    /// The calls to discovery since the start.
+    pub fn discovery_status(&self) -> DiscoveryStatus {
+        self.monitor.borrow().status(self.state.borrow().seq)
     }
 
     /// Before all else that is queued: what waits for the list is to be decided by it.
--- a/crates/agent/tests/watches.rs
+++ b/crates/agent/tests/watches.rs
@@ -4,26 +4,62 @@
 use rig::*;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+/// What becomes of a call.
+enum CallReply {
+    /// It is answered with these bytes.
+    Answer(Vec<u8>),
+    /// Its connection is reset.
+    Reset,
+}
+
 /// A call to discovery that the test answers, byte for byte.
 struct Call {
     path: String,
-    answer: oneshot::Sender<Option<Vec<u8>>>,
+    answer: oneshot::Sender<CallReply>,
 }
 
 impl Call {
     /// Answers it with a list, indented and in pieces of a few bytes.
     fn tell(self, list: &Value) {
         let body = serde_json::to_string_pretty(list).expect("JSON").replace('\n', "\r\n\t ");
-        self.answer.send(Some(ok(&body))).expect("it waits");
+        self.reply(CallReply::Answer(ok(&body)));
+    }
+
+    /// Answers it with the head and the first half of the body of a list; the connection stays open.
+    fn tell_half(self, list: &Value) {
+        let mut bytes = ok(&list.to_string());
+        bytes.truncate(bytes.len() - list.to_string().len() / 2);
+        self.reply(CallReply::Answer(bytes));
+    }
+
+    /// Answers it with this status.
+    fn refuse(self, status: &str) {
+        self.reply(CallReply::Answer(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").into_bytes()));
+    }
+
+    fn reply(self, reply: CallReply) {
+        assert!(self.answer.send(reply).is_ok(), "{}: it waits", self.path);
+    }
+
+    /// Whether the agent still waits for it.
+    fn is_open(&self) -> bool {
+        !self.answer.is_closed()
+    }
+
+    /// How long it may wait; none if it asks for an answer at once.
+    fn wait(&self) -> Duration {
+        let wait = self.path.split("wait_ms=").nth(1).map_or(0, |wait| wait.parse().expect("a number"));
+        Duration::from_millis(wait)
     }
 
     /// Resets its connection.
     fn reset(self) {
-        self.answer.send(None).expect("it waits");
+        self.reply(CallReply::Reset);
     }
 }
 
@@ -49,7 +85,12 @@
                         if tell.send(call).await.is_err() {
                             return;
                         }
-                        let Ok(Some(bytes)) = answered.await else {
+                        let reply = tokio::select! {
+                            reply = answered => reply,
+                            // The agent sends nothing before it has its answer: this is the connection's end.
+                            _ = stream.readable() => return,
+                        };
+                        let Ok(CallReply::Answer(bytes)) = reply else {
                             stream.set_zero_linger().expect("an option");
                             return;
                         };
@@ -136,3 +177,114 @@
     }
     assert_eq!(agent.logged("\"odd\": its health is \"asleep\""), 1, "told once");
 }
+
+/// Two servers, an agent that knows both, and a discovery whose every word is the test's.
+struct Pair {
+    one: Backend,
+    two: Backend,
+    discovery: Discovery,
+    agent: Agent,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let one = Backend::start(|_| Reply::Bytes(ok("one"))).await;
+        let two = Backend::start(|_| Reply::Bytes(ok("two"))).await;
+        let discovery = Discovery::start().await;
+        let both = [host("one", one.address, "up"), host("two", two.address, "up")];
+        let agent = Agent::start(discovery.address, &both).await;
+        Pair { one, two, discovery, agent }
+    }
+
+    /// The first server drains; all else is as it was.
+    fn drain(&self) -> Value {
+        json!({"seq": 2, "whole": false, "hosts": [host("one", self.one.address, "draining")]})
+    }
+
+    /// A whole list without the first server.
+    fn without_one(&self) -> Value {
+        json!({"seq": 2, "whole": true, "hosts": [host("two", self.two.address, "up")]})
+    }
+
+    /// Nothing new goes to the first server once the watch after version 2 shows that it has been taken in.
+    async fn assert_obeyed(mut self) -> Agent {
+        let watch = soon("the next watch", self.discovery.watch(2, &Value::Null)).await;
+        while self.one.seen.try_recv().is_ok() {}
+        for _ in 0..40 {
+            assert_eq!(self.agent.get("/read").await.body, b"two");
+        }
+        assert!(self.one.seen.try_recv().is_err(), "it was sent something new");
+        assert!(watch.is_open());
+        self.agent
+    }
+}
+
+/// The platform's clock: from a watch's falling silent as it begins to the moment at which what it misses counts.
+const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+
+#[tokio::test]
+async fn silent_watch_with_a_drain_right_after_is_asked_beside() {
+    let mut pair = Pair::start().await;
+    let silent = pair.discovery.next().await;
+    assert!(silent.wait() > Duration::ZERO && silent.wait() < NOTIFIED_AFTER, "{}", silent.path);
+    // The first call beside it says nothing either; all three are open when the second comes.
+    let first = pair.discovery.next().await;
+    assert_eq!((first.wait(), silent.is_open()), (Duration::ZERO, true), "{}", first.path);
+    let second = pair.discovery.next().await;
+    assert_eq!((second.wait(), silent.is_open(), first.is_open()), (Duration::ZERO, true, true));
+    second.tell(&pair.drain());
+    let agent = pair.assert_obeyed().await;
+    assert!(!silent.is_open() && !first.is_open(), "the others are given up");
+    assert_eq!(agent.logged("the watch of version 1 fell silent"), 1);
+}
+
+#[tokio::test]
+async fn silent_watch_that_answers_late_is_still_taken() {
+    let mut pair = Pair::start().await;
+    let silent = pair.discovery.next().await;
+    let beside = pair.discovery.next().await;
+    silent.tell(&pair.drain());
+    pair.assert_obeyed().await;
+    assert!(!beside.is_open());
+}
+
+#[tokio::test]
+async fn failed_call_just_before_the_return_is_followed_by_one_that_does_not_wait() {
+    let mut pair = Pair::start().await;
+    pair.discovery.next().await.reset();
+    for _ in 0..3 {
+        let call = pair.discovery.next().await;
+        assert_eq!(call.wait(), Duration::ZERO, "after a failure: {}", call.path);
+        call.refuse("503 Service Unavailable");
+    }
+    // It is back; the first call that reaches it says nothing, and another is made beside it.
+    let hanging = pair.discovery.next().await;
+    let beside = pair.discovery.next().await;
+    assert_eq!((beside.wait(), hanging.is_open()), (Duration::ZERO, true), "{}", beside.path);
+    beside.tell(&pair.drain());
+    let agent = pair.assert_obeyed().await;
+    assert_eq!(agent.logged("the watch of version 1 ended after"), 1);
+    assert_eq!(agent.logged("calls to discovery fail"), 0, "the watch's end began this run");
+    assert_eq!(agent.logged("discovery answers again, with version 2, after 4 failed calls"), 1);
+}
+
+#[tokio::test]
+async fn half_a_body_that_is_held_is_asked_beside_and_not_half_applied() {
+    let mut pair = Pair::start().await;
+    let watch = pair.discovery.next().await;
+    watch.tell_half(&pair.drain());
+    let beside = pair.discovery.next().await;
+    assert_eq!((beside.wait(), beside.path.contains("after=1&")), (Duration::ZERO, true), "{}", beside.path);
+    beside.tell(&pair.drain());
+    let agent = pair.assert_obeyed().await;
+    assert_eq!(agent.logged("the watch of version 1 fell silent"), 1);
+}
+
+#[tokio::test]
+async fn full_list_without_a_draining_server_removes_it() {
+    let mut pair = Pair::start().await;
+    pair.discovery.next().await.reset();
+    let call = pair.discovery.next().await;
+    call.tell(&pair.without_one());
+    pair.assert_obeyed().await;
+}
--- a/crates/rig/src/incidents.rs
+++ b/crates/rig/src/incidents.rs
@@ -268,14 +268,14 @@
     };
     let remote = Remote::start(config, owner);
     let line = |server, up, started| Line { server, name: "s", zone: 0, cell: 0, up, here: true, started };
-    instance.list_call(now(), true);
+    instance.list_answered(now());
     instance.listed(now(), line(0, true, None));
     instance.listed(now(), line(1, false, None));
     let (mut id, mut cold) = (0, None);
     while origin.elapsed() < lasts {
         id += 1;
         let at = now();
-        instance.list_call(at, true);
+        instance.list_answered(at);
         instance.taken(id, 0, None, "none", Time(at.0 + 1_000_000));
         // An honest one goes to a server that is up, once. From the half on most go to one that has just started, and
         // each tenth to one that drains, then out again, and is answered twice.
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -58,6 +58,8 @@
     SERVERS Gauge "bellcroft_servers" ["state", "zone"] SOME, "Servers by what the list says of them: up, draining, gone.";
     LIST_AGE Gauge "bellcroft_list_age_seconds" [] FEW, "Since discovery last answered.";
     LIST_CALLS Counter "bellcroft_list_calls_total" ["outcome"] FEW, "Calls to discovery: ok, failed.";
+    LIST_FAILURES Counter "bellcroft_list_call_failures_total" ["cause"] FEW, "Failed calls to discovery: refused, reset, status, timeout, truncated_body, too_long, unreadable, no_snapshot.";
+    SILENT_WATCHES Counter "bellcroft_list_silent_watches_total" [] FEW, "Watches of discovery that did not answer in time.";
     PROBES Counter "bellcroft_probes_total" ["outcome"] FEW, "Health probes, by how they ended.";
     CONNECTIONS Gauge "bellcroft_connections" ["side"] FEW, "Open connections: client, server.";
     CONNECTIONS_MOST Gauge "bellcroft_connections_most" ["side"] FEW, "Connections that this process may hold: client, server.";
--- a/crates/telemetry/src/instance.rs
+++ b/crates/telemetry/src/instance.rs
@@ -170,6 +170,7 @@
     probes: Vec<Counter>,
     list_ok: Counter,
     list_failed: Counter,
+    silent_watches: Counter,
     listed_at: Cell<Option<Time>>,
     begun: Cell<Option<Time>>,
     breaches: [Counter; 4],
@@ -237,6 +238,7 @@
             probes: OUTCOMES.map(|o| registry.counter(&PROBES, &[word(o)])).to_vec(),
             list_ok: registry.counter(&LIST_CALLS, &["ok"]),
             list_failed: registry.counter(&LIST_CALLS, &["failed"]),
+            silent_watches: registry.counter(&SILENT_WATCHES, &[]),
             listed_at: Cell::new(None),
             begun: Cell::new(None),
             breaches: Rule::ALL.map(|rule| registry.counter(&BREACHES, &[rule.word()])),
@@ -369,14 +371,21 @@
         self.probes[place(outcome)].inc();
     }
 
-    /// Discovery has answered, or has not.
-    pub fn list_call(&self, now: Time, answered: bool) {
-        if answered {
-            self.list_ok.inc();
-            self.listed_at.set(Some(now));
-        } else {
-            self.list_failed.inc();
-        }
+    /// Discovery has answered a call.
+    pub fn list_answered(&self, now: Time) {
+        self.list_ok.inc();
+        self.listed_at.set(Some(now));
+    }
+
+    /// A call to discovery has failed, for this cause.
+    pub fn list_call_failed(&self, cause: &str) {
+        self.list_failed.inc();
+        self.registry.counter(&LIST_FAILURES, &[cause]).inc();
+    }
+
+    /// A watch of discovery has not answered in time.
+    pub fn watch_silent(&self) {
+        self.silent_watches.inc();
     }
 
     /// The list says this of a server.
