Discovery: the second call of a fleet stays out of a busy service's queue; table of clocks

The logs show 24 of 32 instances turned away by 503 at the start, and the last answered after 22 s and 15 failed calls; watches that had begun were never turned away, so renewals are not the load. Second calls of those that stood in the queue for 1 s are the likely load; it is reckoned from the rate of answers (1.3 a second), not seen. HEDGE_DELAY is 1.7 s now (the queue's own limit is 2 s), MAX_WATCH_WAIT 3.5 s and MAX_WATCH_RETRY_DELAY 1.75 s, so that both calls still fit.

--- a/crates/agent/src/discovery/policy.rs
+++ b/crates/agent/src/discovery/policy.rs
@@ -12,13 +12,14 @@
 /// Each time limit of the platform is this much longer on sockets.
 pub const SOCKET_ALLOWANCE: Duration = Duration::from_millis(50);
 /// The longest that a watch of a shared service asks it to wait.
-pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(4_000);
+pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(3_500);
 /// Each wait is drawn from this part of the longest on, so that instances that were answered together part again.
 pub const MIN_WATCH_WAIT_PART: f64 = 0.75;
 /// A watch that has not answered this long after its wait has fallen silent.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
-/// A second call is made beside one that has not answered for so long.
-pub const HEDGE_DELAY: Duration = Duration::from_millis(1_000);
+/// A second call is made beside one that has not answered for so long. A busy service works through its calls in turn, and
+/// a second call of each instance would halve what it can answer: so most of its queue's time (2 s) is waited for.
+pub const HEDGE_DELAY: Duration = Duration::from_millis(1_700);
 /// A call that has not answered for so long, beyond its wait, has failed.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_250);
 /// Calls that ask for an answer at once, one beside the other, before the failure is reported.
--- a/src/api.rs
+++ b/src/api.rs
@@ -189,7 +189,7 @@
 
 /// A watch that has failed is begun again this soon, with jitter and the interval of the balancer's timer: two tries
 /// fit in the 6 s after which what discovery has counts as told once it can be reached again.
-pub const MAX_WATCH_RETRY_DELAY: Span = Span(2_000_000);
+pub const MAX_WATCH_RETRY_DELAY: Span = Span(1_750_000);
 
 /// How the balancer hears of changes to the server list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -116,8 +116,8 @@
 const COME_BACK: f64 = 0.25;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, with jitter down to half; doubled on each failure up to a quarter
-/// of what the site asks, and as far as [`MAX_WATCH_RETRY_DELAY`] allows.
+/// Pause before the list is asked for again, with jitter down to half; doubled on each failure up to a
+/// quarter of what the site asks, and as far as [`MAX_WATCH_RETRY_DELAY`] allows.
 const ASK_AGAIN: Span = Span(600_000);
 
 /// An open connection to each server, per hundred balancers, and a new one for each request cost this much
