A process that knows no backend asks for the complete list, so it is ready sooner

Need: nine in ten restarted processes are ready within 10 s.

Reckoned: readiness is a backend that the list says is up, so one that starts with such a list is ready at once. One that has none began with a watch from the version it was given (0 with no list): a silent one was found out after 5 s + 2.5 s, and the pause after it is up to 3.75 s (a quarter of askWithinMs by 1.5), 11.25 s in all from discovery's return; and a known list whose version is discovery's own but names no backend that is up waited for a change for ever. Now each watch that begins while no backend is up begins with the complete list (2.5 s): 6.25 s and the answer at the worst.

Change: State::known_version in driver.rs, at the three places that begin a watch.

Tests: readiness.rs, with a list, without, with a silent, failing, refusing discovery, and twelve processes at once at one that works through its calls in turn.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -222,7 +222,7 @@
             }
             // The decisions take a list that is pushed to come by itself; over sockets nothing does.
             if state.discovery.follows_by_itself() {
-                let seq = state.seq;
+                let seq = state.known_version();
                 state.discovery.follow(&driver, true, seq);
             }
         }
@@ -298,7 +298,7 @@
         let manner = manner(state.balancer.settings());
         state.discovery.retune(manner);
         if followed != state.discovery.follows_by_itself() {
-            let seq = state.seq;
+            let seq = state.known_version();
             state.discovery.follow(self, true, seq);
         }
         state.recent.resize_with(book.len(), Recent::default);
@@ -579,7 +579,7 @@
             Action::Probe { server } => self.probe(server),
             Action::CloseIdle { server } => self.upstream.close_idle(server),
             Action::Follow { active } => {
-                let seq = state.seq;
+                let seq = state.known_version();
                 state.discovery.follow(self, active, seq);
             }
             Action::FetchList => state.discovery.fetch(self),
@@ -810,6 +810,12 @@
         self.queue.remove(place)
     }
 
+    /// The version that a watch goes on from. None while no backend is up: a process that is not ready has nothing to wait
+    /// for changes of, and a call for the complete list that gets no answer is found out sooner than a watch.
+    fn known_version(&self) -> Option<u64> {
+        self.seq.filter(|_| !self.up.is_empty())
+    }
+
     /// Has discovery tell its whole list, over calls that begin now.
     fn ask_anew(&mut self, driver: &Rc<Driver>, address: SocketAddr) {
         self.seq = None;
--- /dev/null
+++ b/crates/agent/tests/readiness.rs
@@ -0,0 +1,125 @@
+//! When a process that has started is ready: at once with a list that names a backend, else as soon as discovery answers.
+
+use rig::*;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// A restarted process is ready within this (the users' term).
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+/// A port that nobody listens on.
+async fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Whether it says that it is ready now.
+async fn is_ready(agent: &Agent) -> bool {
+    agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status() == 200
+}
+
+#[tokio::test]
+async fn a_process_that_knows_a_backend_is_ready_whatever_discovery_does() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let hosts = [host("s", backend.address, "up")];
+    let silent = Directory::start(Mood::Mute).await;
+    let down = Directory::start(Mood::Down).await;
+    for discovery in [silent.address, down.address, unused_address().await] {
+        let agent = Agent::start(discovery, &hosts).await;
+        assert!(is_ready(&agent).await, "at once");
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+}
+
+/// A process that knows no backend asks for the complete list, again and again: no call waits for changes, which takes longer
+/// to be found out when nothing comes. It is ready with the first answer.
+#[tokio::test]
+async fn a_process_that_knows_no_backend_is_ready_with_the_first_answer() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let up = [host("s", backend.address, "up")];
+    let known: [Vec<Value>; 2] = [Vec::new(), vec![host("s", backend.address, "draining")]];
+    for (mood, hosts) in
+        [Mood::Mute, Mood::Down].into_iter().flat_map(|mood| known.clone().map(|k| (mood.clone(), k)))
+    {
+        let mut directory = Directory::start(mood).await;
+        let agent = Agent::start(directory.address, &hosts).await;
+        for _ in 0..2 {
+            assert_eq!(directory.next_call().await, "/v1/endpoints");
+        }
+        assert!(!is_ready(&agent).await);
+        // Of the version that it has been told to know, with a backend that it has not.
+        directory.list(1, &up);
+        let answers = Instant::now();
+        agent.ready().await;
+        assert!(answers.elapsed() < READY_WITHIN, "{:?}", answers.elapsed());
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+}
+
+/// Discovery refuses connections at the start, and is there later.
+#[tokio::test]
+async fn a_process_that_knows_no_backend_finds_a_discovery_that_comes_up_later() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let address = unused_address().await;
+    let agent = Agent::start(address, &[]).await;
+    // Some calls have failed meanwhile, and pauses between them have grown.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!is_ready(&agent).await);
+    let listener = TcpListener::bind(address).await.expect("the port is free");
+    let answers = Instant::now();
+    let list = json!({"seq": 1, "whole": true, "hosts": [host("s", backend.address, "up")]}).to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            while read_message(&mut stream, 0).await.is_some_and(|call| !call.target().contains("after=")) {
+                let _ = stream.write_all(&ok(&list)).await;
+            }
+        }
+    });
+    agent.ready().await;
+    assert!(answers.elapsed() < READY_WITHIN, "{:?}", answers.elapsed());
+}
+
+/// Many processes start at once, and discovery works through their calls one by one.
+#[tokio::test]
+async fn processes_that_start_together_are_ready_though_discovery_answers_in_turn() {
+    const PROCESSES: usize = 12;
+    const ONE_CALL: Duration = Duration::from_millis(150);
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let list = ok(&json!({"seq": 1, "whole": true, "hosts": [host("s", backend.address, "up")]}).to_string());
+    let (queue, mut calls) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let queue = queue.clone();
+            tokio::spawn(async move {
+                // What it gets after its answer is a watch, which waits for longer than this test.
+                if read_message(&mut stream, 0).await.is_some() {
+                    let _ = queue.send(stream);
+                }
+            });
+        }
+    });
+    let mut held = Vec::new();
+    let serving = tokio::spawn(async move {
+        while let Some(mut stream) = calls.recv().await {
+            tokio::time::sleep(ONE_CALL).await;
+            let _ = stream.write_all(&list).await;
+            held.push(stream);
+        }
+    });
+    let mut agents = Vec::new();
+    for _ in 0..PROCESSES {
+        agents.push(Agent::start(address, &[]).await);
+    }
+    let started = Instant::now();
+    for agent in &agents {
+        agent.ready().await;
+    }
+    assert!(started.elapsed() < READY_WITHIN, "{:?}", started.elapsed());
+    serving.abort();
+}
