Front: names of the field for connections, framing, time-outs and limits

Line is ClientConnection, Framed RequestFraming, Held HeldConnection, Owed PendingGuard, left_waiting client_disconnected; phases are Unused, ReceivingHead, ReceivingBody, Pending, Idle; X_MOST is MAX_X, and times are _TIMEOUT, _INTERVAL or _TIME. No change of behaviour. Given, Arrival, Answer, Load and Upload stand in driver.rs and upstream/mod.rs too and are left for a quieter moment.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -225,7 +225,7 @@
             };
             info!("{}: {what}", self.name());
             let (clients, servers) = self.places;
-            self.server.hold_at_most(succession.share(clients));
+            self.server.set_max_connections(succession.share(clients));
             self.driver.hold_at_most(succession.share(servers));
         }
         self.succession.set(succession);
@@ -597,7 +597,7 @@
             sleep_until(at).await;
         }
     } else {
-        sleep(front::ACCEPT_ON).await;
+        sleep(front::SHUTDOWN_ACCEPT_TIMEOUT).await;
         if let Some(accepting) = accepting {
             accepting.abort();
         }
@@ -605,7 +605,7 @@
         instance.listener.borrow_mut().take();
     }
     // What is in flight has its deadline; past the longest one nothing is owed any more.
-    let last = told + front::ACCEPT_ON + instance.patience();
+    let last = told + front::SHUTDOWN_ACCEPT_TIMEOUT + instance.patience();
     let mut quiet = false;
     loop {
         sleep(FLUSH).await;
--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -25,35 +25,35 @@
 use tokio::time::Instant;
 
 /// The longest head of a request.
-pub const HEAD_MOST: usize = 16 << 10;
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Header lines that a head may have; hyper's own bound.
-const LINES_MOST: usize = 100;
+const MAX_HEADER_LINES: usize = 100;
 /// Read at a time.
-const CHUNK: usize = 16 << 10;
+const READ_CHUNK_BYTES: usize = 16 << 10;
 /// What is kept of what comes behind a request that waits: the longest one that is taken whole. More is read and dropped,
 /// for a client that leaves says so behind all that it has sent, and its kernel can't deliver that word while ours takes
 /// nothing.
-const AHEAD_MOST: usize = HEAD_MOST + WHOLE_MOST;
+const MAX_AHEAD_BYTES: usize = MAX_HEAD_BYTES + WHOLE_MOST;
 /// So much is dropped at the most; whoever sends on is no longer read.
-const DROPPED_MOST: u64 = BODY_MOST;
+const MAX_DROPPED_BYTES: u64 = BODY_MOST;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// Nothing has come over it yet.
-    Mute,
+    Unused,
     /// A request's head is on its way.
-    Arriving,
+    ReceivingHead,
     /// Its body is.
-    Coming,
-    /// A request is whole and has no answer yet.
-    Open,
+    ReceivingBody,
+    /// A request is complete and has no answer yet.
+    Pending,
     /// All that came has its answer.
     Idle,
 }
 
 /// What the wrapper and the connection's owner know of each other.
-pub struct Line {
+pub struct ClientConnection {
     phase: Cell<(Phase, Instant)>,
     ambiguous: Cell<bool>,
     answered: Cell<bool>,
@@ -73,11 +73,11 @@
     used: Cell<bool>,
 }
 
-impl Line {
-    /// The line of a connection that has just been taken.
+impl ClientConnection {
+    /// A connection that has just been accepted.
     pub fn new() -> Rc<Self> {
-        Rc::new(Line {
-            phase: Cell::new((Phase::Mute, Instant::now())),
+        Rc::new(ClientConnection {
+            phase: Cell::new((Phase::Unused, Instant::now())),
             ambiguous: Cell::new(false),
             answered: Cell::new(false),
             body_over: Cell::new(false),
@@ -129,7 +129,7 @@
 
     /// Whether a request of it is held by others: its body by whoever takes it in, or all of it until its answer.
     pub fn waits(&self) -> bool {
-        matches!(self.phase.get().0, Phase::Coming | Phase::Open) && self.lingers.get().is_none()
+        matches!(self.phase.get().0, Phase::ReceivingBody | Phase::Pending) && self.lingers.get().is_none()
     }
 
     fn body(&self, change: impl FnOnce(&mut Patience, Time)) {
@@ -140,7 +140,7 @@
 
     /// The present request has come whole.
     pub fn whole(&self) {
-        self.enter(Phase::Open);
+        self.enter(Phase::Pending);
     }
 
     /// The present answer's body has been handed over.
@@ -182,11 +182,11 @@
 ///
 /// What the connection does changes only while it is polled, by the same task and before this: so this is looked at as soon
 /// as a request begins to wait, with no period in between.
-pub async fn left_waiting(stream: &TcpStream, line: &Line) {
+pub async fn client_disconnected(stream: &TcpStream, client: &ClientConnection) {
     // Of the end alone there is no interest; this one is of urgent data too, which is not asked of the kernel and so never
     // shows. An error is an end as well.
     let _ = stream.ready(Interest::PRIORITY).await;
-    poll_fn(|_| if line.waits() { Poll::Ready(()) } else { Poll::Pending }).await;
+    poll_fn(|_| if client.waits() { Poll::Ready(()) } else { Poll::Pending }).await;
 }
 
 /// How far the present request has been read.
@@ -204,9 +204,9 @@
 }
 
 /// A client's connection, read request by request.
-pub struct Framed {
+pub struct RequestFraming {
     io: Rc<TcpStream>,
-    line: Rc<Line>,
+    client: Rc<ClientConnection>,
     stage: Stage,
     /// What has been read and not been passed on; its first `pass` bytes may be.
     ahead: BytesMut,
@@ -218,12 +218,12 @@
     dropped: u64,
 }
 
-impl Framed {
+impl RequestFraming {
     /// Wraps a connection.
-    pub fn new(stream: Rc<TcpStream>, line: Rc<Line>) -> Self {
-        Framed {
+    pub fn new(stream: Rc<TcpStream>, client: Rc<ClientConnection>) -> Self {
+        RequestFraming {
             io: stream,
-            line,
+            client,
             stage: Stage::Head,
             ahead: BytesMut::new(),
             pass: 0,
@@ -240,18 +240,18 @@
         }
         loop {
             ready!(self.io.poll_read_ready(cx))?;
-            let mut chunk = [0; CHUNK];
+            let mut chunk = [0; READ_CHUNK_BYTES];
             match self.io.try_read(&mut chunk) {
                 Ok(n) => {
                     let kept = match self.stage {
-                        Stage::Whole => n.min(AHEAD_MOST.saturating_sub(self.ahead.len())),
+                        Stage::Whole => n.min(MAX_AHEAD_BYTES.saturating_sub(self.ahead.len())),
                         _ => n,
                     };
                     let kept = if self.dropped > 0 { 0 } else { kept };
                     self.ahead.extend_from_slice(&chunk[..kept]);
                     self.dropped += (n - kept) as u64;
                     if matches!(self.stage, Stage::Body(_) | Stage::Chunked(_)) {
-                        self.line.body(|patience, now| patience.came(n, now));
+                        self.client.body(|patience, now| patience.came(n, now));
                     }
                     self.ended = n == 0;
                     return Poll::Ready(Ok(n > 0));
@@ -267,32 +267,32 @@
         if self.ahead.is_empty() {
             return false;
         }
-        self.line.enter(Phase::Arriving);
+        self.client.enter(Phase::ReceivingHead);
         if self.ahead.len() == self.parsed {
             return false;
         }
         self.parsed = self.ahead.len();
         match frame(&self.ahead) {
-            Frame::Partial if self.ahead.len() < HEAD_MOST => return false,
+            Frame::Partial if self.ahead.len() < MAX_HEAD_BYTES => return false,
             // hyper answers what it cannot read, and a head that is too long, in its own words, and closes.
             Frame::Partial | Frame::Unreadable => (self.pass, self.stage) = (self.ahead.len(), Stage::Shut),
             Frame::Ambiguous(head) => {
-                self.line.ambiguous.set(true);
+                self.client.ambiguous.set(true);
                 (self.pass, self.stage) = (head, Stage::Shut);
             }
             Frame::Sized(head, 0) => {
                 (self.pass, self.stage) = (head, Stage::Whole);
-                self.line.enter(Phase::Open);
+                self.client.enter(Phase::Pending);
             }
             Frame::Sized(head, body) => {
-                self.line.patience.take();
+                self.client.patience.take();
                 (self.pass, self.stage) = (head, Stage::Body(body));
-                self.line.enter(Phase::Coming);
+                self.client.enter(Phase::ReceivingBody);
             }
             Frame::Chunked(head) => {
-                self.line.patience.take();
+                self.client.patience.take();
                 (self.pass, self.stage) = (head, Stage::Chunked(Chunks::default()));
-                self.line.enter(Phase::Coming);
+                self.client.enter(Phase::ReceivingBody);
             }
         }
         true
@@ -315,7 +315,7 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             let ready = self.io.poll_write_ready(cx);
-            self.line.wrote(ready.is_ready());
+            self.client.wrote(ready.is_ready());
             ready!(ready)?;
             match write(&self.io) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -327,8 +327,8 @@
     /// Reads away what comes of a request that nobody wants any more, until its client has nothing left to say: were the
     /// socket closed on unread bytes, the kernel would take back the answer that tells the client so.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.line.lingers.get().is_none() {
-            self.line.lingers.set(Some(Instant::now()));
+        if self.client.lingers.get().is_none() {
+            self.client.lingers.set(Some(Instant::now()));
         }
         loop {
             self.ahead.clear();
@@ -341,14 +341,14 @@
     }
 }
 
-impl Read for Framed {
+impl Read for RequestFraming {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.line.answered.take() {
+        if this.client.answered.take() {
             this.turn();
         }
         loop {
@@ -374,7 +374,7 @@
                     this.stage = Stage::Body(left - this.pass as u64);
                     if left == this.pass as u64 {
                         this.stage = Stage::Whole;
-                        this.line.enter(Phase::Open);
+                        this.client.enter(Phase::Pending);
                     }
                     continue;
                 }
@@ -385,7 +385,7 @@
                             this.stage = Stage::Chunked(chunks);
                             if chunks.over() {
                                 this.stage = Stage::Whole;
-                                this.line.enter(Phase::Open);
+                                this.client.enter(Phase::Pending);
                             }
                         }
                         // hyper may read it otherwise, and must not get the chance.
@@ -401,8 +401,8 @@
                     return Poll::Ready(Ok(()));
                 }
                 // Only its leaving is still of interest, and that shows at the socket (`left`).
-                Stage::Whole if this.dropped >= DROPPED_MOST => {
-                    *this.line.waker.borrow_mut() = Some(cx.waker().clone());
+                Stage::Whole if this.dropped >= MAX_DROPPED_BYTES => {
+                    *this.client.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
                 Stage::Body(_) | Stage::Chunked(_) | Stage::Whole => {}
@@ -413,9 +413,9 @@
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
                 Poll::Pending => {
                     if matches!(this.stage, Stage::Body(_) | Stage::Chunked(_)) {
-                        this.line.body(Patience::waits);
+                        this.client.body(Patience::waits);
                     }
-                    *this.line.waker.borrow_mut() = Some(cx.waker().clone());
+                    *this.client.waker.borrow_mut() = Some(cx.waker().clone());
                     return Poll::Pending;
                 }
             }
@@ -423,19 +423,19 @@
     }
 }
 
-impl Write for Framed {
+impl Write for RequestFraming {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_out(cx, |io| io.try_write(buf))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // hyper flushes only once it has written all that it had, and nothing is kept back here.
-        self.line.flushed();
+        self.client.flushed();
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.line.lingers.get().is_none() {
+        if self.client.lingers.get().is_none() {
             match shutdown(&self.io, Shutdown::Write) {
                 // Its client was first.
                 Ok(()) | Err(Errno::NOTCONN) => {}
@@ -473,7 +473,7 @@
 }
 
 fn frame(bytes: &[u8]) -> Frame {
-    let mut lines = [httparse::EMPTY_HEADER; LINES_MOST];
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
     let mut request = httparse::Request::new(&mut lines);
     let head = match request.parse(bytes) {
         Ok(httparse::Status::Complete(head)) => head,
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -6,7 +6,7 @@
 use crate::daemon::descriptors::DISCOVERY_CONNECTIONS;
 use crate::daemon::status::{Ended, Tally};
 use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
-use crate::front::framing::{left_waiting, Framed, Line, Phase, HEAD_MOST};
+use crate::front::framing::{client_disconnected, ClientConnection, Phase, RequestFraming, MAX_HEAD_BYTES};
 use crate::front::reply::{Ending, Reply};
 use crate::passing::{Kept, Upload};
 use crate::prompt::prompt;
@@ -37,53 +37,53 @@
 use tracing::warn;
 
 /// The part of a client's wait that is kept for writing the answer.
-const ANSWER_ROOM: Duration = Duration::from_millis(6);
+const RESPONSE_WRITE_RESERVE: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
-const WAIT_MOST: Duration = Duration::from_secs(600);
+const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 /// A request's head must have come within this of its first byte: what says half of something holds a place that others
 /// need. Slow clients take 2 s.
-const READ_MOST: Duration = Duration::from_millis(2_400);
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_400);
 /// A connection's first one must have come within this of the connect, however late it began.
-const FIRST_MOST: Duration = Duration::from_millis(2_800);
+const FIRST_HEAD_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// A client that takes nothing of its answer for this long has left without a word.
-const TAKE_GAP: Duration = Duration::from_secs(20);
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 /// A client that is told before it has said all has this long to hear it.
-const LINGER_MOST: Duration = Duration::from_millis(1_500);
+const LINGER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// An idle connection is closed after this; much sooner where places run short, and then it must have been idle
 /// for as long as clients are promised.
-const IDLE_MOST: Duration = Duration::from_secs(10);
-const IDLE_LEAST: Duration = Duration::from_millis(2_050);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const SHORT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_050);
 /// Places run short once this share of them is taken: clients count connections that they have left behind
 /// among those that they may hold.
-const SHORT: f64 = 0.25;
+const SHORT_IDLE_SHARE: f64 = 0.25;
 /// Once this share of the places is taken, each answer is the last on its connection and says so, which no request
 /// can cross: clients that ask once and stay use up what they may hold long before an idle connection is old enough
 /// to be closed.
-const CROWDED: f64 = 0.5;
+const LAST_RESPONSE_SHARE: f64 = 0.5;
 /// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask. So does one that
 /// has been idle for as long, if no other does: a client that comes to ask is worth more than one that may ask again.
-const MIN_SPARED_IDLE: Duration = Duration::from_millis(100);
+const EVICTION_IDLE_TIME: Duration = Duration::from_millis(100);
 /// Connections that are given up at once when the process has no descriptor left: those to discovery, and as many more for
 /// backends and the next clients.
 const SHORTAGE_RESERVE: usize = 2 * DISCOVERY_CONNECTIONS;
 /// After such a shortage fewer connections are held for so long.
 const SHORTAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How often a connection's time is looked at.
-const LOOK: Duration = Duration::from_millis(250);
+const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest id of a request that is kept.
-const ID_MOST: usize = 256;
+const MAX_REQUEST_ID_BYTES: usize = 256;
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
-const OVERDUE: Duration = Duration::from_millis(4);
+const DEADLINE_SLACK: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// A connection that has said nothing for this long is not about to: clients connect to ask.
-const FRESH: Duration = Duration::from_millis(300);
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(300);
 /// After SIGTERM new connections go on coming for a while; each is still taken.
-pub const ACCEPT_ON: Duration = Duration::from_millis(650);
+pub const SHUTDOWN_ACCEPT_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// A connection that has been taken.
-struct Held {
-    line: Rc<Line>,
+struct HeldConnection {
+    client: Rc<ClientConnection>,
     leave: Rc<Notify>,
 }
 
@@ -96,10 +96,10 @@
     /// Told of each change of the above.
     changed: watch::Sender<()>,
     accepting: watch::Sender<bool>,
-    most: Cell<usize>,
+    limit: Cell<usize>,
     /// The process had no descriptor left: until when it holds so many connections at most.
     shortage: Cell<Option<(Instant, usize)>>,
-    held: RefCell<HashMap<u64, Held>>,
+    held: RefCell<HashMap<u64, HeldConnection>>,
     freed: Notify,
     /// Ids of the requests that are open.
     ids: Rc<RefCell<HashSet<Box<str>>>>,
@@ -116,7 +116,7 @@
             service: Cell::default(),
             changed: watch::Sender::new(()),
             accepting: watch::Sender::new(true),
-            most: Cell::new(connections),
+            limit: Cell::new(connections),
             shortage: Cell::new(None),
             held: RefCell::default(),
             freed: Notify::new(),
@@ -143,19 +143,19 @@
                         self.on_descriptor_shortage();
                         self.wait_for_place().await;
                     }
-                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                    Err(_) => sleep(ACCEPT_RETRY_INTERVAL).await,
                 }
             };
             while self.held.borrow().len() >= self.max_connections() {
                 self.evict(1);
                 self.wait_for_place().await;
             }
-            let held = Held { line: Line::new(), leave: Rc::default() };
-            let (line, leave) = (held.line.clone(), held.leave.clone());
+            let held = HeldConnection { client: ClientConnection::new(), leave: Rc::default() };
+            let (client, leave) = (held.client.clone(), held.leave.clone());
             self.held.borrow_mut().insert(number, held);
             let server = self.clone();
             tokio::task::spawn_local(async move {
-                server.clone().connection(stream, line, leave).await;
+                server.clone().connection(stream, client, leave).await;
                 server.held.borrow_mut().remove(&number);
                 server.freed.notify_one();
             });
@@ -164,12 +164,12 @@
 
     /// A connection that leaves frees its place; one that may leave soon is found by looking again.
     async fn wait_for_place(&self) {
-        let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+        let _ = timeout(ACCEPT_RETRY_INTERVAL, self.freed.notified()).await;
     }
 
     /// How many connections it may hold at present.
     fn max_connections(&self) -> usize {
-        let most = self.most.get();
+        let most = self.limit.get();
         match self.shortage.get() {
             Some((until, fewer)) if Instant::now() < until => most.min(fewer),
             _ => most,
@@ -192,9 +192,10 @@
     /// idle longest. One with a request open or on its way never is.
     fn evict(&self, count: usize) {
         let held = self.held.borrow();
-        let mut spared: Vec<&Held> = held.values().filter(|held| can_be_spared(&held.line)).collect();
-        let rank = |held: &&Held| {
-            (held.line.lingers().is_none(), held.line.phase().0 == Phase::Idle, held.line.phase().1)
+        let mut spared: Vec<&HeldConnection> =
+            held.values().filter(|held| can_be_spared(&held.client)).collect();
+        let rank = |held: &&HeldConnection| {
+            (held.client.lingers().is_none(), held.client.phase().0 == Phase::Idle, held.client.phase().1)
         };
         spared.sort_by_key(rank);
         spared.iter().take(count).for_each(|held| held.leave.notify_one());
@@ -225,8 +226,8 @@
     }
 
     /// From now on it serves so many connections at a time; those that it has go on.
-    pub fn hold_at_most(&self, connections: usize) {
-        self.most.set(connections);
+    pub fn set_max_connections(&self, connections: usize) {
+        self.limit.set(connections);
     }
 
     /// Takes no new connection from now on: another process has the listening socket.
@@ -242,9 +243,9 @@
     /// Whether any request is on its way in or has no answer yet. One may be on its way over a connection that is
     /// so fresh that its first byte has not come.
     pub fn busy(&self) -> bool {
-        let busy = |held: &Held| {
-            let (phase, since) = held.line.phase();
-            awaited(phase, since.elapsed())
+        let busy = |held: &HeldConnection| {
+            let (phase, since) = held.client.phase();
+            may_owe_response(phase, since.elapsed())
         };
         self.held.borrow().values().any(busy)
     }
@@ -255,42 +256,46 @@
     }
 
     /// Until when a connection may go on as it is.
-    fn until(&self, line: &Line, taken: Instant) -> Instant {
-        let short = self.taken(SHORT);
-        if let Some(since) = line.lingers() {
-            return since + LINGER_MOST;
+    fn expires_at(&self, client: &ClientConnection, taken: Instant) -> Instant {
+        let short = self.taken(SHORT_IDLE_SHARE);
+        if let Some(since) = client.lingers() {
+            return since + LINGER_TIMEOUT;
         }
-        if let Some(since) = line.stuck() {
-            return since + TAKE_GAP;
+        if let Some(since) = client.stuck() {
+            return since + WRITE_STALL_TIMEOUT;
         }
-        match line.phase() {
-            (Phase::Mute, _) => taken + READ_MOST,
-            (Phase::Arriving, since) if line.first() => (since + READ_MOST).min(taken + FIRST_MOST),
-            (Phase::Arriving, since) => since + READ_MOST,
+        match client.phase() {
+            (Phase::Unused, _) => taken + HEAD_TIMEOUT,
+            (Phase::ReceivingHead, since) if client.first() => {
+                (since + HEAD_TIMEOUT).min(taken + FIRST_HEAD_TIMEOUT)
+            }
+            (Phase::ReceivingHead, since) => since + HEAD_TIMEOUT,
             // A body comes as slowly as it likes, and is read as slowly as its server does; only silence is bounded.
-            (Phase::Coming, _) => line.body_until().unwrap_or_else(|| Instant::now() + LOOK),
+            (Phase::ReceivingBody, _) => {
+                client.body_until().unwrap_or_else(|| Instant::now() + STATE_CHECK_INTERVAL)
+            }
             // A request that is whole ends by its deadline, or its answer is on its way.
-            (Phase::Open, _) => Instant::now() + LOOK,
+            (Phase::Pending, _) => Instant::now() + STATE_CHECK_INTERVAL,
             (Phase::Idle, since) => {
-                let own = since + if short { IDLE_LEAST } else { IDLE_MOST };
+                let own = since + if short { SHORT_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
                 self.idle_closes().map_or(own, |at| own.min(at))
             }
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, client: Rc<ClientConnection>, leave: Rc<Notify>) {
         prompt(&stream);
         let (stream, taken) = (Rc::new(stream), Instant::now());
         let mut changed = self.changed.subscribe();
-        let (server, read) = (self.clone(), line.clone());
+        let (server, read) = (self.clone(), client.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
-        let framed = Framed::new(stream.clone(), line.clone());
-        let mut connection = pin!(builder.serve_connection(framed, service));
-        let mut leaving = pin!(left_waiting(&stream, &line));
+        builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
+        let framing_io = RequestFraming::new(stream.clone(), client.clone());
+        let mut connection = pin!(builder.serve_connection(framing_io, service));
+        let mut leaving = pin!(client_disconnected(&stream, &client));
         loop {
-            let until = self.until(&line, taken);
+            let until = self.expires_at(&client, taken);
             if Instant::now() >= until {
                 return;
             }
@@ -301,7 +306,7 @@
                 _ = connection.as_mut() => return,
                 () = leave.notified() => {
                     // A request may have come since it was chosen.
-                    if can_be_spared(&line) {
+                    if can_be_spared(&client) {
                         return;
                     }
                 }
@@ -309,7 +314,7 @@
                 () = leaving.as_mut() => return,
                 // What is idle may have to close; a request that is on its way, or is the first, is still answered.
                 _ = changed.changed() => {}
-                () = sleep_until(until.min(Instant::now() + LOOK)) => {}
+                () = sleep_until(until.min(Instant::now() + STATE_CHECK_INTERVAL)) => {}
             }
         }
     }
@@ -317,10 +322,10 @@
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
-        line: Rc<Line>,
+        client: Rc<ClientConnection>,
     ) -> Result<Response<Reply>, Infallible> {
-        let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, self.service.get().last_answers() || self.taken(CROWDED)),
+        let (mut answer, close) = match self.handle(request, &client).await {
+            Ok(answer) => (answer, self.service.get().last_answers() || self.taken(LAST_RESPONSE_SHARE)),
             // Who cannot word a request is not trusted with the rest of the connection.
             Err(answer) => {
                 self.tally.bad();
@@ -333,38 +338,41 @@
         if close {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        answer.body_mut().goes_over(&line);
+        answer.body_mut().goes_over(&client);
         Ok(answer)
     }
 
-    async fn take(
+    async fn handle(
         &self,
         request: Request<Incoming>,
-        line: &Line,
+        client: &ClientConnection,
     ) -> Result<Response<Reply>, Response<Reply>> {
-        if line.ambiguous() {
-            return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
+        if client.ambiguous() {
+            return Err(plain_response(
+                StatusCode::BAD_REQUEST,
+                "the request's length can be read in two ways",
+            ));
         }
         if request.uri().path() == "/ready" {
             return Ok(if self.ready() {
-                plain(StatusCode::OK, "ready")
+                plain_response(StatusCode::OK, "ready")
             } else {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+                plain_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
         let arrival = self.read(request).await?;
-        let Some(open) = self.open(&arrival) else {
-            return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
+        let Some(open) = self.claim_id(&arrival) else {
+            return Err(plain_response(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
         let (mut deadline, wait) = (arrival.deadline, arrival.wait);
         let upload = arrival.body.upload().cloned();
         if upload.is_none() {
-            line.whole();
+            client.whole();
         }
         let counted = self.tally.taken(&self.driver.class_name(arrival.class));
         let (id, mut answer, owing) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
-        let _owed = Owed(&self.driver, id);
+        let _owed = PendingGuard(&self.driver, id);
         let mut early = None;
         if let Some(upload) = upload {
             tokio::select! {
@@ -372,7 +380,7 @@
                 answer = &mut answer => early = Some(Ok(answer)),
                 () = upload.ended() => {
                     if let Some(whole) = upload.whole() {
-                        line.whole();
+                        client.whole();
                         deadline = whole + wait;
                         self.driver.whole(id, deadline);
                     }
@@ -381,7 +389,7 @@
         }
         let answer = match early {
             Some(answer) => answer,
-            None => timeout_at(deadline + OVERDUE, answer).await,
+            None => timeout_at(deadline + DEADLINE_SLACK, answer).await,
         };
         let (how, mut response) = match answer {
             Ok(Ok(answer)) => (
@@ -390,10 +398,10 @@
                     Answer::Refused(_) => Ended::Refused,
                     Answer::Failed(_) => Ended::Failed,
                 },
-                word(answer),
+                response_for(answer),
             ),
-            Ok(Err(_)) => (Ended::Failed, plain(StatusCode::BAD_GATEWAY, "no answer was decided")),
-            Err(_) => (Ended::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+            Ok(Err(_)) => (Ended::Failed, plain_response(StatusCode::BAD_GATEWAY, "no answer was decided")),
+            Err(_) => (Ended::Failed, plain_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
         };
         response.body_mut().ends(Ending::new(counted, owing, how, open));
         Ok(response)
@@ -401,15 +409,15 @@
 
     /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
     /// disturb the first.
-    fn open(&self, arrival: &Arrival) -> Option<OpenId> {
-        let id: Box<str> = text(&arrival.headers, "x-request-id").unwrap_or_default().into();
+    fn claim_id(&self, arrival: &Arrival) -> Option<OpenId> {
+        let id: Box<str> = header_text(&arrival.headers, "x-request-id").unwrap_or_default().into();
         let new = self.ids.borrow_mut().insert(id.clone());
         new.then(|| OpenId(self.ids.clone(), id))
     }
 
     /// Reads a request, whole or as much of it as is taken before it goes on; the error is the answer to a bad one.
     async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Reply>> {
-        let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
+        let bad = |why: &str| plain_response(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let names = self.driver.names();
         let path = head.uri.path();
@@ -422,15 +430,17 @@
         };
         let found = self.driver.class(first, form);
         if found == Err(Unfit::Unknown) {
-            return Err(plain(StatusCode::NOT_FOUND, "no such class of request"));
+            return Err(plain_response(StatusCode::NOT_FOUND, "no such class of request"));
         }
-        if text(&head.headers, "x-priority-class") != Some(first) {
+        if header_text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
         }
-        if text(&head.headers, "x-request-id").is_none_or(|id| id.is_empty() || id.len() > ID_MOST) {
+        if header_text(&head.headers, "x-request-id")
+            .is_none_or(|id| id.is_empty() || id.len() > MAX_REQUEST_ID_BYTES)
+        {
             return Err(bad("X-Request-ID is missing or too long"));
         }
-        let tenant = match text(&head.headers, "x-tenant-id") {
+        let tenant = match header_text(&head.headers, "x-tenant-id") {
             _ if names.tenants.is_empty() => None,
             Some(tenant) => names.tenants.iter().position(|name| name == tenant).map(TenantId),
             None => None,
@@ -438,10 +448,10 @@
         if tenant.is_none() && !names.tenants.is_empty() {
             return Err(bad("X-Tenant-Id names no tenant"));
         }
-        let wait = text(&head.headers, "x-timeout").and_then(wait_of);
+        let wait = header_text(&head.headers, "x-timeout").and_then(parse_timeout);
         let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
         let other_method = |allow: &'static str| {
-            let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
+            let mut answer = plain_response(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
             answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
             answer
         };
@@ -453,18 +463,18 @@
             Err(_) => return Err(bad("this class needs an Idempotency-Key")),
         };
         let route = self.driver.route(class, tenant, path);
-        let body = self.begin(body).await?;
-        let room = ANSWER_ROOM.min(wait / 4);
+        let body = self.read_body_start(body).await?;
+        let room = RESPONSE_WRITE_RESERVE.min(wait / 4);
         let whole = Instant::now();
         let query = head.uri.query().unwrap_or_default();
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
-        let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
+        let cost = header_text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
         Ok(Arrival {
             class,
             tenant,
             key: key.map(|key| KeyId(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
-            repeat: text(&head.headers, "x-retried") == Some("1"),
+            repeat: header_text(&head.headers, "x-retried") == Some("1"),
             deadline: whole + if body.upload().is_some() { COMING_MOST } else { wait - room },
             wait: wait - room,
             whole,
@@ -480,11 +490,11 @@
 
 impl Server {
     /// Takes a body whole, or the begin of one that is passed on as it comes.
-    async fn begin(&self, mut body: Incoming) -> Result<Given, Response<Reply>> {
+    async fn read_body_start(&self, mut body: Incoming) -> Result<Given, Response<Reply>> {
         let length = body.size_hint().exact();
         let way = passage::way(length).map_err(|_| {
             let text = format!("a body holds at most {} MiB", BODY_MOST >> 20);
-            plain(StatusCode::PAYLOAD_TOO_LARGE, &text)
+            plain_response(StatusCode::PAYLOAD_TOO_LARGE, &text)
         })?;
         let kept = Kept::grant(&self.store);
         // What says of itself that it is short is taken whole however little memory there is: it can be tried again.
@@ -496,7 +506,9 @@
         loop {
             match body.frame().await {
                 None => return Ok(Given::Whole(join(parts))),
-                Some(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body did not come whole")),
+                Some(Err(_)) => {
+                    return Err(plain_response(StatusCode::BAD_REQUEST, "the body did not come whole"))
+                }
                 Some(Ok(frame)) => {
                     let data = frame.into_data().unwrap_or_default();
                     gathered += data.len();
@@ -511,11 +523,11 @@
 }
 
 /// Whether a connection can be closed for the sake of another client's.
-fn can_be_spared(line: &Line) -> bool {
-    match line.phase() {
-        _ if line.lingers().is_some() => true,
-        (Phase::Mute | Phase::Idle, since) => since.elapsed() >= MIN_SPARED_IDLE,
-        (Phase::Arriving | Phase::Coming | Phase::Open, _) => false,
+fn can_be_spared(client: &ClientConnection) -> bool {
+    match client.phase() {
+        _ if client.lingers().is_some() => true,
+        (Phase::Unused | Phase::Idle, since) => since.elapsed() >= EVICTION_IDLE_TIME,
+        (Phase::ReceivingHead | Phase::ReceivingBody | Phase::Pending, _) => false,
     }
 }
 
@@ -526,10 +538,10 @@
 }
 
 /// Whether a connection that has been in this phase for so long may still owe an answer.
-fn awaited(phase: Phase, for_so_long: Duration) -> bool {
+fn may_owe_response(phase: Phase, for_so_long: Duration) -> bool {
     match phase {
-        Phase::Arriving | Phase::Coming | Phase::Open => true,
-        Phase::Mute => for_so_long < FRESH,
+        Phase::ReceivingHead | Phase::ReceivingBody | Phase::Pending => true,
+        Phase::Unused => for_so_long < FIRST_BYTE_TIMEOUT,
         Phase::Idle => false,
     }
 }
@@ -544,20 +556,20 @@
 }
 
 /// Tells the balancer if a request ends without having been given its answer.
-struct Owed<'a>(&'a Rc<Driver>, RequestId);
+struct PendingGuard<'a>(&'a Rc<Driver>, RequestId);
 
-impl Drop for Owed<'_> {
+impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
         self.0.gone(self.1);
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
 /// Reads a wait such as `480m` (milliseconds) or `900u` (microseconds).
-fn wait_of(text: &str) -> Option<Duration> {
+fn parse_timeout(text: &str) -> Option<Duration> {
     let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
     let micros = match unit {
         "m" => 1000.0,
@@ -568,10 +580,10 @@
         return None;
     }
     let wait = Duration::try_from_secs_f64(digits.parse::<f64>().ok()? * micros / 1e6).ok()?;
-    (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
+    (!wait.is_zero() && wait <= MAX_REQUEST_TIMEOUT).then_some(wait)
 }
 
-fn word(answer: Answer) -> Response<Reply> {
+fn response_for(answer: Answer) -> Response<Reply> {
     match answer {
         Answer::Served(kind, content) => {
             let mut response = Response::new(match content {
@@ -582,17 +594,18 @@
             response
         }
         Answer::Refused(after) => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless");
+            let mut response =
+                plain_response(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless");
             let after =
                 after.and_then(|after| HeaderValue::from_str(&format!("{:.3}", after.ms() / 1e3)).ok());
             response.headers_mut().extend(after.map(|after: HeaderValue| (RETRY_AFTER, after)));
             response
         }
-        Answer::Failed(status) => plain(status, "failed"),
+        Answer::Failed(status) => plain_response(status, "failed"),
     }
 }
 
-fn plain(status: StatusCode, why: &str) -> Response<Reply> {
+fn plain_response(status: StatusCode, why: &str) -> Response<Reply> {
     let mut response = Response::new(Reply::whole(Bytes::from(format!("{why}\n"))));
     *response.status_mut() = status;
     let kind: (HeaderName, HeaderValue) = (CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -619,7 +632,7 @@
             let taken = std::os::fd::OwnedFd::from(taken.into_std().expect("a socket"));
             let taken = TcpStream::from_std(taken.into()).expect("a stream");
             assert!(taken.set_nodelay(true).is_err(), "the option is there: the test shows nothing");
-            tokio::task::spawn_local(server.connection(taken, Line::new(), Rc::default()));
+            tokio::task::spawn_local(server.connection(taken, ClientConnection::new(), Rc::default()));
             let mut answer = String::new();
             client.read_to_string(&mut answer).await.expect("an answer");
             answer
@@ -632,18 +645,22 @@
     #[test]
     fn an_end_waits_for_a_connection_that_is_fresh_and_not_for_one_that_is_mute() {
         let (soon, late) = (Duration::from_millis(50), Duration::from_secs(2));
-        assert!(awaited(Phase::Mute, soon) && !awaited(Phase::Mute, late));
-        assert!(awaited(Phase::Arriving, late) && awaited(Phase::Open, late) && !awaited(Phase::Idle, soon));
+        assert!(may_owe_response(Phase::Unused, soon) && !may_owe_response(Phase::Unused, late));
+        assert!(
+            may_owe_response(Phase::ReceivingHead, late)
+                && may_owe_response(Phase::Pending, late)
+                && !may_owe_response(Phase::Idle, soon)
+        );
     }
 
     #[test]
     fn waits_have_a_number_and_a_unit() {
-        assert_eq!(wait_of("480m"), Some(Duration::from_millis(480)));
-        assert_eq!(wait_of("900u"), Some(Duration::from_micros(900)));
+        assert_eq!(parse_timeout("480m"), Some(Duration::from_millis(480)));
+        assert_eq!(parse_timeout("900u"), Some(Duration::from_micros(900)));
         for text in
             ["", "m", "480", "-1m", "0m", "1e9m", "nanm", "infm", "99999999999999999999m", "4s", "é", "1é"]
         {
-            assert_eq!(wait_of(text), None, "{text}");
+            assert_eq!(parse_timeout(text), None, "{text}");
         }
     }
 }
--- a/crates/agent/src/front/reply.rs
+++ b/crates/agent/src/front/reply.rs
@@ -1,6 +1,6 @@
 //! The body of an answer to a client, and what ends with its last byte.
 
-use super::framing::Line;
+use super::framing::ClientConnection;
 use super::OpenId;
 use crate::daemon::status::{self, Ended};
 use crate::telemetry::Owing;
@@ -28,7 +28,7 @@
     }
 
     /// The answer is over: `how` it ended; its last byte is on its way to the socket.
-    fn over(&mut self, how: Ended, line: &Line) {
+    fn over(&mut self, how: Ended, client: &ClientConnection) {
         if let Some(counted) = self.counted.take() {
             counted.ended(how);
         }
@@ -39,7 +39,7 @@
                 Ended::Failed => Over::Failed,
                 Ended::Left => Over::Left,
             });
-            line.owe(owing);
+            client.owe(owing);
         }
     }
 }
@@ -54,18 +54,18 @@
     content: Content,
     ending: Option<Ending>,
     /// Told once the body is over; none before it belongs to a connection.
-    line: Option<Rc<Line>>,
+    client: Option<Rc<ClientConnection>>,
 }
 
 impl Reply {
     /// A body that is here whole.
     pub fn whole(bytes: Bytes) -> Self {
-        Reply { content: Content::Whole(Some(bytes)), ending: None, line: None }
+        Reply { content: Content::Whole(Some(bytes)), ending: None, client: None }
     }
 
     /// One that is passed on as it comes.
     pub fn passing(relay: Box<Relay>) -> Self {
-        Reply { content: Content::Passing(relay), ending: None, line: None }
+        Reply { content: Content::Passing(relay), ending: None, client: None }
     }
 
     /// What ends with it.
@@ -74,18 +74,18 @@
     }
 
     /// It is the next that goes out over this connection. What is here whole is as good as on its way.
-    pub fn goes_over(&mut self, line: &Rc<Line>) {
-        self.line = Some(line.clone());
+    pub fn goes_over(&mut self, client: &Rc<ClientConnection>) {
+        self.client = Some(client.clone());
         if let (Content::Whole(_), Some(mut ending)) = (&self.content, self.ending.take()) {
             let how = ending.how;
-            ending.over(how, line);
+            ending.over(how, client);
         }
     }
 
     fn over(&mut self, how: Option<Ended>) {
-        if let (Some(mut ending), Some(line)) = (self.ending.take(), &self.line) {
+        if let (Some(mut ending), Some(client)) = (self.ending.take(), &self.client) {
             let how = how.unwrap_or(ending.how);
-            ending.over(how, line);
+            ending.over(how, client);
         }
     }
 }
@@ -93,8 +93,8 @@
 impl Drop for Reply {
     fn drop(&mut self) {
         // A body that is dropped before its end belongs to a client that has left: its guards say so.
-        if let Some(line) = &self.line {
-            line.body_over();
+        if let Some(client) = &self.client {
+            client.body_over();
         }
     }
 }
