--- /dev/null
+++ b/crates/agent/src/front/exchange.rs
@@ -0,0 +1,138 @@
+//! One request from its head to its answer: submitted to the decisions, and withdrawn when its client leaves.
+
+use super::connection::ClientConnection;
+use super::reply::{Ending, Reply};
+use super::request::header_text;
+use super::response::{plain_response, response_for};
+use super::{Server, LAST_RESPONSE_SHARE};
+use crate::daemon::status::Ended;
+use crate::driver::{Answer, Arrival, Driver};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::{Request, Response, StatusCode};
+use micasail::RequestId;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout_at;
+
+/// The balancer ends each request by its deadline; should it not, the agent does, this much later.
+const DEADLINE_SLACK: Duration = Duration::from_millis(4);
+
+impl Server {
+    pub(super) async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        client: Rc<ClientConnection>,
+    ) -> Result<Response<Reply>, Infallible> {
+        let (mut answer, close) = match self.handle(request, &client).await {
+            Ok(answer) => (answer, self.service.get().last_answers() || self.taken(LAST_RESPONSE_SHARE)),
+            // Who cannot word a request is not trusted with the rest of the connection.
+            Err(answer) => {
+                self.tally.bad();
+                if let Some(telemetry) = &self.driver.telemetry {
+                    telemetry.bad();
+                }
+                (answer, true)
+            }
+        };
+        if close {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer.body_mut().goes_over(&client);
+        Ok(answer)
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientConnection,
+    ) -> Result<Response<Reply>, Response<Reply>> {
+        if client.ambiguous() {
+            return Err(plain_response(
+                StatusCode::BAD_REQUEST,
+                "the request's length can be read in two ways",
+            ));
+        }
+        if request.uri().path() == "/ready" {
+            return Ok(if self.ready() {
+                plain_response(StatusCode::OK, "ready")
+            } else {
+                plain_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+            });
+        }
+        let arrival = self.read(request).await?;
+        let Some(open) = self.claim_id(&arrival) else {
+            return Err(plain_response(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
+        };
+        let (mut deadline, wait) = (arrival.deadline, arrival.wait);
+        let upload = arrival.body.upload().cloned();
+        if upload.is_none() {
+            client.whole();
+        }
+        let counted = self.tally.taken(&self.driver.class_name(arrival.class));
+        let (id, mut answer, owing) = self.driver.submit(arrival);
+        // When the client leaves, hyper drops this future, and the guard tells the balancer.
+        let _owed = PendingGuard(&self.driver, id);
+        let mut early = None;
+        if let Some(upload) = upload {
+            tokio::select! {
+                biased;
+                answer = &mut answer => early = Some(Ok(answer)),
+                () = upload.ended() => {
+                    if let Some(whole) = upload.whole() {
+                        client.whole();
+                        deadline = whole + wait;
+                        self.driver.whole(id, deadline);
+                    }
+                }
+            }
+        }
+        let answer = match early {
+            Some(answer) => answer,
+            None => timeout_at(deadline + DEADLINE_SLACK, answer).await,
+        };
+        let (how, mut response) = match answer {
+            Ok(Ok(answer)) => (
+                match answer {
+                    Answer::Served(..) => Ended::Served,
+                    Answer::Refused(_) => Ended::Refused,
+                    Answer::Failed(_) => Ended::Failed,
+                },
+                response_for(answer),
+            ),
+            Ok(Err(_)) => (Ended::Failed, plain_response(StatusCode::BAD_GATEWAY, "no answer was decided")),
+            Err(_) => (Ended::Failed, plain_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+        };
+        response.body_mut().ends(Ending::new(counted, owing, how, open));
+        Ok(response)
+    }
+
+    /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
+    /// disturb the first.
+    fn claim_id(&self, arrival: &Arrival) -> Option<OpenId> {
+        let id: Box<str> = header_text(&arrival.headers, "x-request-id").unwrap_or_default().into();
+        let new = self.ids.borrow_mut().insert(id.clone());
+        new.then(|| OpenId(self.ids.clone(), id))
+    }
+}
+
+/// An id that is open as long as this is.
+pub(super) struct OpenId(Rc<RefCell<HashSet<Box<str>>>>, Box<str>);
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
+/// Tells the balancer if a request ends without having been given its answer.
+struct PendingGuard<'a>(&'a Rc<Driver>, RequestId);
+
+impl Drop for PendingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.gone(self.1);
+    }
+}
--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -5,29 +5,23 @@
 //! an idle connection and one with a request on its way look alike. This wrapper passes on one whole head,
 //! then the bytes that its length gives and nothing behind them until the request has its answer.
 
-use crate::telemetry::Owing;
+use super::connection::{ClientConnection, Phase};
+use super::head::{frame, Frame};
 use bellcroft_operations::chunks::{Chunks, NotChunked};
 use bellcroft_operations::passage::{Patience, BODY_MOST, WHOLE_MOST};
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use micasail::Time;
 use rustix::io::Errno;
 use rustix::net::{shutdown, Shutdown};
-use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
-use std::time::Duration;
-use tokio::io::Interest;
+use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The longest head of a request.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Header lines that a head may have; hyper's own bound.
-const MAX_HEADER_LINES: usize = 100;
 /// Read at a time.
 const READ_CHUNK_BYTES: usize = 16 << 10;
 /// What is kept of what comes behind a request that waits: the longest one that is taken whole. More is read and dropped,
@@ -37,158 +31,6 @@
 /// So much is dropped at the most; whoever sends on is no longer read.
 const MAX_DROPPED_BYTES: u64 = BODY_MOST;
 
-/// What a connection is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// Nothing has come over it yet.
-    Unused,
-    /// A request's head is on its way.
-    ReceivingHead,
-    /// Its body is.
-    ReceivingBody,
-    /// A request is complete and has no answer yet.
-    Pending,
-    /// All that came has its answer.
-    Idle,
-}
-
-/// What the wrapper and the connection's owner know of each other.
-pub struct ClientConnection {
-    phase: Cell<(Phase, Instant)>,
-    ambiguous: Cell<bool>,
-    answered: Cell<bool>,
-    /// The body of the present answer has been handed over; its last bytes may not be out.
-    body_over: Cell<bool>,
-    /// How long more of a body is waited for, and since when the client takes nothing.
-    patience: Cell<Patience>,
-    /// The begin of the connection, which the patience counts from.
-    begin: Instant,
-    stuck: Cell<Option<Instant>>,
-    /// Since when the rest of what was not wanted is read away.
-    lingers: Cell<Option<Instant>>,
-    waker: RefCell<Option<Waker>>,
-    /// The answer whose last byte has not left.
-    owing: Cell<Option<Owing>>,
-    /// A request has been answered over it.
-    used: Cell<bool>,
-}
-
-impl ClientConnection {
-    /// A connection that has just been accepted.
-    pub fn new() -> Rc<Self> {
-        Rc::new(ClientConnection {
-            phase: Cell::new((Phase::Unused, Instant::now())),
-            ambiguous: Cell::new(false),
-            answered: Cell::new(false),
-            body_over: Cell::new(false),
-            patience: Cell::default(),
-            begin: Instant::now(),
-            stuck: Cell::new(None),
-            lingers: Cell::new(None),
-            waker: RefCell::new(None),
-            owing: Cell::new(None),
-            used: Cell::new(false),
-        })
-    }
-
-    /// What the connection is doing, and since when.
-    pub fn phase(&self) -> (Phase, Instant) {
-        self.phase.get()
-    }
-
-    fn enter(&self, phase: Phase) {
-        if self.phase.get().0 != phase {
-            self.phase.set((phase, Instant::now()));
-        }
-    }
-
-    /// The present request's length can be read in two ways; nothing behind its head is passed on.
-    pub fn ambiguous(&self) -> bool {
-        self.ambiguous.get()
-    }
-
-    /// No request has come whole over it yet.
-    pub fn first(&self) -> bool {
-        !self.used.get()
-    }
-
-    /// Until when more of a body is waited for, if it is.
-    pub fn body_until(&self) -> Option<Instant> {
-        self.patience.get().until().map(|at| self.begin + Duration::from_micros(at.0))
-    }
-
-    /// Since when the client takes nothing of its answer.
-    pub fn stuck(&self) -> Option<Instant> {
-        self.stuck.get()
-    }
-
-    /// Since when it is waited for to hear that nobody wants the rest.
-    pub fn lingers(&self) -> Option<Instant> {
-        self.lingers.get()
-    }
-
-    /// Whether a request of it is held by others: its body by whoever takes it in, or all of it until its answer.
-    pub fn waits(&self) -> bool {
-        matches!(self.phase.get().0, Phase::ReceivingBody | Phase::Pending) && self.lingers.get().is_none()
-    }
-
-    fn body(&self, change: impl FnOnce(&mut Patience, Time)) {
-        let mut patience = self.patience.get();
-        change(&mut patience, Time(self.begin.elapsed().as_micros() as u64));
-        self.patience.set(patience);
-    }
-
-    /// The present request has come whole.
-    pub fn whole(&self) {
-        self.enter(Phase::Pending);
-    }
-
-    /// The present answer's body has been handed over.
-    pub fn body_over(&self) {
-        self.body_over.set(true);
-    }
-
-    /// The present request's answer is the next that is written.
-    pub fn owe(&self, owing: Owing) {
-        self.owing.set(Some(owing));
-    }
-
-    /// Something was to be written: whether any of it has been.
-    fn wrote(&self, some: bool) {
-        let since = (!some).then(|| self.stuck.get().unwrap_or_else(Instant::now));
-        self.stuck.set(since);
-    }
-
-    /// All that was handed over is out. With the last of an answer, the next request may be read.
-    fn flushed(&self) {
-        self.stuck.set(None);
-        if !self.body_over.take() {
-            return;
-        }
-        if let Some(owing) = self.owing.take() {
-            owing.left();
-        }
-        self.used.set(true);
-        self.enter(Phase::Idle);
-        self.answered.set(true);
-        if let Some(waker) = self.waker.borrow_mut().take() {
-            waker.wake();
-        }
-    }
-}
-
-/// Waits until a client has closed its side while a request of it waits, however much of what it had sent is unread: the
-/// end of a stream is read last, and may lie behind a body that nobody reads while its request waits for a backend.
-///
-/// What the connection does changes only while it is polled, by the same task and before this: so this is looked at as soon
-/// as a request begins to wait, with no period in between.
-pub async fn client_disconnected(stream: &TcpStream, client: &ClientConnection) {
-    // Of the end alone there is no interest; this one is of urgent data too, which is not asked of the kernel and so never
-    // shows. An error is an end as well.
-    let _ = stream.ready(Interest::PRIORITY).await;
-    poll_fn(|_| if client.waits() { Poll::Ready(()) } else { Poll::Pending }).await;
-}
-
 /// How far the present request has been read.
 enum Stage {
     /// Its head is coming.
@@ -461,80 +303,3 @@
         self.poll_out(cx, |io| io.try_write_vectored(bufs))
     }
 }
-
-/// What the bytes so far are; a whole head with its length, and that of its body.
-#[derive(Debug, PartialEq)]
-enum Frame {
-    Partial,
-    Unreadable,
-    Ambiguous(usize),
-    Sized(usize, u64),
-    Chunked(usize),
-}
-
-fn frame(bytes: &[u8]) -> Frame {
-    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
-    let mut request = httparse::Request::new(&mut lines);
-    let head = match request.parse(bytes) {
-        Ok(httparse::Status::Complete(head)) => head,
-        Ok(httparse::Status::Partial) => return Frame::Partial,
-        Err(_) => return Frame::Unreadable,
-    };
-    let values = |name: &str| {
-        let named = request.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-        named.map(|h| h.value).collect::<Vec<_>>()
-    };
-    match (values("content-length").as_slice(), values("transfer-encoding").as_slice()) {
-        ([], []) => Frame::Sized(head, 0),
-        ([length], []) => length_of(length).map_or(Frame::Ambiguous(head), |body| Frame::Sized(head, body)),
-        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => Frame::Chunked(head),
-        _ => Frame::Ambiguous(head),
-    }
-}
-
-/// Digits and nothing else: no sign, no list, no blank in between.
-fn length_of(value: &[u8]) -> Option<u64> {
-    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-    digits.then(|| std::str::from_utf8(value).ok()?.parse().ok()).flatten()
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn framed(lines: &str) -> Frame {
-        frame(format!("POST /pay HTTP/1.1\r\n{lines}\r\nrest").as_bytes())
-    }
-
-    #[test]
-    fn a_length_that_can_be_read_in_two_ways_is_ambiguous() {
-        for lines in [
-            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
-            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
-            "Content-Length: 4\r\nContent-Length: 4\r\n",
-            "Content-Length: 4\r\ncontent-length: 5\r\n",
-            "Content-Length: 4, 4\r\n",
-            "Content-Length: +4\r\n",
-            "Content-Length: -1\r\n",
-            "Content-Length: 4 4\r\n",
-            "Content-Length: 0x4\r\n",
-            "Content-Length:\r\n",
-            "Content-Length: 99999999999999999999999\r\n",
-            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-            "Transfer-Encoding: gzip, chunked\r\n",
-            "Transfer-Encoding: identity\r\n",
-        ] {
-            let head = "POST /pay HTTP/1.1\r\n\r\n".len() + lines.len();
-            assert_eq!(framed(lines), Frame::Ambiguous(head), "{lines}");
-        }
-    }
-
-    #[test]
-    fn plain_lengths_are_read() {
-        assert_eq!(framed("Content-Length: 4\r\n"), Frame::Sized(41, 4));
-        assert_eq!(framed("A: b\r\n"), Frame::Sized(28, 0));
-        assert_eq!(framed("transfer-encoding: Chunked\r\n"), Frame::Chunked(50));
-        assert_eq!(frame(b"POST /pay HTTP/1.1\r\nContent-Le"), Frame::Partial);
-        assert_eq!(frame(b"\0\x01\x02"), Frame::Unreadable);
-    }
-}
--- a/crates/agent/src/front/reply.rs
+++ b/crates/agent/src/front/reply.rs
@@ -1,6 +1,6 @@
 //! The body of an answer to a client, and what ends with its last byte.
 
-use super::framing::ClientConnection;
+use super::connection::ClientConnection;
 use super::OpenId;
 use crate::daemon::status::{self, Ended};
 use crate::telemetry::Owing;
