--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -14,24 +14,6 @@
 /// can't reach the agent before an attempt reads on.
 const BEYOND_THE_KERNELS: &str = "/save/long";
 
-/// Nothing is left of what was asked: no request is in progress, and the backend has seen these and no others. No attempt
-/// has begun for any other either, but for those whose path says that nobody could know that their client had left.
-async fn conserved(agent: &Agent, backend: &mut Backend, asked: u64) {
-    agent.until("svc.in_progress", |open| open == 0).await;
-    let seen: Vec<String> = std::iter::from_fn(|| backend.seen.try_recv().ok())
-        .map(|m| format!("{} {} {:?}", m.target(), m.body.len(), m.header("x-request-id")))
-        .collect();
-    assert!(
-        seen.iter().all(|target| target.contains("sentinel")),
-        "sent on for those who had left: {seen:?}"
-    );
-    assert_eq!(seen.len() as u64, asked);
-    let mut begun: Vec<String> = std::iter::from_fn(|| backend.begun.try_recv().ok()).collect();
-    begun.retain(|path| !path.contains(BEYOND_THE_KERNELS));
-    assert!(begun.iter().all(|path| path.contains("sentinel")), "begun for those who had left: {begun:?}");
-    assert_eq!(begun.len() as u64, asked);
-}
-
 /// Settings that say that lists are pushed: over sockets nothing comes by itself, so the agent asks, also after a silence,
 /// and whatever number a discovery that has begun anew gives its list.
 #[tokio::test]
@@ -70,6 +52,7 @@
         // Its watch waits, so that the server comes up as soon as the list says so.
         directory.list(1, &away);
         let agent = Agent::with(patient_config(directory.address, &away), |_| {}).await;
+        let baseline = Baseline::of(&agent);
         let whole = || request("GET", "/read/left", "20000m", "");
         let coming = |path: &str, length: usize, sent: usize| {
             let head = request("POST", path, "20000m", "");
@@ -84,10 +67,12 @@
                 .map(|(length, sent)| coming("/save/left", length, sent)),
         );
         texts.extend([299_999, 300_000].map(|sent| coming(BEYOND_THE_KERNELS, 300_000, sent)));
-        let mut left = Vec::new();
+        let (mut left, mut ids) = (Vec::new(), Vec::new());
         for text in texts.iter().cycle().take(6 * texts.len()) {
             // An id of its own for each, and the same bytes else.
             let text = text.replacen("X-Request-ID: ", &format!("X-Request-ID: {}-", left.len()), 1);
+            let id = text.split("X-Request-ID: ").nth(1).and_then(|rest| rest.lines().next());
+            ids.push(id.expect("its id").to_owned());
             let mut client = agent.client().await;
             // What the kernel does not take is not sent: the client leaves all the same.
             let _ = tokio::time::timeout(Duration::from_millis(30), client.stream.write_all(text.as_bytes()))
@@ -107,8 +92,18 @@
         for _ in 0..3 {
             assert_eq!(stays.ask(&request("GET", "/read/sentinel", "20000m", "")).await.status(), 200);
         }
-        conserved(&agent, &mut backend, 4).await;
+        agent.until("svc.in_progress", |open| open == 0).await;
+        let (complete, mut begun) = backend.record();
+        assert_eq!(complete, ["/read/sentinel"; 4], "{leaving:?}: sent on for those who had left");
+        begun.retain(|path| !path.contains(BEYOND_THE_KERNELS));
+        assert!(
+            begun.len() == 4 && begun.iter().all(|path| path.contains("sentinel")),
+            "{leaving:?}: begun for those who had left: {begun:?}"
+        );
         assert_eq!(agent.figure("svc.upstream_tries").await, 4, "attempts that were written whole");
+        drop((kept, stays));
+        baseline.restored(&agent, &ids, backend.connections()).await;
+        backend.record();
     }
 }
 
--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -19,34 +19,6 @@
     request_as(id, method, path, "20000m", body)
 }
 
-/// Nothing is left of what was asked, whoever asked: no request in progress, no id held, no place of a client's connection
-/// or of one to a server that no server holds any more.
-struct Conserved {
-    before: usize,
-}
-
-impl Conserved {
-    /// What is to be come back to: an agent that nobody has asked anything.
-    fn of(agent: &Agent) -> Self {
-        Conserved { before: agent.sockets() }
-    }
-
-    /// With all clients gone, and servers that hold at most so many connections.
-    async fn holds(&self, agent: &Agent, ids: &[String], servers: usize) {
-        agent.until("svc.in_progress", |open| open == 0).await;
-        for id in ids.iter().rev().take(3) {
-            let answer = agent.client().await.ask(&named(id, "GET", "/read/again", "")).await;
-            assert_eq!(answer.status(), 200, "{id} is held by nobody");
-        }
-        soon("sockets are given back", async {
-            while agent.sockets() > self.before + servers {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        })
-        .await;
-    }
-}
-
 /// So many servers, that decisions need not spare one that has just turned something away or says nothing.
 async fn several<S: Fn(&Message) -> Reply + Send + Sync + 'static>(script: impl Fn() -> S) -> Vec<Backend> {
     let mut servers = Vec::new();
@@ -111,7 +83,7 @@
     let directory = Directory::start(Mood::Mute).await;
     let hosts = listed(&turning.servers);
     let agent = Agent::with(patient_config(directory.address, &hosts), |_| {}).await;
-    let conserved = Conserved::of(&agent);
+    let baseline = Baseline::of(&agent);
     let mut ids = Vec::new();
     for round in 0..4 {
         for leaving in Leaving::ALL {
@@ -139,7 +111,7 @@
         }
     }
     let servers = turning.servers.iter().map(Backend::connections).sum();
-    conserved.holds(&agent, &ids, servers).await;
+    baseline.restored(&agent, &ids, servers).await;
 }
 
 /// A second copy is due, and its client has left: none goes out. One that stays, and asked later, gets its own.
@@ -164,7 +136,7 @@
     let route = "[[route]]\nname = \"r\"\nmatch = { class = \"read\" }\nsecond_copy_after = \"250ms\"\nsecond_copies_most = 1.0\nattempts = 2\n";
     let operator = folder.write("agent.toml", route);
     let agent = Agent::operated(patient_config(directory.address, &hosts), &operator).await;
-    let conserved = Conserved::of(&agent);
+    let baseline = Baseline::of(&agent);
     let mut ids = Vec::new();
     for (round, leaving) in Leaving::ALL.into_iter().cycle().take(12).enumerate() {
         let (left, stays) = (format!("left-{round}"), format!("stays-{round}"));
@@ -194,7 +166,7 @@
         ids.push(left);
     }
     let held = servers.iter().map(Backend::connections).sum();
-    conserved.holds(&agent, &ids, held).await;
+    baseline.restored(&agent, &ids, held).await;
 }
 
 /// A server has taken a part of a request when its client leaves: the rest is not written, and the connection ends.
@@ -297,10 +269,8 @@
             let answer = agent.client().await.ask(&request("GET", "/read/stays", "20000m", "")).await;
             assert_eq!(answer.status(), 200);
         }
-        let got: Vec<String> =
-            std::iter::from_fn(|| server.seen.try_recv().ok()).map(|m| m.target().to_owned()).collect();
+        let (got, begun) = server.record();
         assert!(got.iter().all(|target| target == "/read/stays"), "{leaving:?}: {got:?}");
-        let begun: Vec<String> = std::iter::from_fn(|| server.begun.try_recv().ok()).collect();
         assert!(begun.iter().all(|path| path.contains("stays")), "{leaving:?}: begun: {begun:?}");
         assert_eq!((got.len(), agent.figure("svc.upstream_tries").await), (31, 31), "{leaving:?}");
     }
@@ -344,7 +314,7 @@
             let answer = agent.client().await.ask(&named("stays", "GET", "/read/stays", "")).await;
             assert_eq!(answer.status(), 200, "{leaving:?}");
             agent.until("svc.in_progress", |open| open == 0).await;
-            let begun: Vec<String> = std::iter::from_fn(|| server.begun.try_recv().ok()).collect();
+            let (_, begun) = server.record();
             assert_eq!(begun, ["/read/stays stays"], "{leaving:?}, list first: {list_first}");
         }
     }
--- a/crates/agent/tests/readiness.rs
+++ b/crates/agent/tests/readiness.rs
@@ -2,7 +2,6 @@
 
 use rig::*;
 use serde_json::{json, Value};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -11,12 +10,6 @@
 /// A restarted process is ready within this (the users' term).
 const READY_WITHIN: Duration = Duration::from_secs(10);
 
-/// A port that nobody listens on.
-async fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 /// Whether it says that it is ready now.
 async fn is_ready(agent: &Agent) -> bool {
     agent.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status() == 200
@@ -28,7 +21,7 @@
     let hosts = [host("s", backend.address, "up")];
     let silent = Directory::start(Mood::Mute).await;
     let down = Directory::start(Mood::Down).await;
-    for discovery in [silent.address, down.address, unused_address().await] {
+    for discovery in [silent.address, down.address, nobody().await] {
         let agent = Agent::start(discovery, &hosts).await;
         assert!(is_ready(&agent).await, "at once");
         assert_eq!(agent.get("/read").await.status(), 200);
@@ -64,7 +57,7 @@
 #[tokio::test]
 async fn a_process_that_knows_no_backend_finds_a_discovery_that_comes_up_later() {
     let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
-    let address = unused_address().await;
+    let address = nobody().await;
     let agent = Agent::start(address, &[]).await;
     // Some calls have failed meanwhile, and pauses between them have grown.
     tokio::time::sleep(Duration::from_secs(2)).await;
--- a/crates/rig/src/backend.rs
+++ b/crates/rig/src/backend.rs
@@ -102,6 +102,12 @@
         soon("a request at the backend", self.seen.recv()).await.expect("a request")
     }
 
+    /// The paths of the requests that have come complete since the last look, and the paths and ids of those that have begun.
+    pub fn record(&mut self) -> (Vec<String>, Vec<String>) {
+        let complete = std::iter::from_fn(|| self.seen.try_recv().ok()).map(|m| m.target().to_owned());
+        (complete.collect(), std::iter::from_fn(|| self.begun.try_recv().ok()).collect())
+    }
+
     /// Connections taken so far.
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::SeqCst)
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! Every stand-in keeps a record, so that a test can set what clients were told against what servers did.
 
 mod backend;
+mod baseline;
 mod directory;
 pub mod faults;
 mod fleet;
@@ -19,6 +20,7 @@
 mod world;
 
 pub use backend::{Backend, Reply};
+pub use baseline::Baseline;
 pub use directory::{host, Directory, Mood};
 pub use fleet::{bellcroft, instances, phases, Fleet};
 pub use folder::{Folder, Manager};
