--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -1,89 +1,44 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
-pub mod framing;
+mod capacity;
+mod connection;
+mod exchange;
+mod framing;
+mod head;
 mod reply;
+mod request;
+mod response;
 
-use crate::daemon::descriptors::DISCOVERY_CONNECTIONS;
-use crate::daemon::status::{Ended, Tally};
-use crate::driver::{Answer, Arrival, Driver, Given, COMING_MOST};
-use crate::front::framing::{left_waiting, Framed, Line, Phase, HEAD_MOST};
-use crate::front::reply::{Ending, Reply};
-use crate::passing::{Kept, Upload};
+use crate::daemon::status::Tally;
+use crate::driver::Driver;
 use crate::prompt::prompt;
-use crate::upstream::{forwarded, join, Content};
-use bellcroft_operations::passage::{self, Store, Way, BODY_MOST};
-use bellcroft_operations::retune::{Form, Unfit};
+use bellcroft_operations::passage::Store;
 use bellcroft_operations::service::{Duty, Service};
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use capacity::{can_be_spared, is_descriptor_shortage, LAST_RESPONSE_SHARE, STATE_CHECK_INTERVAL};
+use connection::{client_disconnected, ClientConnection, Phase};
+use exchange::OpenId;
+use framing::{RequestFraming, MAX_HEAD_BYTES};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use micasail::{Effect, KeyId, RequestId, Span, TenantId};
-use micasail_settings::fnv1a;
-use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::convert::Infallible;
-use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
-use tracing::warn;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// The part of a client's wait that is kept for writing the answer.
-const ANSWER_ROOM: Duration = Duration::from_millis(6);
-/// The longest wait that a request may ask for.
-const WAIT_MOST: Duration = Duration::from_secs(600);
-/// A request's head must have come within this of its first byte: what says half of something holds a place that others
-/// need. Slow clients take 2 s.
-const READ_MOST: Duration = Duration::from_millis(2_400);
-/// A connection's first one must have come within this of the connect, however late it began.
-const FIRST_MOST: Duration = Duration::from_millis(2_800);
-/// A client that takes nothing of its answer for this long has left without a word.
-const TAKE_GAP: Duration = Duration::from_secs(20);
-/// A client that is told before it has said all has this long to hear it.
-const LINGER_MOST: Duration = Duration::from_millis(1_500);
-/// An idle connection is closed after this; much sooner where places run short, and then it must have been idle
-/// for as long as clients are promised.
-const IDLE_MOST: Duration = Duration::from_secs(10);
-const IDLE_LEAST: Duration = Duration::from_millis(2_050);
-/// Places run short once this share of them is taken: clients count connections that they have left behind
-/// among those that they may hold.
-const SHORT: f64 = 0.25;
-/// Once this share of the places is taken, each answer is the last on its connection and says so, which no request
-/// can cross: clients that ask once and stay use up what they may hold long before an idle connection is old enough
-/// to be closed.
-const CROWDED: f64 = 0.5;
-/// Where all places are taken, one that has said nothing for this long gives way: clients connect to ask. So does one that
-/// has been idle for as long, if no other does: a client that comes to ask is worth more than one that may ask again.
-const MIN_SPARED_IDLE: Duration = Duration::from_millis(100);
-/// Connections that are given up at once when the process has no descriptor left: those to discovery, and as many more for
-/// backends and the next clients.
-const SHORTAGE_RESERVE: usize = 2 * DISCOVERY_CONNECTIONS;
-/// After such a shortage fewer connections are held for so long.
-const SHORTAGE_TIMEOUT: Duration = Duration::from_secs(10);
-/// How often a connection's time is looked at.
-const LOOK: Duration = Duration::from_millis(250);
-/// The longest id of a request that is kept.
-const ID_MOST: usize = 256;
-/// The balancer ends each request by its deadline; should it not, the agent does, this much later.
-const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// A connection that has said nothing for this long is not about to: clients connect to ask.
-const FRESH: Duration = Duration::from_millis(300);
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(300);
 /// After SIGTERM new connections go on coming for a while; each is still taken.
-pub const ACCEPT_ON: Duration = Duration::from_millis(650);
+pub const SHUTDOWN_ACCEPT_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// A connection that has been taken.
-struct Held {
-    line: Rc<Line>,
+struct HeldConnection {
+    client: Rc<ClientConnection>,
     leave: Rc<Notify>,
 }
 
@@ -96,10 +51,10 @@
     /// Told of each change of the above.
     changed: watch::Sender<()>,
     accepting: watch::Sender<bool>,
-    most: Cell<usize>,
+    limit: Cell<usize>,
     /// The process had no descriptor left: until when it holds so many connections at most.
     shortage: Cell<Option<(Instant, usize)>>,
-    held: RefCell<HashMap<u64, Held>>,
+    held: RefCell<HashMap<u64, HeldConnection>>,
     freed: Notify,
     /// Ids of the requests that are open.
     ids: Rc<RefCell<HashSet<Box<str>>>>,
@@ -116,7 +71,7 @@
             service: Cell::default(),
             changed: watch::Sender::new(()),
             accepting: watch::Sender::new(true),
-            most: Cell::new(connections),
+            limit: Cell::new(connections),
             shortage: Cell::new(None),
             held: RefCell::default(),
             freed: Notify::new(),
@@ -143,19 +98,19 @@
                         self.on_descriptor_shortage();
                         self.wait_for_place().await;
                     }
-                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                    Err(_) => sleep(ACCEPT_RETRY_INTERVAL).await,
                 }
             };
             while self.held.borrow().len() >= self.max_connections() {
                 self.evict(1);
                 self.wait_for_place().await;
             }
-            let held = Held { line: Line::new(), leave: Rc::default() };
-            let (line, leave) = (held.line.clone(), held.leave.clone());
+            let held = HeldConnection { client: ClientConnection::new(), leave: Rc::default() };
+            let (client, leave) = (held.client.clone(), held.leave.clone());
             self.held.borrow_mut().insert(number, held);
             let server = self.clone();
             tokio::task::spawn_local(async move {
-                server.clone().connection(stream, line, leave).await;
+                server.clone().connection(stream, client, leave).await;
                 server.held.borrow_mut().remove(&number);
                 server.freed.notify_one();
             });
@@ -164,40 +119,7 @@
 
     /// A connection that leaves frees its place; one that may leave soon is found by looking again.
     async fn wait_for_place(&self) {
-        let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
-    }
-
-    /// How many connections it may hold at present.
-    fn max_connections(&self) -> usize {
-        let most = self.most.get();
-        match self.shortage.get() {
-            Some((until, fewer)) if Instant::now() < until => most.min(fewer),
-            _ => most,
-        }
-    }
-
-    /// The process has fewer descriptors than it was promised. Clients make room for what it can't do without.
-    fn on_descriptor_shortage(&self) {
-        let held = self.held.borrow().len();
-        // Those that were to close at the last one may not have yet.
-        if held <= self.max_connections() {
-            let fewer = held.saturating_sub(SHORTAGE_RESERVE).max(1);
-            self.shortage.set(Some((Instant::now() + SHORTAGE_TIMEOUT, fewer)));
-            warn!("no descriptor is left for a client's connection; {held} are held, {fewer} from now on");
-        }
-        self.evict(SHORTAGE_RESERVE);
-    }
-
-    /// Closes so many of the connections that can best be spared: those that have said nothing, then those that have been
-    /// idle longest. One with a request open or on its way never is.
-    fn evict(&self, count: usize) {
-        let held = self.held.borrow();
-        let mut spared: Vec<&Held> = held.values().filter(|held| can_be_spared(&held.line)).collect();
-        let rank = |held: &&Held| {
-            (held.line.lingers().is_none(), held.line.phase().0 == Phase::Idle, held.line.phase().1)
-        };
-        spared.sort_by_key(rank);
-        spared.iter().take(count).for_each(|held| held.leave.notify_one());
+        let _ = timeout(ACCEPT_RETRY_INTERVAL, self.freed.notified()).await;
     }
 
     /// What it is there for at present.
@@ -225,8 +147,8 @@
     }
 
     /// From now on it serves so many connections at a time; those that it has go on.
-    pub fn hold_at_most(&self, connections: usize) {
-        self.most.set(connections);
+    pub fn set_max_connections(&self, connections: usize) {
+        self.limit.set(connections);
     }
 
     /// Takes no new connection from now on: another process has the listening socket.
@@ -242,55 +164,26 @@
     /// Whether any request is on its way in or has no answer yet. One may be on its way over a connection that is
     /// so fresh that its first byte has not come.
     pub fn busy(&self) -> bool {
-        let busy = |held: &Held| {
-            let (phase, since) = held.line.phase();
-            awaited(phase, since.elapsed())
+        let busy = |held: &HeldConnection| {
+            let (phase, since) = held.client.phase();
+            may_owe_response(phase, since.elapsed())
         };
         self.held.borrow().values().any(busy)
     }
 
-    /// Whether so large a share of the places is taken.
-    fn taken(&self, share: f64) -> bool {
-        self.held.borrow().len() as f64 >= share * self.max_connections() as f64
-    }
-
-    /// Until when a connection may go on as it is.
-    fn until(&self, line: &Line, taken: Instant) -> Instant {
-        let short = self.taken(SHORT);
-        if let Some(since) = line.lingers() {
-            return since + LINGER_MOST;
-        }
-        if let Some(since) = line.stuck() {
-            return since + TAKE_GAP;
-        }
-        match line.phase() {
-            (Phase::Mute, _) => taken + READ_MOST,
-            (Phase::Arriving, since) if line.first() => (since + READ_MOST).min(taken + FIRST_MOST),
-            (Phase::Arriving, since) => since + READ_MOST,
-            // A body comes as slowly as it likes, and is read as slowly as its server does; only silence is bounded.
-            (Phase::Coming, _) => line.body_until().unwrap_or_else(|| Instant::now() + LOOK),
-            // A request that is whole ends by its deadline, or its answer is on its way.
-            (Phase::Open, _) => Instant::now() + LOOK,
-            (Phase::Idle, since) => {
-                let own = since + if short { IDLE_LEAST } else { IDLE_MOST };
-                self.idle_closes().map_or(own, |at| own.min(at))
-            }
-        }
-    }
-
-    async fn connection(self: Rc<Self>, stream: TcpStream, line: Rc<Line>, leave: Rc<Notify>) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, client: Rc<ClientConnection>, leave: Rc<Notify>) {
         prompt(&stream);
         let (stream, taken) = (Rc::new(stream), Instant::now());
         let mut changed = self.changed.subscribe();
-        let (server, read) = (self.clone(), line.clone());
+        let (server, read) = (self.clone(), client.clone());
         let service = service_fn(move |request| server.clone().answer(request, read.clone()));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
-        let framed = Framed::new(stream.clone(), line.clone());
-        let mut connection = pin!(builder.serve_connection(framed, service));
-        let mut leaving = pin!(left_waiting(&stream, &line));
+        builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
+        let framing_io = RequestFraming::new(stream.clone(), client.clone());
+        let mut connection = pin!(builder.serve_connection(framing_io, service));
+        let mut leaving = pin!(client_disconnected(&stream, &client));
         loop {
-            let until = self.until(&line, taken);
+            let until = self.expires_at(&client, taken);
             if Instant::now() >= until {
                 return;
             }
@@ -301,7 +194,7 @@
                 _ = connection.as_mut() => return,
                 () = leave.notified() => {
                     // A request may have come since it was chosen.
-                    if can_be_spared(&line) {
+                    if can_be_spared(&client) {
                         return;
                     }
                 }
@@ -309,341 +202,21 @@
                 () = leaving.as_mut() => return,
                 // What is idle may have to close; a request that is on its way, or is the first, is still answered.
                 _ = changed.changed() => {}
-                () = sleep_until(until.min(Instant::now() + LOOK)) => {}
-            }
-        }
-    }
-
-    async fn answer(
-        self: Rc<Self>,
-        request: Request<Incoming>,
-        line: Rc<Line>,
-    ) -> Result<Response<Reply>, Infallible> {
-        let (mut answer, close) = match self.take(request, &line).await {
-            Ok(answer) => (answer, self.service.get().last_answers() || self.taken(CROWDED)),
-            // Who cannot word a request is not trusted with the rest of the connection.
-            Err(answer) => {
-                self.tally.bad();
-                if let Some(telemetry) = &self.driver.telemetry {
-                    telemetry.bad();
-                }
-                (answer, true)
-            }
-        };
-        if close {
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        answer.body_mut().goes_over(&line);
-        Ok(answer)
-    }
-
-    async fn take(
-        &self,
-        request: Request<Incoming>,
-        line: &Line,
-    ) -> Result<Response<Reply>, Response<Reply>> {
-        if line.ambiguous() {
-            return Err(plain(StatusCode::BAD_REQUEST, "the request's length can be read in two ways"));
-        }
-        if request.uri().path() == "/ready" {
-            return Ok(if self.ready() {
-                plain(StatusCode::OK, "ready")
-            } else {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
-            });
-        }
-        let arrival = self.read(request).await?;
-        let Some(open) = self.open(&arrival) else {
-            return Err(plain(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
-        };
-        let (mut deadline, wait) = (arrival.deadline, arrival.wait);
-        let upload = arrival.body.upload().cloned();
-        if upload.is_none() {
-            line.whole();
-        }
-        let counted = self.tally.taken(&self.driver.class_name(arrival.class));
-        let (id, mut answer, owing) = self.driver.submit(arrival);
-        // When the client leaves, hyper drops this future, and the guard tells the balancer.
-        let _owed = Owed(&self.driver, id);
-        let mut early = None;
-        if let Some(upload) = upload {
-            tokio::select! {
-                biased;
-                answer = &mut answer => early = Some(Ok(answer)),
-                () = upload.ended() => {
-                    if let Some(whole) = upload.whole() {
-                        line.whole();
-                        deadline = whole + wait;
-                        self.driver.whole(id, deadline);
-                    }
-                }
+                () = sleep_until(until.min(Instant::now() + STATE_CHECK_INTERVAL)) => {}
             }
         }
-        let answer = match early {
-            Some(answer) => answer,
-            None => timeout_at(deadline + OVERDUE, answer).await,
-        };
-        let (how, mut response) = match answer {
-            Ok(Ok(answer)) => (
-                match answer {
-                    Answer::Served(..) => Ended::Served,
-                    Answer::Refused(_) => Ended::Refused,
-                    Answer::Failed(_) => Ended::Failed,
-                },
-                word(answer),
-            ),
-            Ok(Err(_)) => (Ended::Failed, plain(StatusCode::BAD_GATEWAY, "no answer was decided")),
-            Err(_) => (Ended::Failed, plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
-        };
-        response.body_mut().ends(Ending::new(counted, owing, how, open));
-        Ok(response)
-    }
-
-    /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
-    /// disturb the first.
-    fn open(&self, arrival: &Arrival) -> Option<OpenId> {
-        let id: Box<str> = text(&arrival.headers, "x-request-id").unwrap_or_default().into();
-        let new = self.ids.borrow_mut().insert(id.clone());
-        new.then(|| OpenId(self.ids.clone(), id))
     }
-
-    /// Reads a request, whole or as much of it as is taken before it goes on; the error is the answer to a bad one.
-    async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Reply>> {
-        let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
-        let (head, body) = request.into_parts();
-        let names = self.driver.names();
-        let path = head.uri.path();
-        let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let keyed = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
-        let form = match (head.method == Method::POST, keyed) {
-            (true, true) => Form::Keyed,
-            (true, false) => Form::Bare,
-            (false, _) => Form::Read,
-        };
-        let found = self.driver.class(first, form);
-        if found == Err(Unfit::Unknown) {
-            return Err(plain(StatusCode::NOT_FOUND, "no such class of request"));
-        }
-        if text(&head.headers, "x-priority-class") != Some(first) {
-            return Err(bad("X-Priority-Class must be the first part of the path"));
-        }
-        if text(&head.headers, "x-request-id").is_none_or(|id| id.is_empty() || id.len() > ID_MOST) {
-            return Err(bad("X-Request-ID is missing or too long"));
-        }
-        let tenant = match text(&head.headers, "x-tenant-id") {
-            _ if names.tenants.is_empty() => None,
-            Some(tenant) => names.tenants.iter().position(|name| name == tenant).map(TenantId),
-            None => None,
-        };
-        if tenant.is_none() && !names.tenants.is_empty() {
-            return Err(bad("X-Tenant-Id names no tenant"));
-        }
-        let wait = text(&head.headers, "x-timeout").and_then(wait_of);
-        let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
-        let other_method = |allow: &'static str| {
-            let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
-            answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
-            answer
-        };
-        let class = match found {
-            Ok(_) if form == Form::Read && head.method != Method::GET => return Err(other_method("GET")),
-            Ok(class) => class,
-            Err(Unfit::Form(Effect::Idempotent)) => return Err(other_method("GET")),
-            Err(_) if head.method != Method::POST => return Err(other_method("POST")),
-            Err(_) => return Err(bad("this class needs an Idempotency-Key")),
-        };
-        let route = self.driver.route(class, tenant, path);
-        let body = self.begin(body).await?;
-        let room = ANSWER_ROOM.min(wait / 4);
-        let whole = Instant::now();
-        let query = head.uri.query().unwrap_or_default();
-        let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
-        let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
-        Ok(Arrival {
-            class,
-            tenant,
-            key: key.map(|key| KeyId(fnv1a(key))),
-            cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
-            repeat: text(&head.headers, "x-retried") == Some("1"),
-            deadline: whole + if body.upload().is_some() { COMING_MOST } else { wait - room },
-            wait: wait - room,
-            whole,
-            client_waits: whole + wait,
-            route,
-            headers: forwarded(&head.headers),
-            method: head.method,
-            uri: head.uri,
-            body,
-        })
-    }
-}
-
-impl Server {
-    /// Takes a body whole, or the begin of one that is passed on as it comes.
-    async fn begin(&self, mut body: Incoming) -> Result<Given, Response<Reply>> {
-        let length = body.size_hint().exact();
-        let way = passage::way(length).map_err(|_| {
-            let text = format!("a body holds at most {} MiB", BODY_MOST >> 20);
-            plain(StatusCode::PAYLOAD_TOO_LARGE, &text)
-        })?;
-        let kept = Kept::grant(&self.store);
-        // What says of itself that it is short is taken whole however little memory there is: it can be tried again.
-        let most = match (way, length) {
-            (Way::Gather, Some(length)) => length as usize,
-            (Way::Gather | Way::Pass, _) => kept.most(),
-        };
-        let (mut parts, mut gathered) = (Vec::new(), 0);
-        loop {
-            match body.frame().await {
-                None => return Ok(Given::Whole(join(parts))),
-                Some(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body did not come whole")),
-                Some(Ok(frame)) => {
-                    let data = frame.into_data().unwrap_or_default();
-                    gathered += data.len();
-                    parts.push(data);
-                }
-            }
-            if gathered > most || (way == Way::Pass && gathered >= most) {
-                return Ok(Given::Coming(Upload::new(length, join(parts), kept, body)));
-            }
-        }
-    }
-}
-
-/// Whether a connection can be closed for the sake of another client's.
-fn can_be_spared(line: &Line) -> bool {
-    match line.phase() {
-        _ if line.lingers().is_some() => true,
-        (Phase::Mute | Phase::Idle, since) => since.elapsed() >= MIN_SPARED_IDLE,
-        (Phase::Arriving | Phase::Coming | Phase::Open, _) => false,
-    }
-}
-
-/// Whether an accept failed because this process, or the machine, has no descriptor or memory for another socket.
-fn is_descriptor_shortage(error: &io::Error) -> bool {
-    let shortages = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
-    Errno::from_io_error(error).is_some_and(|errno| shortages.contains(&errno))
 }
 
 /// Whether a connection that has been in this phase for so long may still owe an answer.
-fn awaited(phase: Phase, for_so_long: Duration) -> bool {
+fn may_owe_response(phase: Phase, for_so_long: Duration) -> bool {
     match phase {
-        Phase::Arriving | Phase::Coming | Phase::Open => true,
-        Phase::Mute => for_so_long < FRESH,
+        Phase::ReceivingHead | Phase::ReceivingBody | Phase::Pending => true,
+        Phase::Unused => for_so_long < FIRST_BYTE_TIMEOUT,
         Phase::Idle => false,
     }
 }
 
-/// An id that is open as long as this is.
-struct OpenId(Rc<RefCell<HashSet<Box<str>>>>, Box<str>);
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.0.borrow_mut().remove(&self.1);
-    }
-}
-
-/// Tells the balancer if a request ends without having been given its answer.
-struct Owed<'a>(&'a Rc<Driver>, RequestId);
-
-impl Drop for Owed<'_> {
-    fn drop(&mut self) {
-        self.0.gone(self.1);
-    }
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-/// Reads a wait such as `480m` (milliseconds) or `900u` (microseconds).
-fn wait_of(text: &str) -> Option<Duration> {
-    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let micros = match unit {
-        "m" => 1000.0,
-        "u" => 1.0,
-        _ => return None,
-    };
-    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
-        return None;
-    }
-    let wait = Duration::try_from_secs_f64(digits.parse::<f64>().ok()? * micros / 1e6).ok()?;
-    (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
-}
-
-fn word(answer: Answer) -> Response<Reply> {
-    match answer {
-        Answer::Served(kind, content) => {
-            let mut response = Response::new(match content {
-                Content::Whole(body) => Reply::whole(body),
-                Content::Passing(relay) => Reply::passing(relay),
-            });
-            response.headers_mut().extend(kind.map(|kind| (CONTENT_TYPE, kind)));
-            response
-        }
-        Answer::Refused(after) => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused; trying again is harmless");
-            let after =
-                after.and_then(|after| HeaderValue::from_str(&format!("{:.3}", after.ms() / 1e3)).ok());
-            response.headers_mut().extend(after.map(|after: HeaderValue| (RETRY_AFTER, after)));
-            response
-        }
-        Answer::Failed(status) => plain(status, "failed"),
-    }
-}
-
-fn plain(status: StatusCode, why: &str) -> Response<Reply> {
-    let mut response = Response::new(Reply::whole(Bytes::from(format!("{why}\n"))));
-    *response.status_mut() = status;
-    let kind: (HeaderName, HeaderValue) = (CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response.headers_mut().extend([kind]);
-    response
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::daemon::config::tests::{load, SETTINGS};
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    /// The option against small delays can't be had on a socket of another family, as it can't on some that were just
-    /// taken. A connection that is closed over it loses the request that its client has written already.
-    #[test]
-    fn a_connection_that_lacks_an_option_for_speed_is_served() {
-        let served = crate::exit::block_on(async {
-            let text = format!(r#"{{"discovery":"127.0.0.1:2","settings":{SETTINGS}}}"#);
-            let config = load(&text, "127.0.0.1:3").expect("a configuration");
-            let server = Server::new(Driver::start(config, 8, None).expect("it starts"), 8, 64 << 20);
-            let (mut client, taken) = tokio::net::UnixStream::pair().expect("a pair");
-            client.write_all(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").await.expect("it is open");
-            let taken = std::os::fd::OwnedFd::from(taken.into_std().expect("a socket"));
-            let taken = TcpStream::from_std(taken.into()).expect("a stream");
-            assert!(taken.set_nodelay(true).is_err(), "the option is there: the test shows nothing");
-            tokio::task::spawn_local(server.connection(taken, Line::new(), Rc::default()));
-            let mut answer = String::new();
-            client.read_to_string(&mut answer).await.expect("an answer");
-            answer
-        });
-        let served = served.expect("a runtime");
-        assert!(served.starts_with("HTTP/1.1 503 ") && served.ends_with("not ready\n"), "{served}");
-    }
-
-    /// A client that has just connected is about to ask: an end that does not wait for it loses its request.
-    #[test]
-    fn an_end_waits_for_a_connection_that_is_fresh_and_not_for_one_that_is_mute() {
-        let (soon, late) = (Duration::from_millis(50), Duration::from_secs(2));
-        assert!(awaited(Phase::Mute, soon) && !awaited(Phase::Mute, late));
-        assert!(awaited(Phase::Arriving, late) && awaited(Phase::Open, late) && !awaited(Phase::Idle, soon));
-    }
-
-    #[test]
-    fn waits_have_a_number_and_a_unit() {
-        assert_eq!(wait_of("480m"), Some(Duration::from_millis(480)));
-        assert_eq!(wait_of("900u"), Some(Duration::from_micros(900)));
-        for text in
-            ["", "m", "480", "-1m", "0m", "1e9m", "nanm", "infm", "99999999999999999999m", "4s", "é", "1é"]
-        {
-            assert_eq!(wait_of(text), None, "{text}");
-        }
-    }
-}
+#[path = "../../tests/unit/front.rs"]
+mod tests;
