Upstream: one module each for pool, idle connections, stream, attempt, probe, response, relay, headers

`upstream/mod.rs` had grown past a thousand lines with eight jobs, in words of its own. No change of behaviour.

`pool` (all backends and their connections, apart from what is sent), `idle` (the idle connections to one backend), `connection` (one connection and its permit), `metered_stream`, `attempt`, `probe`, `response`, `relay`, `load_report`, `headers`. `Place` is `ConnectionPermit`, `Remote` `BackendPool`, `kept` `take_idle`, `park` `release`, `spare` `evict_oldest_idle`, `rested_at` `reusable_at`, `Counted` `MeteredStream`, `Wire` `StreamProgress`, `Ended` `AttemptResult`, `Progress` `AttemptProgress`, `life` `generation`, `REST` `REUSE_DELAY`, `*_MOST` `MAX_*`. Whether a spare connection may be opened is a type and no longer a number. Long functions are split: an attempt into its connect, its preparation and its exchange; the relay's poll into data and time-out. The two inline tests are files under `tests/unit`, unchanged.

Tests of attempts, bodies, clients, endings, leaving, routes and the library pass.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -10,7 +10,7 @@
 use crate::passing::{Load, Upload};
 use crate::peers::{named, Decisions, Peers};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
-use crate::upstream::{AttemptLimits, Content, Ended, Progress, Upstream};
+use crate::upstream::{AttemptLimits, AttemptProgress, AttemptResult, Content, Upstream};
 use bellcroft_operations::retune::{merge, Attempts, Book, Form, Unfit};
 use bellcroft_operations::waking::Waking;
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
@@ -119,7 +119,7 @@
     timers: BinaryHeap<Reverse<(Time, u64)>>,
     next_request: u64,
     open: HashMap<RequestId, Open>,
-    attempts: HashMap<(RequestId, u32), Rc<Progress>>,
+    attempts: HashMap<(RequestId, u32), Rc<AttemptProgress>>,
     servers: HashMap<String, ServerId>,
     names: HashMap<ServerId, String>,
     /// Servers that have left, and when.
@@ -629,7 +629,7 @@
             telemetry.attempt(server.0, route_of(&open.parts), attempt, another_out);
             FirstByte { instance: telemetry, clock: self.clock, request, attempt, server }
         });
-        let progress = Rc::new(Progress::new(first, upload.clone()));
+        let progress = Rc::new(AttemptProgress::new(first, upload.clone()));
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
@@ -646,7 +646,7 @@
         self: &Rc<Self>,
         key: (RequestId, u32),
         (class, server): (ClassId, ServerId),
-        ended: Ended,
+        ended: AttemptResult,
         sent: Instant,
     ) {
         let elapsed = Span(sent.elapsed().as_micros() as u64);
@@ -686,7 +686,7 @@
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let sent = Instant::now();
-            let Ended { outcome, report, .. } = driver.upstream.probe(server).await;
+            let AttemptResult { outcome, report, .. } = driver.upstream.probe(server).await;
             let elapsed = Span(sent.elapsed().as_micros() as u64);
             if let Some(telemetry) = &driver.telemetry {
                 telemetry.probed(outcome);
--- /dev/null
+++ b/crates/agent/src/upstream/metered_stream.rs
@@ -0,0 +1,131 @@
+//! A socket that counts its bytes, so that the fate of a broken attempt is known, and that stops writing when told.
+
+use crate::telemetry::FirstByte;
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Bytes read at a time.
+const READ_SIZE: usize = 16 << 10;
+
+/// The state that a connection's task and its user share: bytes written so far, those that may still be read, and
+/// permission to write more.
+pub struct StreamProgress {
+    /// Bytes that the kernel has taken.
+    pub written: Cell<u64>,
+    /// Bytes that may still be read.
+    pub read_budget: Cell<u64>,
+    /// Nothing more may be written.
+    pub writes_stopped: Cell<bool>,
+    /// What starts at this count of bytes must start by then, or not at all.
+    pub start_deadline: Cell<Option<(u64, Instant)>>,
+    /// Notified when the next byte is written.
+    pub first_byte: Cell<Option<FirstByte>>,
+    /// The count of bytes at which an attempt has been written completely; the maximum while none is being written.
+    pub request_end: Cell<u64>,
+    /// Attempts that were written completely, over all connections.
+    written_attempts: Rc<Cell<u64>>,
+}
+
+impl StreamProgress {
+    /// A connection over which nothing has been written.
+    pub fn new(written_attempts: Rc<Cell<u64>>) -> Self {
+        StreamProgress {
+            written: Cell::new(0),
+            read_budget: Cell::new(0),
+            writes_stopped: Cell::new(false),
+            start_deadline: Cell::new(None),
+            first_byte: Cell::new(None),
+            request_end: Cell::new(u64::MAX),
+            written_attempts,
+        }
+    }
+
+    fn record_write(&self, count: usize) -> usize {
+        self.written.set(self.written.get() + count as u64);
+        if let Some(first_byte) = self.first_byte.take().filter(|_| count > 0) {
+            first_byte.left();
+        }
+        if self.written.get() >= self.request_end.get() {
+            self.request_end.set(u64::MAX);
+            self.written_attempts.set(self.written_attempts.get() + 1);
+        }
+        count
+    }
+
+    /// Nothing is written for a request that has its answer, not even what is queued already.
+    fn check_write_allowed(&self) -> io::Result<()> {
+        // However late the connection came up, or this task was run: past its time a request is not started.
+        let late = |(start, by): (u64, Instant)| self.written.get() == start && Instant::now() > by;
+        if self.writes_stopped.get() || self.start_deadline.get().is_some_and(late) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
+/// A socket that keeps its [`StreamProgress`].
+pub struct MeteredStream {
+    io: TokioIo<TcpStream>,
+    progress: Rc<StreamProgress>,
+}
+
+impl MeteredStream {
+    /// Meters a connected socket.
+    pub fn new(stream: TcpStream, progress: Rc<StreamProgress>) -> Self {
+        MeteredStream { io: TokioIo::new(stream), progress }
+    }
+}
+
+impl Read for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; READ_SIZE];
+        let room = chunk.len().min(buf.remaining());
+        let mut read = ReadBuf::new(&mut chunk[..room]);
+        ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
+        let budget = self.progress.read_budget.get().checked_sub(read.filled().len() as u64);
+        self.progress.read_budget.set(budget.ok_or(io::ErrorKind::InvalidData)?);
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for MeteredStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.progress.check_write_allowed()?;
+        let count = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        Poll::Ready(Ok(self.progress.record_write(count)))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.progress.check_write_allowed()?;
+        let count = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        Poll::Ready(Ok(self.progress.record_write(count)))
+    }
+}
