Rig: measure path shows void rounds in rows of their own

On a busy machine all rounds are void, and the table then held nothing to look at. Such rounds now stand in rows of their own, marked void, and never in those that count.

--- a/crates/rig/src/measure_path/report.rs
+++ b/crates/rig/src/measure_path/report.rs
@@ -6,47 +6,48 @@
 
 const SHARES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
 
-/// One row for each rate and route, over the rounds that are not void.
+/// One row for each rate and route over the rounds that count, and one over those that are void, so marked.
 pub fn table(rates: &[(f64, Vec<Round>)], options: &Options) -> String {
     let cores = std::thread::available_parallelism().map_or(0, std::num::NonZero::get);
     let mut text = format!(
         "{cores} cores; {} rounds of {} s on each route, seed {}; milliseconds, added to direct where a sign stands.\n\n\
-         | calls a second | route | calls | p50 | p90 | p99 (each round) | p99.9 | CPU a call | opened a 1,000 calls | held at the end | void |\n\
+         | calls a second | route | rounds | calls | p50 | p90 | p99 (each round) | p99.9 | CPU a call | opened a 1,000 calls | held at the end |\n\
          | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
         options.pairs, options.seconds, options.seed
     );
     for (rate, rounds) in rates {
-        for route in [Route::Direct, Route::Before, Route::After] {
-            text.push_str(&row(*rate, route, rounds));
+        let (void, valid): (Vec<&Round>, Vec<&Round>) =
+            rounds.iter().partition(|round| round.void_because().is_some());
+        for (rounds, mark) in [(&valid, ""), (&void, " (void)")] {
+            for route in [Route::Direct, Route::Before, Route::After] {
+                text.push_str(&row(*rate, route, rounds, mark));
+            }
         }
     }
     text
 }
 
-fn row(rate: f64, route: Route, rounds: &[Round]) -> String {
-    let valid: Vec<&Round> = rounds.iter().filter(|round| round.void_because().is_none()).collect();
-    let void = rounds.len() - valid.len();
-    let parts: Vec<&Measurement> = valid.iter().filter_map(|round| round.part(route)).collect();
+/// A route over some rounds; nothing if there are none.
+fn row(rate: f64, route: Route, rounds: &[&Round], mark: &str) -> String {
+    let parts: Vec<&Measurement> = rounds.iter().filter_map(|round| round.part(route)).collect();
     let name = match route {
         Route::Direct => "direct",
         Route::Before => "before",
         Route::After => "after",
     };
     if parts.is_empty() {
-        return format!(
-            "| {rate} | {name} | - | void | void | void | void | void | void | void | {void} |\n"
-        );
+        return String::new();
     }
     let latencies = pooled(&parts);
     let calls = latencies.len();
     let added = |share: f64| match route {
         Route::Direct => format!("{:.2}", milliseconds(quantile(&latencies, share))),
-        _ => format!("{:+.2}", difference(&latencies, &pooled_direct(&valid), share)),
+        _ => format!("{:+.2}", difference(&latencies, &pooled_direct(rounds), share)),
     };
     let [p50, p90, p99, p999] = SHARES.map(added);
     let each = match route {
         Route::Direct => String::new(),
-        _ => format!(" ({})", each_round(&valid, route).join(", ")),
+        _ => format!(" ({})", each_round(rounds, route).join(", ")),
     };
     let cpu = parts.iter().map(|part| part.cpu).sum::<Duration>().as_secs_f64() * 1e6 / calls as f64;
     let opened = parts.iter().map(|part| part.opened).sum::<usize>() as f64 * 1e3 / calls as f64;
@@ -56,7 +57,8 @@
         _ => [format!("{cpu:.0} us"), format!("{opened:.1}"), format!("{held:.1}")],
     };
     format!(
-        "| {rate} | {name} | {calls} | {p50} | {p90} | {p99}{each} | {p999} | {cpu} | {opened} | {held} | {void} |\n"
+        "| {rate} | {name}{mark} | {} | {calls} | {p50} | {p90} | {p99}{each} | {p999} | {cpu} | {opened} | {held} |\n",
+        parts.len()
     )
 }
 
