--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -14,7 +14,7 @@
 use crate::passing::{Load, Upload};
 use crate::peers::{named, Decisions, Peers};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
-use crate::upstream::{AttemptLimits, Content, Ended, Progress, Upstream};
+use crate::upstream::{AttemptLimits, AttemptProgress, AttemptResult, Content, Upstream};
 use bellcroft_operations::retune::{merge, Attempts, Book, Form, Unfit};
 use bellcroft_operations::waking::Waking;
 use bellcroft_routes::{Ids, Recent, Route, SecondCopy, Table};
@@ -123,7 +123,7 @@
     timers: BinaryHeap<Reverse<(Time, u64)>>,
     next_request: u64,
     open: HashMap<RequestId, Open>,
-    attempts: HashMap<(RequestId, u32), Rc<Progress>>,
+    attempts: HashMap<(RequestId, u32), Rc<AttemptProgress>>,
     servers: HashMap<String, ServerId>,
     names: HashMap<ServerId, String>,
     /// Servers that have left, and when.
@@ -672,7 +672,7 @@
             telemetry.attempt(server.0, route_of(&open.parts), attempt, another_out);
             FirstByte { instance: telemetry, clock: self.clock, request, attempt, server }
         });
-        let progress = Rc::new(Progress::new(first, upload.clone()));
+        let progress = Rc::new(AttemptProgress::new(first, upload.clone()));
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
@@ -689,7 +689,7 @@
         self: &Rc<Self>,
         key: (RequestId, u32),
         (class, server): (ClassId, ServerId),
-        ended: Ended,
+        ended: AttemptResult,
         sent: Instant,
     ) {
         let elapsed = Span(sent.elapsed().as_micros() as u64);
@@ -729,7 +729,7 @@
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let sent = Instant::now();
-            let Ended { outcome, report, .. } = driver.upstream.probe(server).await;
+            let AttemptResult { outcome, report, .. } = driver.upstream.probe(server).await;
             let elapsed = Span(sent.elapsed().as_micros() as u64);
             if let Some(telemetry) = &driver.telemetry {
                 telemetry.probed(outcome);
