Balancer: the interval between calls to discovery is limited, not the pause after one

Now the next watch begins 3.75 s after the last one began at the latest (0.6 s after one that hung), so a service that turns calls away by 503 is asked less often than before, and the sum still holds: 3.75 s from a refused call just before the return, 2.9 s from a hung one.

--- a/crates/agent/src/discovery/policy.rs
+++ b/crates/agent/src/discovery/policy.rs
@@ -4,11 +4,13 @@
 //! reached, whatever call failed or waits; where lists are pushed, at once. The latest moments at which discovery is
 //! asked are [`WatchPolicy::silent_watch_asks`] and [`WatchPolicy::unreachable_asks`].
 
-use micasail::{Discovery, MAX_WATCH_RETRY_DELAY};
+use micasail::{Discovery, MAX_WATCH_RETRY_DELAY, MIN_WATCH_RETRY_DELAY};
 use std::time::Duration;
 
 /// A change counts as notified this long after discovery had it and could be reached.
 pub const NOTIFIED_AFTER: Duration = Duration::from_millis(6_000);
+/// The balancer looks at its timers this often.
+pub const TIMER_INTERVAL: Duration = Duration::from_millis(50);
 /// Each time limit of the platform is this much longer on sockets.
 pub const SOCKET_ALLOWANCE: Duration = Duration::from_millis(50);
 /// The longest that a watch of a shared service asks it to wait.
@@ -82,9 +84,16 @@
         self.retry_delay.is_some()
     }
 
-    /// The longest pause from a failure to the next call.
-    pub fn max_retry_delay(&self) -> Duration {
-        self.retry_delay.unwrap_or(Duration::from_micros(MAX_WATCH_RETRY_DELAY.0))
+    /// The longest time from the begin of a call to the begin of the next, where the first failed or was never answered.
+    pub fn max_retry_interval(&self) -> Duration {
+        let micros = |span: micasail::Span| Duration::from_micros(span.0);
+        match self.retry_delay {
+            Some(delay) => self.call_timeout + delay,
+            None => {
+                let hung = self.call_timeout + micros(MIN_WATCH_RETRY_DELAY) + TIMER_INTERVAL;
+                hung.max(micros(MAX_WATCH_RETRY_DELAY))
+            }
+        }
     }
 
     /// The latest moments, from a watch's falling silent, at which discovery is asked first and again.
@@ -96,7 +105,7 @@
     /// The latest moments, from discovery's return, at which it is asked first and again: a call that hangs had begun
     /// just before.
     pub fn unreachable_asks(&self) -> [Duration; 2] {
-        let first = self.call_timeout + self.max_retry_delay();
+        let first = self.max_retry_interval();
         [first, first + self.hedge_delay]
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -187,9 +187,13 @@
     Other,
 }
 
-/// A watch that has failed is begun again this soon, with jitter and the interval of the balancer's timer: two tries
-/// fit in the 6 s after which what discovery has counts as told once it can be reached again.
-pub const MAX_WATCH_RETRY_DELAY: Span = Span(1_750_000);
+/// A watch that has failed is begun again this long after it began at the latest, or after [`MIN_WATCH_RETRY_DELAY`] if
+/// that is later, with jitter and the interval of the balancer's timer: two tries fit in the 6 s after which what
+/// discovery has counts as told once it can be reached again. A service that turns calls away is given room.
+pub const MAX_WATCH_RETRY_DELAY: Span = Span(3_750_000);
+
+/// The pause after the first failure, and the least one after a call that hung, jitter included.
+pub const MIN_WATCH_RETRY_DELAY: Span = Span(600_000);
 
 /// How the balancer hears of changes to the server list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -118,7 +118,7 @@
 const HELD_MOST: usize = 500;
 /// Pause before the list is asked for again, with jitter down to half; doubled on each failure up to a
 /// quarter of what the site asks, and as far as [`MAX_WATCH_RETRY_DELAY`] allows.
-const ASK_AGAIN: Span = Span(600_000);
+const ASK_AGAIN: Span = MIN_WATCH_RETRY_DELAY;
 
 /// An open connection to each server, per hundred balancers, and a new one for each request cost this much
 /// each where the site names no price; and an idle one lasts about so many seconds.
@@ -1136,9 +1136,9 @@
         let (lines, complete) = match update {
             ListUpdate::Failed => {
                 let jitter = 0.5 + 0.5 * self.rng.f64();
-                let most = MAX_WATCH_RETRY_DELAY.less(TICK_IDLE).min(self.settings.ask_within * 0.25);
-                self.ask_at = Some(now + self.ask_pause.min(most) * jitter);
-                self.ask_pause = (self.ask_pause * 2.0).min(most);
+                let left = MAX_WATCH_RETRY_DELAY.less(TICK_IDLE).less(now.since(self.asked_at));
+                self.ask_at = Some(now + self.ask_pause.min(left.max(ASK_AGAIN)) * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.5);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
@@ -1186,7 +1186,7 @@
             return;
         }
         if self.ask_at.is_some_and(|at| now >= at) {
-            self.ask_at = None;
+            (self.ask_at, self.asked_at) = (None, now);
             out.push(Action::Follow { active: true });
         }
         let judged = |s: &&Server| s.listed.status == Status::Serving && s.samples > 0;
--- a/src/records.rs
+++ b/src/records.rs
@@ -278,6 +278,8 @@
     pub(crate) copies: BTreeSet<(Time, RequestId)>,
     pub(crate) ask_pause: Span,
     pub(crate) ask_at: Option<Time>,
+    /// When it last began to watch the list.
+    pub(crate) asked_at: Time,
     pub(crate) tick_at: Time,
 }
 
@@ -329,6 +331,7 @@
             copies: BTreeSet::new(),
             ask_pause: Span::ZERO,
             ask_at: None,
+            asked_at: Time(0),
             tick_at: Time(0),
             settings,
         }
