Console: a call behind SIGTERM is answered after the signal has taken effect

Cause: `caller` in daemon/console.rs answered as soon as it had read the line. The handler of SIGTERM has run by then, but it only writes to the runtime's pipe, which is read when the reactor is polled; between two polls the console can accept a caller, read `resume` and answer `200 serving`, after SIGTERM. Both in one poll is not the fault: the instance's future runs before the callers' tasks there.

Change: the answer waits for one poll of the reactor.

Test: with the agent stopped under a busy console, SIGTERM and then `resume` are queued and the agent goes on.

--- a/crates/agent/src/daemon/console.rs
+++ b/crates/agent/src/daemon/console.rs
@@ -116,9 +116,21 @@
         }
     };
     let text = match call {
-        Ok(call) => answers(call),
+        Ok(call) => {
+            await_reactor_poll().await;
+            answers(call)
+        }
         Err(bad) => answer(false, bad),
     };
     stream.write_all(text.as_bytes()).await?;
     stream.shutdown().await
 }
+
+/// Lets the runtime poll its reactor once, so that a signal that came before the call takes effect before the answer.
+///
+/// The signal's handler has run by now, but it only writes to the runtime's pipe. The runtime reads that pipe when it
+/// polls its reactor, and between two polls it may accept a caller and read a call. A yielded task goes on after the
+/// next poll, and behind the instance's own future, which the same poll wakes.
+async fn await_reactor_poll() {
+    tokio::task::yield_now().await;
+}
--- a/crates/agent/tests/operations.rs
+++ b/crates/agent/tests/operations.rs
@@ -2,6 +2,7 @@
 
 use rig::*;
 use serde_json::{json, Value};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -142,6 +143,72 @@
     assert!(agent.end().await.success());
 }
 
+/// A call that lies in its socket when SIGTERM has come is answered as one that came later, whatever the agent was at when
+/// it was stopped: here its console is kept busy, so that at times it stops between an accept and the look at signals.
+#[tokio::test]
+async fn a_resume_behind_sigterm_is_refused_however_busy_the_console_is() {
+    const ROUNDS: usize = 12;
+    const BUSY_CALLERS: usize = 4;
+    const RESUMES: usize = 3;
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let config = operated(&directory, &[host("s", backend.address, "up")]);
+    let mut ending = Vec::new();
+    for round in 0..ROUNDS {
+        let agent = Agent::with(config.clone(), |_| {}).await;
+        agent.ready().await;
+        let (id, console) = (agent.child.id().expect("it runs"), agent.console());
+        let (stop, calls) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let busy: Vec<_> = (0..BUSY_CALLERS)
+            .map(|_| tokio::spawn(call_until_stopped(console, stop.clone(), calls.clone())))
+            .collect();
+        soon("a busy console", async {
+            while calls.load(Ordering::SeqCst) < 20 * BUSY_CALLERS {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        kill("-STOP", id).await;
+        stop.store(true, Ordering::SeqCst);
+        agent.term().await;
+        let mut resumes = Vec::new();
+        for _ in 0..RESUMES {
+            let mut stream = TcpStream::connect(console).await.expect("the kernel takes it");
+            stream.write_all(b"resume\n").await.expect("the kernel keeps it");
+            resumes.push(stream);
+        }
+        kill("-CONT", id).await;
+        for mut stream in resumes {
+            let mut answer = String::new();
+            // The call may also come too late to be answered at all.
+            if soon("an answer or the end", stream.read_to_string(&mut answer)).await.is_ok() {
+                assert!(answer.is_empty() || answer.starts_with("400 "), "round {round}: {answer}");
+            }
+        }
+        for caller in busy {
+            caller.await.expect("it ends");
+        }
+        ending.push(agent);
+    }
+    for mut agent in ending {
+        assert!(agent.end().await.success());
+    }
+}
+
+/// Makes one call after another over the second address until it is told to stop, or the address is gone.
+async fn call_until_stopped(console: SocketAddr, stop: Arc<AtomicBool>, calls: Arc<AtomicUsize>) {
+    while !stop.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(console).await else { return };
+        let mut answer = String::new();
+        if stream.write_all(b"show-stat\n").await.is_err()
+            || stream.read_to_string(&mut answer).await.is_err()
+        {
+            return;
+        }
+        calls.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
 /// An address that no other test uses: a process that is replaced must have one that its successor can name.
 async fn own_address(place: u8) -> String {
     format!("127.77.0.{place}:{}", nobody().await.port())
