With no warm server, many processes together keep to what cold servers bear

Cause: where there are no more processes than servers, a process that sees no warm server goes by its own count alone: has_room lets each have `(limit * warmth).max(1.0)` requests out at each server. After a start of everything at once that is one a process and server at least; a further attempt or a time-out frees the place while the server still has the work. `admits` held only blind processes to what the fleet bears, and without a margin for bursts. Ruled out: a fleet with a warm server (has_room holds each process to its own warm sends, with no floor; none over) and larger servers (none of 20,416 starts over).

Change: with no warm server and more than five processes, requests are let in by `bearable` also where a process is not blind, with half as margin (a burst of half as much again, and clients that come back after a refusal); a request that was tried before is not sent to a cold server then.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,8 +42,10 @@
 const ZONE_SILENT: usize = 3;
 /// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
 const SUSPECT_SHARE: f64 = 0.75;
-/// A fleet of cold servers is sent at most this part of what would push it over if it were busy when warm.
-const COLD_SAFE: f64 = 1.0;
+/// A fleet with no warm server gets at most this part of what pushes it over when busy: bursts double that.
+const COLD_SAFE: f64 = 0.5;
+/// As many balancers may each have one request out at a cold server: rule four leaves that much to chance.
+const FEW_BALANCERS: u32 = 5;
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
@@ -331,7 +333,7 @@
     /// Where a balancer meets a server once in many seconds, limits per server bind nothing: in a jam of the
     /// fleet it lets in only a part of its requests, by chance, first of the classes that are refused last.
     fn admits(&mut self, now: Time, class: usize) -> bool {
-        let open = if self.blind { self.open(now).min(self.bearable) } else { 1.0 };
+        let open = if self.blind { self.open(now) } else { 1.0 }.min(self.bearable);
         if open >= 1.0 {
             return true;
         }
@@ -607,6 +609,7 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, s, ask.work)
+            && (ask.tried.is_empty() || self.warm > 0 || self.settings.balancers <= FEW_BALANCERS)
             && (self.blind || s.suspicion.as_ref().is_none_or(|q| due(q, now, ask.safe)))
     }
 
@@ -814,7 +817,9 @@
         let (warm, all) = warmths.fold((0, 0.0), |(warm, all), w| (warm + usize::from(w >= 1.0), all + w));
         self.warm = warm;
         let part = if self.serving.is_empty() { 1.0 } else { all / self.serving.len() as f64 };
-        self.bearable = part * self.settings.overload_factor * COLD_SAFE;
+        let all_cold = warm == 0 && all > 0.0 && self.settings.balancers > FEW_BALANCERS;
+        let factor = self.settings.overload_factor * if all_cold { COLD_SAFE } else { 1.0 };
+        self.bearable = if self.blind || all_cold { part * factor } else { 1.0 };
     }
 
     /// The usual answer time of a class in milliseconds.
@@ -1168,9 +1173,9 @@
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
         self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
-        self.weigh_cold(now);
         self.most = self.most.max(self.serving.len());
         self.blind = self.settings.balancers as usize > self.most;
+        self.weigh_cold(now);
         self.pump(now, out);
     }
 
--- a/tests/slow_start/mod.rs
+++ b/tests/slow_start/mod.rs
@@ -106,6 +106,25 @@
         }
     }
 
+    /// As [`Scenario::draw`], with small servers that start at a seventh of their capacity or less and fall soon: each
+    /// bears about ten requests in a window, fewer than there are processes.
+    pub fn draw_small_servers(processes: u32, kind: StartKind, seed: u64) -> Self {
+        let drawn = Scenario::draw(processes, kind, seed);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mean_work = Span::from_ms(60.0 + 40.0 * rng.f64());
+        let aim = mean_work * (4.0 + 4.0 * rng.f64());
+        let classes = drawn.settings.classes.iter().map(|c| Class { aim, deadline: aim * 2.0, ..c.clone() });
+        let settings = Settings {
+            classes: classes.collect(),
+            cold_share: 0.1 + 0.05 * rng.f64(),
+            overload_factor: 2.5,
+            fall_after: Span::from_ms(1500.0),
+            ..drawn.settings
+        };
+        let servers = if rng.bool() { processes + rng.u32(1..10) } else { drawn.servers };
+        Scenario { settings, servers, cores: 1, mean_work, ..drawn }
+    }
+
     /// The work that a warm server does in a second, in mean requests.
     fn capacity_per_s(&self) -> f64 {
         f64::from(self.cores) * 1e3 / self.mean_work.ms()
--- a/tests/slow_start_fleet.rs
+++ b/tests/slow_start_fleet.rs
@@ -3,9 +3,11 @@
 
 use slow_start::{Fleet, Observed, Scenario, StartKind};
 
+type Draw = fn(u32, StartKind, u64) -> Scenario;
+
 /// Plays each kind of start under these seeds.
-fn play(processes: u32, seeds: std::ops::Range<u64>) -> Vec<(Scenario, Observed)> {
-    let kinds = |seed| StartKind::ALL.map(|kind| Scenario::draw(processes, kind, seed));
+fn play(draw: Draw, processes: u32, seeds: std::ops::Range<u64>) -> Vec<(Scenario, Observed)> {
+    let kinds = |seed| StartKind::ALL.map(|kind| draw(processes, kind, seed));
     seeds.flat_map(kinds).map(|scenario| (scenario.clone(), Fleet::play(scenario))).collect()
 }
 
@@ -37,8 +39,8 @@
     }
 }
 
-fn assert_none_falls(processes: u32) {
-    let plays = play(processes, 0..4);
+fn assert_none_falls(draw: Draw, processes: u32, seeds: std::ops::Range<u64>) {
+    let plays = play(draw, processes, seeds);
     print_table(processes, &plays);
     for (scenario, observed) in &plays {
         let worst = observed.peaks.iter().map(|p| p.ratio).fold(0.0, f64::max);
@@ -48,20 +50,28 @@
 
 #[test]
 fn cold_server_of_20_processes_stays_within_bound() {
-    assert_none_falls(20);
+    assert_none_falls(Scenario::draw, 20, 0..4);
 }
 
 #[test]
 fn cold_server_of_30_processes_stays_within_bound() {
-    assert_none_falls(30);
+    assert_none_falls(Scenario::draw, 30, 0..4);
+}
+
+/// Each process may have one request out at each server, and each window bears fewer than there are processes.
+#[test]
+fn small_cold_server_of_30_processes_stays_within_bound() {
+    assert_none_falls(Scenario::draw_small_servers, 30, 0..4);
 }
 
 /// Run by hand, optimised: `cargo test --release --test slow_start_fleet -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement over some thousands of starts"]
 fn measure_thousands_of_starts() {
-    for processes in [1, 3, 20, 30, 300] {
-        let seeds = if processes == 300 { 0..3 } else { 0..100 };
-        print_table(processes, &play(processes, seeds));
+    for processes in [1, 3, 20, 30] {
+        println!("any servers");
+        print_table(processes, &play(Scenario::draw, processes, 0..40));
+        println!("small servers");
+        print_table(processes, &play(Scenario::draw_small_servers, processes, 0..40));
     }
 }
