Tests of records move to tests/unit/records.rs, unchanged

Tests live in files under tests/. They look at private fields, so the file is still a module of src/records.rs, taken in with #[path].

--- /dev/null
+++ b/tests/unit/records.rs
@@ -0,0 +1,74 @@
+//! Tests of the records' own bookkeeping, which no public interface shows.
+
+use super::*;
+
+fn listed(id: u32, status: Status) -> Listed {
+    let (zone, kind) = (ZoneId(id), KindId(id));
+    Listed { status, zone, kind, ..Listed::serving(ServerId(id)) }
+}
+
+fn request(balancer: &mut Balancer, now: Time, id: u64) -> ServerId {
+    let mut out = Vec::new();
+    let mut request = Request::new(RequestId(id), ClassId(0), Span::from_ms(900.0));
+    request.key = Some(KeyId(id));
+    balancer.handle(now, Event::Request(request), &mut out);
+    let sent =
+        out.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None });
+    sent.expect("it is sent")
+}
+
+fn answer(balancer: &mut Balancer, now: Time, id: u64, closed: bool) {
+    let (request, attempt, elapsed) = (RequestId(id), AttemptNo(0), Span::from_ms(20.0));
+    let outcome = Outcome::Success;
+    let event = Event::Outcome { request, attempt, outcome, elapsed, report: None, closed };
+    balancer.handle(now, event, &mut Vec::new());
+}
+
+fn changes(balancer: &mut Balancer, now: Time, lines: Vec<Listed>) {
+    balancer.handle(now, Event::List(ListUpdate::Changes(lines)), &mut Vec::new());
+}
+
+/// A fleet whose servers are replaced for good, under ever new ids, zones and kinds.
+#[test]
+fn servers_that_have_left_leave_nothing_behind() {
+    let settings = Settings { warm_keys: true, ..Settings::default() };
+    let mut balancer = Balancer::new(settings, 1).expect("settings");
+    let mut now = Time::from_ms(1000.0);
+    changes(&mut balancer, now, vec![listed(0, Status::Serving)]);
+    for id in 1..5000 {
+        now = now + Span::from_ms(1000.0);
+        changes(&mut balancer, now, vec![listed(id, Status::Serving), listed(id - 1, Status::Gone)]);
+        assert_eq!(request(&mut balancer, now, id.into()), ServerId(id));
+        answer(&mut balancer, now + Span::from_ms(20.0), id.into(), true);
+    }
+    let sizes = [
+        balancer.servers.len(),
+        balancer.index.len(),
+        balancer.free.len(),
+        balancer.warm_keys.len(),
+        balancer.zones.len(),
+        balancer.kinds.len(),
+        balancer.live.len(),
+        balancer.flights.len(),
+    ];
+    assert!(sizes.iter().all(|size| *size <= 20), "{sizes:?}");
+}
+
+/// An attempt that outlives its server keeps its place; its late outcome is not another server's.
+#[test]
+fn a_late_outcome_is_not_counted_for_a_newcomer() {
+    let mut balancer = Balancer::new(Settings::default(), 1).expect("settings");
+    let mut now = Time::from_ms(1000.0);
+    changes(&mut balancer, now, vec![listed(0, Status::Serving)]);
+    assert_eq!(request(&mut balancer, now, 7), ServerId(0));
+    changes(&mut balancer, now, vec![listed(0, Status::Gone)]);
+    for id in 1..30 {
+        now = now + Span::from_ms(5000.0);
+        changes(&mut balancer, now, vec![listed(id, Status::Serving), listed(id - 1, Status::Gone)]);
+    }
+    assert!(balancer.index.contains_key(&ServerId(0)), "an attempt is out there");
+    answer(&mut balancer, now, 7, false);
+    assert!(balancer.servers.iter().all(|s| s.in_flight == 0));
+    let newcomer = &balancer.servers[balancer.index[&ServerId(29)]];
+    assert_eq!((newcomer.samples, newcomer.listed.server), (0, ServerId(29)));
+}
