--- a/src/api.rs
+++ b/src/api.rs
@@ -192,7 +192,8 @@
 /// discovery has counts as told once it can be reached again. A service that turns calls away is given room.
 pub const MAX_WATCH_RETRY_DELAY: Span = Span(3_750_000);
 
-/// The pause after the first failure, and the least one after a call that hung, jitter included.
+/// The pause after the first failure, doubled after each further one, and the least one after a call that hung, jitter
+/// included.
 pub const MIN_WATCH_RETRY_DELAY: Span = Span(600_000);
 
 /// How the balancer hears of changes to the server list.
