The control part of an agent is one type with its own start and stop

Membership, discovery's client, telemetry's sender and the configuration with its reload stood in the daemon's serve and Instance. No behaviour changes: the order of starts stays, but the tally learns newer class names after the routes, within the same synchronous reload.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -8,17 +8,16 @@
 pub(crate) mod status;
 pub(crate) mod succession;
 
+use crate::control_plane::ControlPlane;
+pub(crate) use crate::control_plane::{variable, Start};
 use crate::driver::Driver;
 use crate::exit;
 use crate::front::{self, Server};
 use crate::log::say;
-use crate::peers::{Decisions, Peers};
-use crate::telemetry;
 use bellcroft_operations::console::{answer, Call, ClassFigures, Figures};
-use bellcroft_operations::retune;
 use bellcroft_operations::service::Duty;
 use bellcroft_operations::succession::{News, Succession};
-use bellcroft_telemetry::{families, Owner, Remote};
+use bellcroft_telemetry::families;
 use config::Config;
 pub(crate) use config::Sources;
 use notify::Notify;
@@ -29,7 +28,7 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -45,19 +44,6 @@
 /// How soon a start looks again whether it is ready.
 const START_LOOK: Duration = Duration::from_millis(20);
 
-/// Where an instance finds what it goes by.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Start {
-    /// Its files.
-    pub sources: Sources,
-    /// Its state directory, before the operator's file.
-    pub state: Option<PathBuf>,
-}
-
-pub(crate) fn variable(name: &str) -> Option<String> {
-    std::env::var(name).ok()
-}
-
 /// Runs an instance until it is told to end.
 pub(crate) fn run(start: Start) -> ExitCode {
     let started_ms = unix_ms();
@@ -128,8 +114,7 @@
 
 /// An instance as its status, its control socket and its signals see it.
 struct Instance {
-    config: RefCell<Config>,
-    start: Start,
+    control: Rc<ControlPlane>,
     driver: Rc<Driver>,
     server: Rc<Server>,
     notify: Notify,
@@ -147,8 +132,6 @@
     /// It was told over its control socket to end; true if another process takes over its listening socket.
     told_to_end: Cell<Option<bool>>,
     told: tokio::sync::Notify,
-    /// Sends what is counted, if anybody wants it.
-    remote: RefCell<Option<Remote>>,
     /// Its part in the replacement of a process.
     succession: Cell<Succession>,
     /// Files that were turned down at a reload.
@@ -163,7 +146,7 @@
 
 impl Instance {
     fn status(&self) -> Status {
-        let config = self.config.borrow();
+        let config = self.control.config();
         let (classes, bad_requests) = self.server.tally.counts();
         let mut problems = self.problems.clone();
         if let Some(writer) = &*self.writer.borrow() {
@@ -297,9 +280,7 @@
         set(&families::CONNECTIONS_MOST, &["server"], most);
         set(&families::READY, &[], usize::from(self.phase.get() == Phase::Ready));
         set(&families::GENERATION, &[], self.generation.get() as usize);
-        if let Some(peers) = self.driver.peers() {
-            telemetry::peers(&telemetry.registry, &peers, self.driver.stalls());
-        }
+        self.control.refresh_gauges();
     }
 
     /// Reads the files again and takes all that is new in them, or nothing. Without an operator's file it is the
@@ -310,7 +291,7 @@
         match &taken {
             Ok(()) => {
                 self.generation.set(self.generation.get() + 1);
-                info!("{}: discovery is at {}", self.name(), self.config.borrow().discovery);
+                info!("{}: discovery is at {}", self.name(), self.control.config().discovery);
             }
             Err(why) => {
                 warn!("{}: reload: {why}; all stays as it was", self.name());
@@ -329,49 +310,21 @@
     }
 
     fn take_new(&self) -> Result<(), String> {
-        // By the environment alone: there `PROXY_DISCOVERY` is the start's address and does not mask the file's.
-        let platform = self.start.sources.operator.is_none() && self.start.sources.config.is_none();
-        let var = |name: &str| variable(name).filter(|_| !platform || name != "PROXY_DISCOVERY");
-        let mut newer = Config::load(&self.start.sources, var).map_err(|wrong| wrong.join("; "))?;
-        let lacks = retune::missing(&self.config.borrow().raw, &newer.raw);
-        if !lacks.is_empty() {
-            return Err(format!("it lacks {}, which the present one has", lacks.join(", ")));
-        }
-        newer.daemon.state = self.start.state.clone().or(newer.daemon.state);
-        let fixed = self.config.borrow().needs_restart(&newer);
-        if !fixed.is_empty() {
-            return Err(format!("{} differs, which only a restart can take", fixed.join(", ")));
-        }
-        let discovery = newer.discovery;
-        self.driver.retune(&newer).map_err(|e| e.to_string())?;
-        self.server.tally.know(&newer.names.classes);
-        self.driver.set_routes(&newer);
-        if let Some(telemetry) = &self.driver.telemetry {
-            telemetry::budgets(telemetry, &newer);
-        }
-        if let Some((remote, config)) = self.remote.borrow().as_ref().zip(telemetry::remote(&newer)) {
-            remote.change(config);
-        }
-        if let Some((peers, (_, config))) = self.driver.peers().zip(newer.peering.as_ref()) {
-            peers.expect(config.instances);
-        }
-        let moved = self.config.replace(newer).discovery != discovery;
-        if moved || platform {
-            self.driver.relocate(discovery);
-        }
+        self.control.reload()?;
+        self.server.tally.know(&self.control.config().names.classes);
         Ok(())
     }
 
     /// How long what is open is waited for at the end: by the settings that hold then, not by those of the start.
     fn patience(&self) -> Duration {
-        let config = self.config.borrow();
+        let config = self.control.config();
         let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let longest = Duration::from_micros(longest.0);
         config.daemon.stop_within.map_or(longest, |most| most.min(longest))
     }
 
     fn name(&self) -> String {
-        self.config.borrow().name.clone()
+        self.control.config().name.clone()
     }
 
     /// Answers what comes over the control socket.
@@ -423,20 +376,12 @@
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let (notify, problem) = Notify::find(|name| std::env::var_os(name));
     problems.extend(problem);
-    let counted = telemetry::instance(&config, started_ms);
-    let driver =
-        Driver::start(config.clone(), sockets - clients, counted.clone()).map_err(|e| e.to_string())?;
-    if let Some(peering) = config.peering.clone() {
-        let listen = peering.0;
-        let decisions = Rc::downgrade(&driver) as Weak<dyn Decisions>;
-        let peers = Peers::start(peering, (&name, config.seed), driver.clock, decisions).await;
-        let peers = peers.map_err(|e| format!("cannot listen on {listen} (membership): {e}"))?;
-        let heard = peers.address().map_or(listen, |address| address);
-        info!("{name}: peers are heard on {heard}");
-        driver.join(peers);
-    }
-    let mut driven = tokio::task::spawn_local(driver.clone().run());
-    let server = Server::new(driver.clone(), clients, config.memory);
+    let status_every = config.daemon.status_every;
+    let (console, memory) = (config.console, config.memory);
+    let control = ControlPlane::start(config, start, sockets - clients, started_ms).await?;
+    let driver = control.driver().clone();
+    let mut driven = control.take_driving().unwrap_or_else(|| unreachable!("it was just started"));
+    let server = Server::new(driver.clone(), clients, memory);
     let copy = || listener.as_fd().try_clone_to_owned().ok();
     let (copy, heirs_copy) = (state.as_ref().and_then(|_| copy()), meet.as_ref().and_then(|_| copy()));
     let writer = state.as_ref().and_then(|state| match Writer::start(state.path()) {
@@ -449,7 +394,7 @@
     // The control socket answers from here on; what cannot be made is told with the other problems.
     let handler = Rc::<RefCell<Option<Rc<Instance>>>>::default();
     let answering = handler.clone();
-    let control = state.as_ref().and_then(|state| {
+    let control_socket = state.as_ref().and_then(|state| {
         let answer = move |value: Value| match &*answering.borrow() {
             Some(instance) => instance.command(&value),
             None => control::error("not started yet"),
@@ -465,11 +410,8 @@
     for problem in &problems {
         warn!("{name}: {problem}; serving goes on");
     }
-    let status_every = config.daemon.status_every;
-    let (remote, seed) = (telemetry::remote(&config), config.seed);
     let instance = Rc::new(Instance {
-        config: RefCell::new(config),
-        start,
+        control,
         driver,
         server: server.clone(),
         notify,
@@ -484,7 +426,6 @@
         writer: RefCell::new(writer),
         told_to_end: Cell::new(None),
         told: tokio::sync::Notify::new(),
-        remote: RefCell::default(),
         succession: Cell::default(),
         turned_down: Cell::new(0),
         places: (clients, sockets - clients),
@@ -501,7 +442,6 @@
         }
         None => None,
     };
-    let console = instance.config.borrow().console;
     let console = match console {
         Some(address) => {
             let told = instance.clone();
@@ -514,17 +454,8 @@
         }
         None => None,
     };
-    if let Some((remote, counted)) = remote.zip(counted) {
-        let (clock, refreshed) = (instance.driver.clock, instance.clone());
-        let owner = Owner {
-            instance: counted,
-            now: Box::new(move || clock.now()),
-            refresh: Box::new(move || refreshed.gauges(clients)),
-            log: Box::new(move |text| warn!(target: "bellcroft::telemetry", "{name}: {text}")),
-            seed,
-        };
-        *instance.remote.borrow_mut() = Some(Remote::start(remote, owner));
-    }
+    let refreshed = instance.clone();
+    instance.control.send_telemetry(move || refreshed.gauges(clients));
     let name = instance.name();
     *handler.borrow_mut() = Some(instance.clone());
     instance.write();
@@ -555,7 +486,7 @@
         let now = Instant::now();
         if now >= next_write {
             instance.write();
-            next_write = now + instance.config.borrow().daemon.status_every;
+            next_write = now + instance.control.config().daemon.status_every;
         }
         if next_alive.is_some_and(|at| now >= at) {
             instance.notify.alive();
@@ -583,9 +514,9 @@
     let handover = replaced || (given && instance.told_to_end.get() == Some(true));
     instance.notify.stopping();
     instance.enter(Phase::Draining);
-    if let Some(peers) = instance.driver.peers().filter(|_| !replaced) {
+    if !replaced {
         // Whoever takes this one's place speaks under its number.
-        peers.leave();
+        instance.control.leave();
     }
     let told = Instant::now();
     let now = instance.driver.clock.now();
@@ -627,19 +558,13 @@
         }
     }
     // The last counts are of all that was answered, so they leave last.
-    let remote = instance.remote.borrow_mut().take();
-    if let Some(remote) = remote {
-        let counts = remote.stop().await;
-        if counts.dropped_at_end > 0 {
-            warn!(target: "bellcroft::telemetry", "{name}: remote write: {} samples were left at the end", counts.dropped_at_end);
-        }
-    }
+    instance.control.stop_telemetry().await;
     instance.phase.set(Phase::Stopped);
     let writer = instance.writer.borrow_mut().take();
     if let Some(writer) = writer {
         writer.finish(instance.text()).await;
     }
-    drop((control, console, heirs));
+    drop((control_socket, console, heirs));
     if state.is_some() {
         // The next process begins to count anew, and its status takes this one's place.
         let totals = serde_json::to_string(&instance.status().requests).unwrap_or_default();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! `daemon` is one instance's life and `fleet` that of many; `front` (clients) and `upstream` (servers) are the two
 //! sides of a request, which meet in `driver`, the one owner of the balancer; `discovery` keeps the server list; `telemetry` counts;
-//! `peers` knows the other instances; [`cli`] is the way in.
+//! `peers` knows the other instances; [`ControlPlane`] is what of these needs no request path; [`cli`] is the way in.
 
 pub mod cli;
 mod clock;
+mod control_plane;
 mod daemon;
 mod discovery;
 mod driver;
@@ -19,3 +20,5 @@
 mod prompt;
 mod telemetry;
 mod upstream;
+
+pub use control_plane::ControlPlane;
