rig scale: real agents beside many hollow ones, counted at the sockets

Need: the capacity page rests on slopes, and nothing measured more than forty programs. Hollow agents are ControlPlanes, many to a process, on loopback sockets. What is too large is refused before it starts.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod page;
 mod process;
+pub mod scale;
 mod server;
 mod traffic;
 mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod measure_routes;
 mod measure_telemetry;
 mod play_faults;
+mod play_scale;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -25,6 +26,15 @@
     /// Play a timeline of faults on many whole programs; exit code 1 if a rule broke or they don't agree again, 3 if the
     /// machine was too busy to tell.
     Faults(play_faults::Options),
+    /// Run real agents beside many hollow ones and measure what one of them takes; exit code 3 if the machine could not keep
+    /// up.
+    Scale(play_scale::Options),
+    /// A process of hollow agents; the scale run starts it.
+    #[command(hide = true)]
+    Hollow {
+        /// The agents' files.
+        file: std::path::PathBuf,
+    },
     /// Run unit tests of alert rules, in the format of Prometheus; exit code 1 if an expectation is not met.
     Alerts {
         /// Files such as deploy/alerts/bellcroft.test.yml.
@@ -48,6 +58,10 @@
         return bellcroft::cli::main(std::env::args_os().skip(1));
     }
     let args = Args::parse();
+    if let Command::Hollow { file } = &args.command {
+        // On one thread of its own.
+        return rig::scale::run_hollow(file);
+    }
     if let Command::Measure(measure::What::Fleet(options)) = &args.command {
         if let Some(program) = &options.program {
             // Before there is any other thread.
@@ -64,6 +78,8 @@
     match args.command {
         Command::Alerts { files } => alerts(&files),
         Command::Metrics { into } => measure::table(&rig::metrics_table(), into.as_deref(), "metrics"),
+        Command::Hollow { file } => rig::scale::run_hollow(&file),
+        Command::Scale(options) => runtime.block_on(play_scale::play(&options)),
         Command::Faults(options) => runtime.block_on(play_faults::run(&options)),
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
         Command::Measure(measure::What::Membership(options)) => {
--- /dev/null
+++ b/crates/rig/src/play_scale.rs
@@ -0,0 +1,101 @@
+//! `rig scale`.
+
+use rig::scale::{page_block, read_results, run, summary_table, Machine, RunResult, Scenario};
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit code of runs that the machine could not keep up with.
+const VOID: u8 = 3;
+/// The block of the page that the tables go into.
+const MARKER: &str = "measure:scale";
+
+#[derive(clap::Args)]
+pub struct Options {
+    /// A scenario, such as deploy/scale/sizes.toml; without one the results of former runs are read.
+    #[arg(value_name = "FILE", required_unless_present = "results")]
+    file: Option<PathBuf>,
+    /// Append each run's result to this file, a JSON object a line; tables are made of all that it holds.
+    #[arg(long, value_name = "FILE")]
+    results: Option<PathBuf>,
+    /// A page to write the tables into, between its markers.
+    #[arg(long, value_name = "FILE")]
+    into: Option<PathBuf>,
+    /// For programs: the results as JSON, a line each.
+    #[arg(long)]
+    json: bool,
+}
+
+pub async fn play(options: &Options) -> ExitCode {
+    let mut results = Vec::new();
+    if let Some(file) = &options.file {
+        match play_scenario(file, options).await {
+            Ok(played) => results = played,
+            Err((why, code)) => {
+                eprintln!("rig: {why}");
+                return code;
+            }
+        }
+    }
+    let void = results.iter().any(|result| !result.void.is_empty());
+    if let Some(file) = &options.results {
+        match read_results(file) {
+            Ok(all) => results = all,
+            Err(why) => {
+                eprintln!("rig: {why}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    if !options.json {
+        print!("{}", if options.into.is_some() { page_block(&results) } else { summary_table(&results) });
+    }
+    if let Some(page) = &options.into {
+        if let Err(why) = rig::write_into(page, MARKER, &page_block(&results)) {
+            eprintln!("rig: {why}");
+            return ExitCode::from(2);
+        }
+    }
+    if void {
+        ExitCode::from(VOID)
+    } else {
+        ExitCode::SUCCESS
+    }
+}
+
+async fn play_scenario(file: &Path, options: &Options) -> Result<Vec<RunResult>, (String, ExitCode)> {
+    let bad_input = |why: String| (why, ExitCode::from(2));
+    let scenario = Scenario::read(file).map_err(|e| bad_input(e.to_string()))?;
+    scenario.check(&Machine::this()).map_err(|e| bad_input(format!("{}: {e}", file.display())))?;
+    let lively = std::io::stderr().is_terminal();
+    let mut results = Vec::new();
+    for &hollow in &scenario.hollow {
+        for number in 1..=scenario.runs {
+            let progress = |what: &str| {
+                if lively {
+                    eprint!("\r\x1b[K{hollow} hollow, run {number} of {}: {what}", scenario.runs);
+                }
+            };
+            let played = run(&scenario, (hollow, number), progress).await;
+            if lively {
+                eprintln!();
+            }
+            let result = played.map_err(|e| (e.to_string(), ExitCode::FAILURE))?;
+            keep(&result, options).map_err(bad_input)?;
+            results.push(result);
+        }
+    }
+    Ok(results)
+}
+
+/// At once, for a later run may fail.
+fn keep(result: &RunResult, options: &Options) -> Result<(), String> {
+    let line = serde_json::to_string(result).map_err(|e| e.to_string())?;
+    if options.json {
+        println!("{line}");
+    }
+    let Some(file) = &options.results else { return Ok(()) };
+    let opened = std::fs::OpenOptions::new().create(true).append(true).open(file);
+    let written = opened.and_then(|mut file| writeln!(file, "{line}"));
+    written.map_err(|e| format!("{}: {e}", file.display()))
+}
