--- a/crates/rig/src/play_scale.rs
+++ b/crates/rig/src/play_scale.rs
@@ -69,8 +69,9 @@
     scenario.check(&Machine::this()).map_err(|e| bad_input(format!("{}: {e}", file.display())))?;
     let lively = std::io::stderr().is_terminal();
     let mut results = Vec::new();
-    for &hollow in &scenario.hollow {
-        for number in 1..=scenario.runs {
+    // Each round plays all sizes, so that whatever drifts falls on all of them.
+    for number in 1..=scenario.runs {
+        for &hollow in &scenario.hollow {
             let progress = |what: &str| {
                 if lively {
                     eprint!("\r\x1b[K{hollow} hollow, run {number} of {}: {what}", scenario.runs);
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -30,6 +30,8 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(120);
 /// A killed member is dead to all that hold it within this, or those that don't are told of.
 const DETECTION_TIMEOUT: Duration = Duration::from_secs(90);
+/// All processes have ended this long after they were told to.
+const STOP_TIMEOUT: Duration = Duration::from_secs(120);
 /// From one change of the list to the next.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Oversleeping longer than this at the 99th percentile, the harness measures itself.
@@ -437,7 +439,7 @@
                 process.ended().await;
             }
         };
-        let ended = tokio::time::timeout(LONG, ends).await;
+        let ended = tokio::time::timeout(STOP_TIMEOUT, ends).await;
         ended.map_err(|_| RunError::TimedOut("the end of all processes".to_owned()))?;
         Ok(self.stand_ins.switch.totals())
     }
