--- a/crates/rig/src/play_scale.rs
+++ b/crates/rig/src/play_scale.rs
@@ -4,6 +4,7 @@
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Exit code of runs that the machine could not keep up with.
 const VOID: u8 = 3;
@@ -69,6 +70,7 @@
     scenario.check(&Machine::this()).map_err(|e| bad_input(format!("{}: {e}", file.display())))?;
     let lively = std::io::stderr().is_terminal();
     let mut results = Vec::new();
+    let mut interrupted = std::pin::pin!(interrupted());
     // Each round plays all sizes, so that whatever drifts falls on all of them.
     for number in 1..=scenario.runs {
         for &hollow in &scenario.hollow {
@@ -77,7 +79,11 @@
                     eprint!("\r\x1b[K{hollow} hollow, run {number} of {}: {what}", scenario.runs);
                 }
             };
-            let played = run(&scenario, (hollow, number), progress).await;
+            let played = tokio::select! {
+                played = run(&scenario, (hollow, number), progress) => played,
+                // The run's processes end with it.
+                () = &mut interrupted => return Err(("interrupted".to_owned(), ExitCode::FAILURE)),
+            };
             if lively {
                 eprintln!();
             }
@@ -100,3 +106,19 @@
     let written = opened.and_then(|mut file| writeln!(file, "{line}"));
     written.map_err(|e| format!("{}: {e}", file.display()))
 }
+
+/// Waits for SIGINT or SIGTERM.
+async fn interrupted() {
+    let mut signals = Vec::new();
+    for kind in [SignalKind::interrupt(), SignalKind::terminate()] {
+        // Without a handler the signal ends the program at once, as it does anyway.
+        signals.extend(signal(kind));
+    }
+    match signals.as_mut_slice() {
+        [interrupt, terminate] => tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        },
+        _ => std::future::pending().await,
+    }
+}
--- a/crates/rig/src/scale/fit.rs
+++ b/crates/rig/src/scale/fit.rs
@@ -127,7 +127,7 @@
         let residuals: Vec<f64> = points.iter().map(|p| p.y - constant - slope * law.at(p.n)).collect();
         let freedom = points.len() - 2;
         let residual_sd = (residuals.iter().map(|r| r * r).sum::<f64>() / freedom as f64).sqrt();
-        let quantile = STUDENT_T_95.get(freedom - 1).copied().unwrap_or(NORMAL_95);
+        let quantile = student_t(freedom);
         let slope_error = quantile * residual_sd / sum_xx.sqrt();
         let constant_error = quantile * residual_sd * (1.0 / count + mean_x * mean_x / sum_xx).sqrt();
         Ok(Fit {
@@ -175,6 +175,29 @@
     }
 }
 
+/// The figure at any size, where none was shown to matter: the mean, and half the width of the 95% interval for one new
+/// measurement.
+///
+/// # Errors
+///
+/// There are fewer than [`MIN_SIZES`] different sizes.
+pub fn mean(points: &[Point]) -> Result<Prediction, TooFewSizes> {
+    let sizes = distinct_sizes(points);
+    if sizes < MIN_SIZES {
+        return Err(TooFewSizes(sizes));
+    }
+    let count = points.len() as f64;
+    let value = points.iter().map(|p| p.y).sum::<f64>() / count;
+    let squares: f64 = points.iter().map(|p| (p.y - value).powi(2)).sum();
+    let freedom = points.len() - 1;
+    let deviation = (squares / freedom as f64).sqrt();
+    Ok(Prediction { value, error: student_t(freedom) * deviation * (1.0 + 1.0 / count).sqrt() })
+}
+
+fn student_t(freedom: usize) -> f64 {
+    STUDENT_T_95.get(freedom - 1).copied().unwrap_or(NORMAL_95)
+}
+
 fn distinct_sizes(points: &[Point]) -> usize {
     let mut sizes: Vec<u64> = points.iter().map(|p| p.n.to_bits()).collect();
     sizes.sort_unstable();
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -101,7 +101,8 @@
     pub detection_p50_s: Option<f64>,
     /// Seconds from an agent's kill to the last of them.
     pub detection_last_s: Option<f64>,
-    /// Agents that held the killed one, and those of them that held it dead at the end.
+    /// Agents that held the killed one, and those of them that held it dead at the end. Past a view's limit only those are
+    /// known that found it dead, so both are the same.
     pub detection_holders: (usize, usize),
     /// Datagrams that came to the switch, were passed on, dropped on purpose, or could not be passed on.
     pub datagrams: DatagramTotals,
--- a/crates/rig/src/scale/observer.rs
+++ b/crates/rig/src/scale/observer.rs
@@ -70,8 +70,8 @@
         self.evidence().iter().filter(|evidence| evidence.holds).count()
     }
 
-    /// When each of the holders first named the member dead; those that have not are left out.
+    /// When each agent first named the member dead by its own word; those that have not are left out.
     pub fn burials(&self) -> Vec<Instant> {
-        self.evidence().iter().filter(|evidence| evidence.holds).filter_map(|e| e.dead_at).collect()
+        self.evidence().iter().filter_map(|evidence| evidence.dead_at).collect()
     }
 }
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -1,6 +1,6 @@
 //! The scale run: its counts, its comparison of hollow and real agents, its fit, and what it refuses.
 
-use rig::scale::fit::{Fit, Law, Point, TooFewSizes};
+use rig::scale::fit::{mean, Fit, Law, Point, TooFewSizes};
 use rig::scale::{compare, run, Machine, Needs, RunError, RunResult, Scenario, ScenarioError};
 use std::path::Path;
 
@@ -239,12 +239,25 @@
     assert!(shown <= 25, "{shown} of 200 slopes pass for one");
 }
 
+#[test]
+fn mean_of_a_flat_figure_holds_a_new_measurement_within_its_interval() {
+    let held = (0..100).filter(|seed| {
+        let mut points = noisy(Law::N, (50.0, 0.0), 0.01, 7_000 + seed);
+        let new = points.pop().expect("points");
+        let mean = mean(&points).expect("enough sizes");
+        (new.y - mean.value).abs() <= mean.error
+    });
+    let held = held.count();
+    assert!(held >= 88, "{held} of 100 intervals hold the new measurement");
+}
+
 #[test]
 fn fit_of_too_few_sizes_is_refused_however_many_points_there_are() {
     let three = |n: f64| (0..5).map(move |run| Point { n, y: n + f64::from(run) });
     let points: Vec<Point> = SIZES[..3].iter().flat_map(|n| three(*n)).collect();
     assert_eq!(Fit::new(&points, Law::N).err(), Some(TooFewSizes(3)));
     assert_eq!(Fit::best(&points).err(), Some(TooFewSizes(3)));
+    assert_eq!(mean(&points).err(), Some(TooFewSizes(3)));
     let told = TooFewSizes(3).to_string();
     assert!(told.contains("3 sizes") && told.contains('4'), "{told}");
     let four: Vec<Point> = SIZES[..4].iter().flat_map(|n| three(*n)).collect();
