--- a/crates/rig/src/play_scale.rs
+++ b/crates/rig/src/play_scale.rs
@@ -1,6 +1,6 @@
 //! `rig scale`.
 
-use rig::scale::{page_block, read_results, run, summary_table, Machine, RunResult, Scenario};
+use rig::scale::{model_table, page_block, read_results, run, summary_table, Machine, RunResult, Scenario};
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,11 +10,17 @@
 const VOID: u8 = 3;
 /// The block of the page that the tables go into.
 const MARKER: &str = "measure:scale";
+/// And that of the model's.
+const MODEL_MARKER: &str = "measure:scale-model";
+/// And that of the model's with loss.
+const MODEL_LOSS_MARKER: &str = "measure:scale-model-loss";
+/// Seed of the model's fleets.
+const MODEL_SEED: u64 = 43;
 
 #[derive(clap::Args)]
 pub struct Options {
     /// A scenario, such as deploy/scale/sizes.toml; without one the results of former runs are read.
-    #[arg(value_name = "FILE", required_unless_present = "results")]
+    #[arg(value_name = "FILE", required_unless_present_any = ["results", "model"])]
     file: Option<PathBuf>,
     /// Append each run's result to this file, a JSON object a line; tables are made of all that it holds.
     #[arg(long, value_name = "FILE")]
@@ -22,12 +28,21 @@
     /// A page to write the tables into, between its markers.
     #[arg(long, value_name = "FILE")]
     into: Option<PathBuf>,
+    /// Instead of a run: membership of fleets of these sizes in the model, all members started at once.
+    #[arg(long, value_name = "SIZES", value_delimiter = ',', conflicts_with_all = ["file", "results"])]
+    model: Vec<usize>,
+    /// Shares of datagrams that the model drops.
+    #[arg(long, value_name = "SHARES", value_delimiter = ',', default_value = "0", requires = "model")]
+    losses: Vec<f64>,
     /// For programs: the results as JSON, a line each.
     #[arg(long)]
     json: bool,
 }
 
 pub async fn play(options: &Options) -> ExitCode {
+    if !options.model.is_empty() {
+        return play_model(options);
+    }
     let mut results = Vec::new();
     if let Some(file) = &options.file {
         match play_scenario(file, options).await {
@@ -64,6 +79,20 @@
     }
 }
 
+fn play_model(options: &Options) -> ExitCode {
+    let table = model_table(&options.model, &options.losses, MODEL_SEED);
+    print!("{table}");
+    let lossy = options.losses.iter().any(|loss| *loss > 0.0);
+    let marker = if lossy { MODEL_LOSS_MARKER } else { MODEL_MARKER };
+    match options.into.as_deref().map(|page| rig::write_into(page, marker, &table)) {
+        Some(Err(why)) => {
+            eprintln!("rig: {why}");
+            ExitCode::from(2)
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
+
 async fn play_scenario(file: &Path, options: &Options) -> Result<Vec<RunResult>, (String, ExitCode)> {
     let bad_input = |why: String| (why, ExitCode::from(2));
     let scenario = Scenario::read(file).map_err(|e| bad_input(e.to_string()))?;
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -12,6 +12,7 @@
 mod hollow;
 mod lag;
 mod machine;
+mod model;
 mod observer;
 mod parity;
 mod receiver;
@@ -22,6 +23,7 @@
 
 pub use hollow::run_hollow;
 pub use machine::{Machine, Needs, Shortage};
+pub use model::model_table;
 pub use parity::{compare, Difference, TOLERANCE};
 pub use report::{page_block, read_results, summary_table};
 pub use run::{run, RunError};
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -1,7 +1,10 @@
 //! The scale run: its counts, its comparison of hollow and real agents, its fit, and what it refuses.
 
 use rig::scale::fit::{mean, Fit, Law, Point, TooFewSizes};
-use rig::scale::{compare, run, Machine, Needs, RunError, RunResult, Scenario, ScenarioError};
+use rig::scale::{
+    compare, page_block, run, AgentFigures, FleetFigures, Machine, Needs, RunError, RunResult, Scenario,
+    ScenarioError,
+};
 use std::path::Path;
 
 fn scenario(text: &str) -> Scenario {
@@ -263,3 +266,88 @@
     let four: Vec<Point> = SIZES[..4].iter().flat_map(|n| three(*n)).collect();
     assert!(Fit::best(&four).is_ok());
 }
+
+/// A run whose agents send so many bytes and take so much of a core.
+fn result(hollow: usize, (bytes, cpu): (f64, f64)) -> RunResult {
+    let agent = AgentFigures { bytes_out: bytes, cpu_share: cpu, ..AgentFigures::default() };
+    RunResult {
+        scenario: "made up".into(),
+        hollow,
+        real: 12,
+        run: 1,
+        seed: 1,
+        loss: 0.0,
+        servers: 6,
+        machine: Machine::this(),
+        commit: "none".into(),
+        ended_unix: 0,
+        window_s: 20.0,
+        void: Vec::new(),
+        hollow_agent: agent.clone(),
+        real_agent: agent,
+        fleet: FleetFigures::default(),
+    }
+}
+
+fn line<'a>(block: &'a str, start: &str) -> &'a str {
+    let found = block.lines().rfind(|line| line.starts_with(start));
+    found.unwrap_or_else(|| panic!("no line begins with {start:?} in\n{block}"))
+}
+
+#[test]
+fn page_tells_met_missed_and_not_known_lines_of_the_target_apart() {
+    // Two bytes a second more with each agent: 13 KB/s at 6,500. A twentieth of a percent of a core, whatever the size.
+    let sizes = [388, 588, 988, 1_988, 2_988];
+    let mut results: Vec<RunResult> =
+        sizes.iter().map(|&size| result(size, (2.0 * (size + 12) as f64, 0.0005))).collect();
+    let block = page_block(&results);
+    assert!(
+        line(&block, "| control bytes sent").ends_with("missed, 2.17 times the limit at least |"),
+        "{block}"
+    );
+    assert!(line(&block, "| CPU, hollow agent").contains("met, 78.0 times below the limit"), "{block}");
+    assert!(line(&block, "| a change of the list").contains("not known"), "{block}");
+    assert!(block.contains("2988 hollow agents, predicted from the smaller sizes"), "{block}");
+    // Runs that are void, or of fleets that every view holds whole, make no line.
+    results.iter_mut().take(2).for_each(|result| result.void.push("it was late".into()));
+    results.push(result(100, (0.0, 0.0)));
+    let block = page_block(&results);
+    assert!(line(&block, "| control bytes sent").contains("not known: 3 sizes"), "{block}");
+    assert!(block.contains("VOID: it was late"), "{block}");
+}
+
+/// Processes whose command line names this text.
+fn named(text: &str) -> usize {
+    let processes = std::fs::read_dir("/proc").expect("the processes").flatten();
+    let lines = processes.filter_map(|entry| std::fs::read(entry.path().join("cmdline")).ok());
+    lines.filter(|line| String::from_utf8_lossy(line).contains(text)).count()
+}
+
+#[tokio::test]
+async fn harness_that_is_told_to_end_leaves_no_process_behind() {
+    let folder = rig::Folder::new();
+    let file = folder.write(
+        "scenario.toml",
+        "name = \"x\"\nhollow = [4]\nreal = 1\nseed = 7\nsettle_s = 600.0\nwindow_s = 600.0\n",
+    );
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_rig"));
+    let mut harness = command.arg("scale").arg(&file).kill_on_drop(true).spawn().expect("the harness starts");
+    let id = harness.id().expect("it runs");
+    // The files of its agents lie in folders that it names by its own number.
+    let mark = format!("bellcroft-rig-{id}-");
+    rig::soon("the start of its processes", async {
+        while named(&mark) < 2 {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+    rig::kill("-TERM", id).await;
+    let ended = rig::soon("its end", harness.wait()).await.expect("a status");
+    assert_eq!(ended.code(), Some(1));
+    rig::soon("the end of its processes", async {
+        while named(&mark) > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+}
