--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -59,6 +59,9 @@
     pub window_s: f64,
     /// Why the figures don't count; empty if they do.
     pub void: Vec<String>,
+    /// Why the times of changes and of detection, which come after the window, don't count; none where nobody watched.
+    #[serde(default)]
+    pub void_changes: Option<Vec<String>>,
     /// Means of one hollow agent.
     pub hollow_agent: AgentFigures,
     /// Means of one real agent, its traffic included.
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -1,6 +1,6 @@
 //! Results as a table for people, as JSON lines, and as the block of the page on capacity.
 
-use super::fit::{mean, Fit, Point, Prediction, TooFewSizes};
+use super::fit::{mean, Fit, Point, Prediction, TooFewSizes, MIN_SIZES};
 use super::scenario::VIEW_LIMIT;
 use super::RunResult;
 use std::path::Path;
@@ -9,6 +9,8 @@
 const DATAGRAM_HEADERS: f64 = 28.0;
 /// Agents of the target.
 const TARGET_AGENTS: f64 = 6_500.0;
+/// A line says something of a size so many times the largest one that was measured, and no more.
+const MAX_EXTRAPOLATION: f64 = 4.0;
 /// Control bytes a second that the target allows an agent.
 const TARGET_CONTROL_BYTES: f64 = 6_000.0;
 
@@ -91,7 +93,7 @@
     Quantity {
         name: "a change of the list, to the last agent",
         unit: "s",
-        of: |r| r.fleet.list_change_s.iter().copied().reduce(f64::max),
+        of: |r| r.fleet.list_change_s.iter().copied().reduce(f64::max).filter(|_| changes_count(r)),
     },
     Quantity {
         name: "a killed agent, to the last that held it",
@@ -118,6 +120,11 @@
     TargetLine { quantity: "a killed agent, to the last that held it", limit: 9.0 },
 ];
 
+/// Whether the times of changes and of detection count.
+fn changes_count(result: &RunResult) -> bool {
+    result.void_changes.as_ref().is_some_and(Vec::is_empty)
+}
+
 fn agents(result: &RunResult) -> f64 {
     (result.hollow + result.real) as f64
 }
@@ -156,8 +163,13 @@
         true => "yes".to_owned(),
         false => format!("VOID: {}", result.void.join("; ")),
     };
+    let times = match &result.void_changes {
+        None => "times: not watched".to_owned(),
+        Some(reasons) if reasons.is_empty() => "times: yes".to_owned(),
+        Some(reasons) => format!("times VOID: {}", reasons.join("; ")),
+    };
     format!(
-        "| {} + {} | {} | {:.0}% | {} | {:.2} | {:.0} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {} | {} | {}, {} ({} of {}) | {verdict} |\n",
+        "| {} + {} | {} | {:.0}% | {} | {:.2} | {:.0} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {} | {} | {}, {} ({} of {}) | {verdict}; {times} |\n",
         result.hollow,
         result.real,
         result.run,
@@ -194,12 +206,20 @@
         versions.dedup();
         block.push_str(&format!("Code: {}.\n", versions.join(", ")));
     }
-    // A fleet that fits into every view is of another kind: its updates come to an end.
-    let sampled = |result: &&RunResult| result.loss == 0.0 && result.hollow + result.real > VIEW_LIMIT + 1;
-    let sampled: Vec<&RunResult> = valid.into_iter().filter(sampled).collect();
-    block.push_str(&slopes(&sampled));
-    block.push_str(&predictions(&sampled));
-    block.push_str(&target(&sampled));
+    let lossless: Vec<&RunResult> = valid.into_iter().filter(|result| result.loss == 0.0).collect();
+    // A fleet that fits into every view is of another kind: each agent holds all others.
+    let past_view = |result: &&RunResult| result.hollow + result.real > VIEW_LIMIT + 1;
+    let sampled: Vec<&RunResult> = lossless.iter().copied().filter(past_view).collect();
+    for (which, results) in [("all sizes", &lossless), ("more than 256 agents", &sampled)] {
+        block.push_str(&slopes(which, results));
+        block.push_str(&predictions(which, results));
+    }
+    let (which, chosen) = if sizes(&sampled) >= MIN_SIZES {
+        ("more than 256 agents", &sampled)
+    } else {
+        ("all sizes, for of more than 256 agents there are too few", &lossless)
+    };
+    block.push_str(&target(which, chosen));
     block.push_str(&target_at_loss(results));
     block
 }
@@ -241,9 +261,16 @@
     }
 }
 
-fn slopes(results: &[&RunResult]) -> String {
+fn sizes(results: &[&RunResult]) -> usize {
+    let mut sizes: Vec<usize> = results.iter().map(|result| result.hollow).collect();
+    sizes.sort_unstable();
+    sizes.dedup();
+    sizes.len()
+}
+
+fn slopes(which: &str, results: &[&RunResult]) -> String {
     let mut table = format!(
-        "\nSlopes, over runs without loss of more than {VIEW_LIMIT} agents:\n\n\
+        "\nSlopes, over runs without loss of {which}:\n\n\
          | figure | law | constant | slope | residual s.d. | at 6,500, extrapolated |\n\
          | --- | --- | --- | --- | --- | --- |\n"
     );
@@ -273,10 +300,10 @@
 }
 
 /// The largest size by a line through the smaller ones, against what was measured there.
-fn predictions(results: &[&RunResult]) -> String {
+fn predictions(which: &str, results: &[&RunResult]) -> String {
     let Some(largest) = results.iter().map(|result| result.hollow).max() else { return String::new() };
     let mut table = format!(
-        "\n{largest} hollow agents, predicted from the smaller sizes of that table alone:\n\n\
+        "\n{largest} hollow agents, predicted from the smaller ones of {which}:\n\n\
          | figure | law | predicted | measured | error |\n| --- | --- | --- | --- | --- |\n"
     );
     let (at_largest, smaller): (Vec<&RunResult>, Vec<&RunResult>) =
@@ -307,10 +334,10 @@
 }
 
 /// Each line of the target against the value at its size, the upper end of the interval counting.
-fn target(results: &[&RunResult]) -> String {
+fn target(which: &str, results: &[&RunResult]) -> String {
     let largest = results.iter().map(|result| agents(result)).fold(0.0, f64::max);
     let mut table = format!(
-        "\nThe target at 6,500 agents, extrapolated {:.1} times past the largest size ({largest:.0} agents):\n\n\
+        "\nThe target at 6,500 agents, extrapolated {:.1} times past the largest size ({largest:.0} agents), by {which}:\n\n\
          | figure | limit | expected | verdict |\n| --- | --- | --- | --- |\n",
         TARGET_AGENTS / largest.max(1.0)
     );
@@ -319,7 +346,10 @@
         let row = match Model::of(&points(results, quantity)) {
             Ok(model) => {
                 let Prediction { value, error } = model.predict(TARGET_AGENTS);
-                let verdict = verdict(value + error, (value - error).max(0.0), *limit);
+                let mut verdict = verdict(value + error, (value - error).max(0.0), *limit);
+                if TARGET_AGENTS > MAX_EXTRAPOLATION * largest {
+                    verdict = format!("not known, extrapolated too far; by the line: {verdict}");
+                }
                 format!("{value:.3} ± {error:.3} | {verdict}")
             }
             Err(TooFewSizes(sizes)) => format!("- | not known: {sizes} sizes"),
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -125,6 +125,7 @@
     });
     fleet.wait("settling", scenario.settle()).await?;
     let mut result = fleet.measure(machine, (hollow, number)).await?;
+    let lag = LagWatch::start();
     for _ in 0..scenario.list_changes {
         result.fleet.list_change_s.push(fleet.change_list().await?);
         fleet.wait("between changes", CHANGE_INTERVAL).await?;
@@ -135,6 +136,7 @@
     if scenario.kill {
         fleet.kill_last(&mut result.fleet).await?;
     }
+    result.void_changes = Some(lag_reasons(lag.take(), fleet.take_hollow_lag_ms()));
     if let Some(traffic) = traffic {
         traffic.finish().await;
     }
@@ -264,6 +266,11 @@
         Ok(())
     }
 
+    /// The longest oversleep of a hollow process since the last call.
+    fn take_hollow_lag_ms(&self) -> f64 {
+        self.processes.iter().map(RunProcess::take_lag_ms).fold(0.0, f64::max)
+    }
+
     fn snapshot(&self) -> Snapshot {
         let count = self.agents.count();
         let StandIns { switch, discovery, receiver, .. } = self.stand_ins;
@@ -285,16 +292,14 @@
     ) -> Result<RunResult, RunError> {
         self.observer.activate();
         let lag = LagWatch::start();
-        for process in &self.processes {
-            let _ = process.take_lag_ms();
-        }
+        self.take_hollow_lag_ms();
         let begin = self.snapshot();
         self.wait("measuring", self.scenario.window() / 2).await?;
         let middle = self.snapshot();
         self.wait("measuring", self.scenario.window() / 2).await?;
         let end = self.snapshot();
         let lag = lag.take();
-        let hollow_lag_ms = self.processes.iter().map(RunProcess::take_lag_ms).fold(0.0, f64::max);
+        let hollow_lag_ms = self.take_hollow_lag_ms();
         let halves = [(&begin, &middle), (&middle, &end)].map(|(from, to)| {
             (to.bytes_out() - from.bytes_out()) as f64 / to.at.duration_since(from.at).as_secs_f64()
         });
@@ -324,6 +329,7 @@
             ended_unix: 0,
             window_s: seconds,
             void,
+            void_changes: None,
             hollow_agent: self.means(real.end..self.agents.count(), (&begin, &end)),
             real_agent: self.means(real, (&begin, &end)),
             fleet: figures,
@@ -458,23 +464,30 @@
     last.map_or(0.0, |last| last.saturating_duration_since(begin).as_secs_f64())
 }
 
-/// Why the figures of a window don't count.
-fn void_reasons(figures: &FleetFigures, lag: Lag, dropped: u64) -> Vec<String> {
+/// How late processes woke, where that is too late for what they measure.
+fn lag_reasons(lag: Lag, hollow_lag_ms: f64) -> Vec<String> {
     let ms = |lag: Duration| lag.as_secs_f64() * 1e3;
     let reasons = [
         (lag.p99 > MAX_HARNESS_LAG)
             .then(|| format!("the harness woke {:.0} ms late at the 99th percentile", ms(lag.p99))),
         (ms(lag.max) > MAX_STALL_MS).then(|| format!("the harness stood still for {:.0} ms", ms(lag.max))),
-        (figures.hollow_lag_ms > MAX_STALL_MS)
-            .then(|| format!("a hollow process stood still for {:.0} ms", figures.hollow_lag_ms)),
+        (hollow_lag_ms > MAX_STALL_MS)
+            .then(|| format!("a hollow process stood still for {hollow_lag_ms:.0} ms")),
+    ];
+    reasons.into_iter().flatten().collect()
+}
+
+/// Why the figures of a window don't count.
+fn void_reasons(figures: &FleetFigures, lag: Lag, dropped: u64) -> Vec<String> {
+    let drift = figures.drift;
+    let reasons = [
         (figures.busiest_process > MAX_PROCESS_SHARE)
             .then(|| format!("a process took {:.0}% of its core", figures.busiest_process * 100.0)),
         (dropped > 0).then(|| format!("the kernel dropped {dropped} datagrams for want of room")),
-        ((figures.drift - 1.0).abs() > MAX_DRIFT).then(|| {
-            format!("the traffic had not settled: its second half was {:.2} of its first", figures.drift)
-        }),
+        ((drift - 1.0).abs() > MAX_DRIFT)
+            .then(|| format!("the traffic had not settled: its second half was {drift:.2} of its first")),
     ];
-    reasons.into_iter().flatten().collect()
+    lag_reasons(lag, figures.hollow_lag_ms).into_iter().chain(reasons.into_iter().flatten()).collect()
 }
 
 async fn serves(front: SocketAddr) -> bool {
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -283,6 +283,7 @@
         ended_unix: 0,
         window_s: 20.0,
         void: Vec::new(),
+        void_changes: Some(Vec::new()),
         hollow_agent: agent.clone(),
         real_agent: agent,
         fleet: FleetFigures::default(),
@@ -307,13 +308,26 @@
     );
     assert!(line(&block, "| CPU, hollow agent").contains("met, 78.0 times below the limit"), "{block}");
     assert!(line(&block, "| a change of the list").contains("not known"), "{block}");
-    assert!(block.contains("2988 hollow agents, predicted from the smaller sizes"), "{block}");
-    // Runs that are void, or of fleets that every view holds whole, make no line.
+    assert!(block.contains("2988 hollow agents, predicted from the smaller ones of more than"), "{block}");
+    // Four times the largest size is as far as a line tells.
+    let near: Vec<RunResult> = results.iter().filter(|result| result.hollow < 1_000).cloned().collect();
+    let more = result(788, (1_600.0, 0.0005));
+    let block = page_block(&[near, vec![more]].concat());
+    assert!(line(&block, "| CPU, hollow agent").contains("not known, extrapolated too far"), "{block}");
+    // Runs that are void make no line, nor do those of fleets that every view holds whole past that.
     results.iter_mut().take(2).for_each(|result| result.void.push("it was late".into()));
-    results.push(result(100, (0.0, 0.0)));
     let block = page_block(&results);
     assert!(line(&block, "| control bytes sent").contains("not known: 3 sizes"), "{block}");
     assert!(block.contains("VOID: it was late"), "{block}");
+    results.push(result(100, (0.0, 0.0)));
+    let block = page_block(&results);
+    let (_, past_view) =
+        block.split_once("Slopes, over runs without loss of more than 256").expect("a table");
+    assert!(
+        past_view.contains("| control bytes sent, real agent with traffic | - | not known: 3 sizes"),
+        "{block}"
+    );
+    assert!(block.contains("by all sizes, for of more than 256 agents there are too few"), "{block}");
 }
 
 /// Processes whose command line names this text.
