rig scale: detection after an unwatched or late phase makes no line

The filter for times that don't count had missed one of its two figures. Test added: watched, late and unwatched.

--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -98,7 +98,7 @@
     Quantity {
         name: "a killed agent, to the last that held it",
         unit: "s",
-        of: |r| r.fleet.detection_last_s,
+        of: |r| r.fleet.detection_last_s.filter(|_| changes_count(r)),
     },
 ];
 
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -330,6 +330,30 @@
     assert!(block.contains("by all sizes, for of more than 256 agents there are too few"), "{block}");
 }
 
+#[test]
+fn times_of_changes_that_nobody_watched_or_that_are_void_make_no_line() {
+    let watched = |size: usize, void_changes: Option<Vec<String>>| {
+        let mut result = result(size, (1_000.0, 0.0005));
+        result.fleet.detection_last_s = Some(6.5);
+        result.fleet.list_change_s = vec![0.1, 0.2];
+        RunResult { void_changes, ..result }
+    };
+    let sizes = [388, 588, 988, 1_988];
+    let all = |void_changes: Option<Vec<String>>| {
+        page_block(&sizes.map(|size| watched(size, void_changes.clone())))
+    };
+    for (void_changes, expected) in [
+        (Some(Vec::new()), "met"),
+        (Some(vec!["it was late".to_owned()]), "not known: 0 sizes"),
+        (None, "not known: 0 sizes"),
+    ] {
+        let block = all(void_changes);
+        for figure in ["| a change of the list", "| a killed agent"] {
+            assert!(line(&block, figure).contains(expected), "{expected}: {block}");
+        }
+    }
+}
+
 /// Processes whose command line names this text.
 fn named(text: &str) -> usize {
     let processes = std::fs::read_dir("/proc").expect("the processes").flatten();
