--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod open_loop;
 mod page;
 mod process;
+pub mod scale;
 mod server;
 mod traffic;
 mod world;
