Discovery: one guard for tasks that end with their owner, one name for the sum after an outage

Change: AbortOnDrop serves both; the sum stands under its one name; the comment says what the delay rests on. No behaviour changes.

--- a/crates/agent/src/discovery/client.rs
+++ b/crates/agent/src/discovery/client.rs
@@ -16,12 +16,12 @@
 /// The longest list that is read.
 const MAX_LIST_BYTES: usize = 4 << 20;
 
-pub(crate) type Connection = (SendRequest<Empty<Bytes>>, Ended);
+pub(crate) type Connection = (SendRequest<Empty<Bytes>>, AbortOnDrop);
 
-/// Ends a connection's task with its last user.
-pub(crate) struct Ended(JoinHandle<()>);
+/// A task that ends with its owner.
+pub(crate) struct AbortOnDrop(pub(crate) JoinHandle<()>);
 
-impl Drop for Ended {
+impl Drop for AbortOnDrop {
     fn drop(&mut self) {
         self.0.abort();
     }
@@ -58,7 +58,7 @@
         // Its end shows at the sender.
         let _ = driven.await;
     });
-    Ok((sender, Ended(task)))
+    Ok((sender, AbortOnDrop(task)))
 }
 
 async fn read_list(body: Incoming) -> Result<EndpointList, CallError> {
--- a/crates/agent/src/discovery/policy.rs
+++ b/crates/agent/src/discovery/policy.rs
@@ -19,8 +19,8 @@
 pub const MIN_WATCH_WAIT_PART: f64 = 0.75;
 /// A watch that has not answered this long after its wait has fallen silent.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
-/// A second call is made beside one that has not answered for so long. A busy service works through its calls in turn, and
-/// a second call of each instance would halve what it can answer: so most of its queue's time (2 s) is waited for.
+/// A second call is made beside one that has not answered for so long: as late as the time to the change's notification
+/// leaves room for, since a busy service works through its calls in turn.
 pub const HEDGE_DELAY: Duration = Duration::from_millis(1_700);
 /// A call that has not answered for so long, beyond its wait, has failed.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_250);
@@ -84,18 +84,6 @@
         self.retry_delay.is_some()
     }
 
-    /// The longest time from the begin of a call to the begin of the next, where the first failed or was never answered.
-    pub fn max_retry_interval(&self) -> Duration {
-        let micros = |span: micasail::Span| Duration::from_micros(span.0);
-        match self.retry_delay {
-            Some(delay) => self.call_timeout + delay,
-            None => {
-                let hung = self.call_timeout + micros(MIN_WATCH_RETRY_DELAY) + TIMER_INTERVAL;
-                hung.max(micros(MAX_WATCH_RETRY_DELAY))
-            }
-        }
-    }
-
     /// The latest moments, from a watch's falling silent, at which discovery is asked first and again.
     pub fn silent_watch_asks(&self) -> [Duration; 2] {
         let first = self.max_wait + self.silence_timeout;
@@ -105,7 +93,14 @@
     /// The latest moment, from discovery's return, at which it is asked: a call that hangs had begun just before. Where
     /// lists are pushed, it is asked again after another `hedge_delay`.
     pub fn unreachable_ask(&self) -> Duration {
-        self.max_retry_interval()
+        let micros = |span: micasail::Span| Duration::from_micros(span.0);
+        match self.retry_delay {
+            Some(delay) => self.call_timeout + delay,
+            None => {
+                let hung = self.call_timeout + micros(MIN_WATCH_RETRY_DELAY) + TIMER_INTERVAL;
+                hung.max(micros(MAX_WATCH_RETRY_DELAY))
+            }
+        }
     }
 
     /// When a change counts as notified, from when discovery had it and could be reached, with the drain grace period
--- a/crates/agent/src/discovery/watch.rs
+++ b/crates/agent/src/discovery/watch.rs
@@ -1,6 +1,6 @@
 //! The sockets of a [`WatchSchedule`]: makes the calls that it asks for and tells it how they end.
 
-use super::client::{call, Connection};
+use super::client::{call, AbortOnDrop, Connection};
 use super::codec::EndpointList;
 use super::error::CallError;
 use super::schedule::{AnswerVersion, CallId, Query, Step, WatchSchedule};
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, Instant};
 
 /// How a call ended, with its connection where that may serve the next.
@@ -19,22 +18,13 @@
     connection: Option<Connection>,
 }
 
-/// A call's task, which ends with this.
-struct CallTask(JoinHandle<()>);
-
-impl Drop for CallTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A watch that is kept up until it fails, or for ever where it restarts by itself.
 pub(crate) struct Watch {
     address: SocketAddr,
     driver: Rc<Driver>,
     schedule: WatchSchedule,
     epoch: Instant,
-    tasks: HashMap<CallId, CallTask>,
+    tasks: HashMap<CallId, AbortOnDrop>,
     /// The connection of the last answer.
     spare: Option<Connection>,
     report: UnboundedSender<CallEnd>,
@@ -109,6 +99,6 @@
             // The watch is over if nobody takes it.
             let _ = report.send(CallEnd { id, answer, connection });
         });
-        self.tasks.insert(id, CallTask(task));
+        self.tasks.insert(id, AbortOnDrop(task));
     }
 }
