--- /dev/null
+++ b/crates/agent/tests/shutdown.rs
@@ -0,0 +1,179 @@
+//! A planned restart: SIGTERM, and SIGKILL when the platform's time for it is over.
+//!
+//! By the protocol's page SIGKILL comes no sooner than the longest deadline (3 s at most) and 0.7 s more after SIGTERM.
+//! Whatever was taken by then and has no complete answer is lost.
+
+use rig::*;
+use std::time::Duration;
+use tokio::time::{sleep_until, Instant};
+
+/// The longest deadline that the platform waits for.
+const MAX_PLATFORM_WAIT: Duration = Duration::from_secs(3);
+/// What it waits beyond that.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+
+/// The classes' deadlines, in the order of `read`, `save` and `pay`.
+fn config_with_deadlines(
+    directory: &Directory,
+    backends: &[Backend],
+    deadlines_ms: [u64; 3],
+) -> serde_json::Value {
+    let hosts: Vec<_> = backends
+        .iter()
+        .enumerate()
+        .map(|(n, backend)| host(&format!("s{n}"), backend.address, "up"))
+        .collect();
+    let mut config = config(directory.address, &hosts);
+    let classes = config["settings"]["classes"].as_array_mut().expect("classes");
+    for (class, deadline_ms) in classes.iter_mut().zip(deadlines_ms) {
+        class["deadlineMs"] = deadline_ms.into();
+        class["dedupWindowMs"] = 10_000.into();
+    }
+    config
+}
+
+/// Sends a request in two parts, the second at `complete_at`, and reads its answer; none if the connection ends first.
+async fn slow_request(agent: &Agent, text: String, complete_at: Instant) -> Option<Message> {
+    let mut client = agent.client().await;
+    let (begin, rest) = text.split_at(text.len() - 1);
+    client.send(begin).await;
+    sleep_until(complete_at).await;
+    client.send(rest).await;
+    read_message(&mut client.stream, 0).await
+}
+
+/// So many that hang one after the other and are not refused for it.
+const BACKENDS: usize = 12;
+
+/// Waits until one of them has a request.
+async fn received(backends: &mut [Backend]) {
+    soon("a request at a backend", async {
+        while !backends.iter_mut().any(|backend| backend.seen.try_recv().is_ok()) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+}
+
+/// The longest that a process may be held up between reading its clock and writing.
+const MAX_STALL: Duration = Duration::from_millis(150);
+
+/// Stops the process for [`MAX_STALL`] again and again, with as long in between, from `begin` on.
+async fn stall_repeatedly(agent: &Agent, begin: Instant) {
+    let id = agent.child.id().expect("it runs");
+    sleep_until(begin).await;
+    loop {
+        kill("-STOP", id).await;
+        tokio::time::sleep(MAX_STALL).await;
+        kill("-CONT", id).await;
+        tokio::time::sleep(MAX_STALL).await;
+    }
+}
+
+/// When the process is held up.
+#[derive(Clone, Copy, PartialEq)]
+enum Stalls {
+    Never,
+    /// While SIGTERM comes, and again and again from this long before SIGKILL on.
+    AroundBothSignals(Duration),
+}
+
+/// A planned restart while all servers hang: the statuses of requests that were taken before, at once after and late after
+/// SIGTERM; none for each that had no complete answer when SIGKILL came. The last of `deadlines_ms` is the longest.
+async fn planned_restart(deadlines_ms: [u64; 3], stalls: Stalls) -> [Option<u16>; 4] {
+    let mut backends = Vec::new();
+    for _ in 0..BACKENDS {
+        backends.push(Backend::start(|_| Reply::Mute).await);
+    }
+    let directory = Directory::start(Mood::Mute).await;
+    let config = config_with_deadlines(&directory, &backends, deadlines_ms);
+    let mut agent = Agent::with(config, |_| {}).await;
+    agent.ready().await;
+    let [_, save_wait, pay_wait] = deadlines_ms.map(|ms| format!("{ms}m"));
+    let mut open_before = agent.client().await;
+    open_before.send(&request("POST", "/pay", &pay_wait, "b")).await;
+    received(&mut backends).await;
+
+    let id = agent.child.id().expect("it runs");
+    if stalls != Stalls::Never {
+        kill("-STOP", id).await;
+    }
+    agent.term().await;
+    let told = Instant::now();
+    let longest = Duration::from_millis(deadlines_ms[2]).min(MAX_PLATFORM_WAIT);
+    let killed_at = told + longest + KILL_MARGIN;
+    if stalls != Stalls::Never {
+        tokio::time::sleep(MAX_STALL).await;
+        kill("-CONT", id).await;
+    }
+    let at = |ms: u64| told + Duration::from_millis(ms);
+    let slow = |path, wait: &str, ms| {
+        let text = request("POST", path, wait, "bb");
+        let agent = &agent;
+        async move {
+            sleep_until(at(200)).await;
+            slow_request(agent, text, at(ms)).await
+        }
+    };
+    let late_ms = longest.as_millis() as u64;
+    let (answers, mut answered) = tokio::sync::mpsc::unbounded_channel();
+    let reader = |place: usize, answer: Option<Message>| {
+        let _ = answers.send((place, answer.map(|answer| answer.status())));
+    };
+    let all = async {
+        tokio::join!(
+            async { reader(0, read_message(&mut open_before.stream, 0).await) },
+            async { reader(1, slow("/pay", &pay_wait, 250).await) },
+            async { reader(2, slow("/save", &save_wait, late_ms / 2).await) },
+            async { reader(3, slow("/save", &save_wait, late_ms * 2 / 3).await) },
+        );
+    };
+    let stalling = async {
+        match stalls {
+            Stalls::Never => std::future::pending().await,
+            Stalls::AroundBothSignals(before) => stall_repeatedly(&agent, killed_at - before).await,
+        }
+    };
+    tokio::select! {
+        _ = all => {}
+        () = stalling => {}
+        () = sleep_until(killed_at) => {}
+    }
+    agent.child.kill().await.expect("it runs, or has ended");
+    let mut statuses = [None; 4];
+    while let Ok((place, status)) = answered.try_recv() {
+        statuses[place] = status;
+    }
+    statuses
+}
+
+/// The answers to requests that hang: all are there, and none says that a retry is harmless where the server may have run it.
+fn assert_answered(statuses: [Option<u16>; 4]) {
+    assert!(statuses.iter().all(Option::is_some), "no complete answer before SIGKILL: {statuses:?}");
+    assert_eq!(statuses[0], Some(504), "the server has it and may run it");
+}
+
+/// The longest deadline of the settings is past the time that the platform gives.
+#[tokio::test]
+async fn requests_with_deadlines_past_the_kill_are_answered_before_it() {
+    assert_answered(planned_restart([1_079, 2_698, 4_047], Stalls::Never).await);
+}
+
+#[tokio::test]
+async fn requests_with_deadlines_before_the_kill_are_answered_before_it() {
+    assert_answered(planned_restart([1_079, 2_698, 3_000], Stalls::Never).await);
+}
+
+#[tokio::test]
+async fn a_process_that_is_held_up_around_both_signals_answers_before_the_kill() {
+    for phase_ms in [700, 600, 500, 400] {
+        let stalls = Stalls::AroundBothSignals(Duration::from_millis(phase_ms));
+        assert_answered(planned_restart([1_079, 2_698, 3_000], stalls).await);
+    }
+}
+
+#[tokio::test]
+async fn short_deadlines_leave_time_for_the_answers_too() {
+    let stalls = Stalls::AroundBothSignals(Duration::from_millis(500));
+    assert_answered(planned_restart([150, 250, 400], stalls).await);
+}
