--- a/crates/agent/src/cli/call.rs
+++ b/crates/agent/src/cli/call.rs
@@ -10,7 +10,6 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// An instance answers at once, however busy; one that does not by then is in trouble.
@@ -106,7 +105,7 @@
 
 async fn ask(address: SocketAddr, word: &str) -> io::Result<String> {
     let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
+        let mut stream = bellcroft_net::connect(address).await?;
         stream.write_all(format!("{word}\n").as_bytes()).await?;
         let mut answer = String::new();
         (&mut stream).take(ANSWER_MOST).read_to_string(&mut answer).await?;
--- a/crates/agent/src/daemon/console.rs
+++ b/crates/agent/src/daemon/console.rs
@@ -2,7 +2,7 @@
 //! them). It never waits for a request, and no request for it.
 
 use crate::clock::Clock;
-use crate::prompt::prompt;
+use bellcroft_net::{Listener, Stream};
 use bellcroft_operations::console::{answer, read, BadCall, Call, Callers, LINE_MOST};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinHandle};
 
 /// How often callers that say nothing are looked at.
@@ -54,20 +54,20 @@
         clock: Clock,
         answers: impl Fn(Call) -> String + 'static,
     ) -> io::Result<(Self, SocketAddr)> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = Listener::bind(address).await?;
         let address = listener.local_addr()?;
         let task = tokio::task::spawn_local(accept(listener, clock, Rc::new(answers)));
         Ok((Console(task), address))
     }
 }
 
-async fn accept(listener: TcpListener, clock: Clock, answers: Rc<dyn Fn(Call) -> String>) {
+async fn accept(listener: Listener, clock: Clock, answers: Rc<dyn Fn(Call) -> String>) {
     let room = Rc::new(RefCell::new(Room::default()));
     let mut look = tokio::time::interval(LOOK);
     loop {
         let stream = tokio::select! {
             taken = listener.accept() => match taken {
-                Ok((stream, _)) => stream,
+                Ok(stream) => stream,
                 Err(_) => {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
@@ -97,8 +97,7 @@
     }
 }
 
-async fn caller(mut stream: TcpStream, answers: &dyn Fn(Call) -> String) -> io::Result<()> {
-    prompt(&stream);
+async fn caller(mut stream: Stream<TcpStream>, answers: &dyn Fn(Call) -> String) -> io::Result<()> {
     let mut line = Vec::with_capacity(LINE_MOST);
     let call = loop {
         if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -132,7 +132,9 @@
                 if let Some(descriptors) = &descriptors {
                     along.push(SendAncillaryMessage::ScmRights(descriptors));
                 }
-                Ok(rustix::net::sendmsg(stream, &[IoSlice::new(rest)], &mut along, SendFlags::NOSIGNAL)?)
+                let parts = [IoSlice::new(rest)];
+                let send = || rustix::net::sendmsg(stream, &parts, &mut along, SendFlags::NOSIGNAL);
+                Ok(rustix::io::retry_on_intr(send)?)
             })
             .await?;
         descriptor = None;
@@ -152,7 +154,8 @@
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
                 let mut along = RecvAncillaryBuffer::new(&mut space);
                 let mut into = [IoSliceMut::new(&mut chunk)];
-                let got = rustix::net::recvmsg(stream, &mut into, &mut along, RecvFlags::CMSG_CLOEXEC)?;
+                let receive = || rustix::net::recvmsg(stream, &mut into, &mut along, RecvFlags::CMSG_CLOEXEC);
+                let got = rustix::io::retry_on_intr(receive)?;
                 for message in along.drain() {
                     if let RecvAncillaryMessage::ScmRights(mut descriptors) = message {
                         descriptor = descriptors.next().or(descriptor.take());
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 use crate::exit;
 use crate::front::Server;
 use crate::log::say;
+use bellcroft_net::Listener;
 use bellcroft_operations::console::{answer, Call, ClassFigures, Figures};
 use bellcroft_operations::service::Duty;
 use bellcroft_operations::succession::{News, Succession};
@@ -35,7 +36,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -90,13 +90,10 @@
     Predecessor(succession::Tie),
 }
 
-async fn listen(config: &Config, meet: Option<&Path>) -> Result<(TcpListener, Origin), String> {
+async fn listen(config: &Config, meet: Option<&Path>) -> Result<(Listener, Origin), String> {
     let listen = config.listen;
-    let adopt = |given: std::net::TcpListener| {
-        given.set_nonblocking(true).and_then(|()| TcpListener::from_std(given))
-    };
     if let Some(given) = inherited()? {
-        let listener = adopt(given).map_err(|e| format!("LISTEN_FDS: {e}"))?;
+        let listener = Listener::adopt(given).map_err(|e| format!("LISTEN_FDS: {e}"))?;
         return Ok((listener, Origin::Given));
     }
     let predecessor = match meet {
@@ -104,10 +101,10 @@
         None => None,
     };
     if let Some((given, tie)) = predecessor {
-        let listener = adopt(given).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+        let listener = Listener::adopt(given).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
         return Ok((listener, Origin::Predecessor(tie)));
     }
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let listener = Listener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     Ok((listener, Origin::Own))
 }
 
--- a/crates/agent/src/daemon/succession.rs
+++ b/crates/agent/src/daemon/succession.rs
@@ -3,9 +3,11 @@
 //! connections, and none is lost whoever stops taking from it. The tie stays open; its end is the other's end.
 
 use super::control::{admits, read_line, write};
+use bellcroft_net::Stream;
 use bellcroft_operations::succession::News;
 use serde_json::{json, Value};
 use std::fs::Permissions;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -32,20 +34,16 @@
 }
 
 /// A tie to the other process.
-pub struct Tie(UnixStream);
+pub struct Tie(Stream<UnixStream>);
 
 impl Tie {
     /// Waits for the other's end.
     async fn ended(self) {
         let mut chunk = [0; 64];
         loop {
-            if self.0.readable().await.is_err() {
-                return;
-            }
-            match self.0.try_read(&mut chunk) {
-                Ok(0) => return,
-                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
-                Ok(_) | Err(_) => {}
+            match poll_fn(|cx| self.0.poll_read(cx, &mut chunk)).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
             }
         }
     }
@@ -83,7 +81,7 @@
         Err(_) => return Err(format!("the process that serves did not answer within {ANSWER_WITHIN:?}")),
     };
     match descriptor {
-        Some(descriptor) => Ok(Some((std::net::TcpListener::from(descriptor), Tie(stream)))),
+        Some(descriptor) => Ok(Some((std::net::TcpListener::from(descriptor), Tie(Stream::local(stream))))),
         None => Err(format!("the process that serves said {}", String::from_utf8_lossy(&line))),
     }
 }
@@ -141,7 +139,7 @@
                     };
                     if matches!(timeout(ANSWER_WITHIN, exchange).await, Ok(Ok(()))) {
                         tell(News::Asked);
-                        Tie(stream).ended().await;
+                        Tie(Stream::local(stream)).ended().await;
                         tell(News::Ended);
                     }
                 });
--- a/crates/agent/src/discovery/client.rs
+++ b/crates/agent/src/discovery/client.rs
@@ -2,15 +2,12 @@
 
 use super::codec::{parse_list, EndpointList};
 use super::error::CallError;
-use crate::prompt::prompt;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 /// The longest list that is read.
@@ -51,9 +48,8 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
-    let stream = TcpStream::connect(address).await.map_err(|e| CallError::connect(&e))?;
-    prompt(&stream);
-    let (sender, driven) = handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Reset)?;
+    let stream = bellcroft_net::connect(address).await.map_err(|e| CallError::connect(e.cause()))?;
+    let (sender, driven) = handshake(stream).await.map_err(|_| CallError::Reset)?;
     let task = tokio::task::spawn_local(async move {
         // Its end shows at the sender.
         let _ = driven.await;
--- a/crates/agent/src/fleet/prove.rs
+++ b/crates/agent/src/fleet/prove.rs
@@ -7,7 +7,6 @@
 use std::path::Path;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How often a process on its way up is asked.
@@ -71,7 +70,7 @@
         ip => ip,
     };
     let call = async {
-        let mut stream = TcpStream::connect((host, address.port())).await?;
+        let mut stream = bellcroft_net::connect(SocketAddr::new(host, address.port())).await?;
         stream.write_all(b"GET /ready HTTP/1.1\r\nHost: instance\r\nConnection: close\r\n\r\n").await?;
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).await?;
--- a/crates/agent/src/front/capacity.rs
+++ b/crates/agent/src/front/capacity.rs
@@ -4,8 +4,6 @@
 use super::{HeldConnection, Server};
 use crate::daemon::descriptors::DISCOVERY_CONNECTIONS;
 use bellcroft_operations::guard::{ConnectionState, Guard};
-use rustix::io::Errno;
-use std::io;
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::warn;
@@ -119,15 +117,3 @@
     let (state, since) = client.state();
     client.lingers().is_some() || (Guard::may_close(state) && since.elapsed() >= EVICTION_IDLE_TIME)
 }
-
-/// Whether an accept failed because this process, or the machine, has no descriptor or memory for another socket.
-pub(super) fn is_descriptor_shortage(error: &io::Error) -> bool {
-    let shortages = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
-    Errno::from_io_error(error).is_some_and(|errno| shortages.contains(&errno))
-}
-
-/// Whether an accept failed for the connection that it would have taken, or for a signal: the next one may be taken at once.
-pub(super) fn is_transient_accept_error(error: &io::Error) -> bool {
-    let transient = [Errno::CONNABORTED, Errno::INTR, Errno::PROTO];
-    Errno::from_io_error(error).is_some_and(|errno| transient.contains(&errno))
-}
--- a/crates/agent/src/front/connection.rs
+++ b/crates/agent/src/front/connection.rs
@@ -1,6 +1,7 @@
 //! What a client's connection is doing, as its framing and its owner both know it, and when its client has gone.
 
 use crate::telemetry::Owing;
+use bellcroft_net::Stream;
 use bellcroft_operations::guard::ConnectionState;
 use bellcroft_operations::passage::Patience;
 use micasail::Time;
@@ -9,7 +10,6 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -144,9 +144,7 @@
 ///
 /// What the connection does changes only while it is polled, by the same task and before this: so this is looked at as soon
 /// as a request begins to wait, with no period in between.
-pub async fn client_disconnected(stream: &TcpStream, client: &ClientConnection) {
-    // Of the end alone there is no interest; this one is of urgent data too, which is not asked of the kernel and so never
-    // shows. An error is an end as well.
-    let _ = stream.ready(Interest::PRIORITY).await;
+pub async fn client_disconnected(stream: &Stream<TcpStream>, client: &ClientConnection) {
+    stream.peer_closed().await;
     poll_fn(|_| if client.waits() { Poll::Ready(()) } else { Poll::Pending }).await;
 }
--- a/crates/agent/src/front/framing.rs
+++ b/crates/agent/src/front/framing.rs
@@ -7,13 +7,12 @@
 
 use super::connection::ClientConnection;
 use super::head::{frame, Frame};
+use bellcroft_net::Stream;
 use bellcroft_operations::chunks::{Chunks, NotChunked};
 use bellcroft_operations::guard::ConnectionState;
 use bellcroft_operations::passage::{Patience, BODY_MOST, WHOLE_MOST};
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use rustix::io::Errno;
-use rustix::net::{shutdown, Shutdown};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -48,7 +47,7 @@
 
 /// A client's connection, read request by request.
 pub struct RequestFraming {
-    io: Rc<TcpStream>,
+    io: Rc<Stream<TcpStream>>,
     client: Rc<ClientConnection>,
     stage: Stage,
     /// What has been read and not been passed on; its first `pass` bytes may be.
@@ -63,7 +62,7 @@
 
 impl RequestFraming {
     /// Wraps a connection.
-    pub fn new(stream: Rc<TcpStream>, client: Rc<ClientConnection>) -> Self {
+    pub fn new(stream: Rc<Stream<TcpStream>>, client: Rc<ClientConnection>) -> Self {
         RequestFraming {
             io: stream,
             client,
@@ -81,28 +80,20 @@
         if self.ended {
             return Poll::Ready(Ok(false));
         }
-        loop {
-            ready!(self.io.poll_read_ready(cx))?;
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            match self.io.try_read(&mut chunk) {
-                Ok(n) => {
-                    let kept = match self.stage {
-                        Stage::Whole => n.min(MAX_AHEAD_BYTES.saturating_sub(self.ahead.len())),
-                        _ => n,
-                    };
-                    let kept = if self.dropped > 0 { 0 } else { kept };
-                    self.ahead.extend_from_slice(&chunk[..kept]);
-                    self.dropped += (n - kept) as u64;
-                    if matches!(self.stage, Stage::Body(_) | Stage::Chunked(_)) {
-                        self.client.body(|patience, now| patience.came(n, now));
-                    }
-                    self.ended = n == 0;
-                    return Poll::Ready(Ok(n > 0));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let n = ready!(self.io.poll_read(cx, &mut chunk))?;
+        let kept = match self.stage {
+            Stage::Whole => n.min(MAX_AHEAD_BYTES.saturating_sub(self.ahead.len())),
+            _ => n,
+        };
+        let kept = if self.dropped > 0 { 0 } else { kept };
+        self.ahead.extend_from_slice(&chunk[..kept]);
+        self.dropped += (n - kept) as u64;
+        if matches!(self.stage, Stage::Body(_) | Stage::Chunked(_)) {
+            self.client.body(|patience, now| patience.came(n, now));
         }
+        self.ended = n == 0;
+        Poll::Ready(Ok(n > 0))
     }
 
     /// Takes in what has come of a head; true if some of it can be passed on.
@@ -150,21 +141,10 @@
         self.parsed = 0;
     }
 
-    /// Writes by `write` as much as the kernel takes now.
-    fn poll_out(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            let ready = self.io.poll_write_ready(cx);
-            self.client.wrote(ready.is_ready());
-            ready!(ready)?;
-            match write(&self.io) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                wrote => return Poll::Ready(wrote),
-            }
-        }
+    /// Notes whether the kernel has taken any of what was to be written.
+    fn note_write(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.client.wrote(wrote.is_ready());
+        wrote
     }
 
     /// Reads away what comes of a request that nobody wants any more, until its client has nothing left to say: were the
@@ -268,7 +248,7 @@
 
 impl Write for RequestFraming {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_out(cx, |io| io.try_write(buf))
+        self.note_write(self.io.poll_write(cx, buf))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -279,11 +259,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.client.lingers.get().is_none() {
-            match shutdown(&self.io, Shutdown::Write) {
-                // Its client was first.
-                Ok(()) | Err(Errno::NOTCONN) => {}
-                Err(e) => return Poll::Ready(Err(e.into())),
-            }
+            self.io.shutdown_write()?;
         }
         match self.stage {
             _ if self.dropped > 0 => self.poll_linger(cx),
@@ -301,6 +277,6 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_out(cx, |io| io.try_write_vectored(bufs))
+        self.note_write(self.io.poll_write_vectored(cx, bufs))
     }
 }
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -11,28 +11,24 @@
 
 use crate::daemon::status::Tally;
 use crate::driver::Driver;
-use crate::prompt::prompt;
 use crate::request_log::CloseReason;
+use bellcroft_net::{AcceptError, Listener, Stream};
 use bellcroft_operations::guard::ConnectionState;
 use bellcroft_operations::passage::Store;
 use bellcroft_operations::service::{Duty, Service};
-use capacity::{
-    can_be_spared, is_descriptor_shortage, is_transient_accept_error, LAST_RESPONSE_SHARE,
-    STATE_CHECK_INTERVAL,
-};
+use capacity::{can_be_spared, LAST_RESPONSE_SHARE, STATE_CHECK_INTERVAL};
 use connection::{client_disconnected, ClientConnection};
 use exchange::OpenId;
 use framing::{RequestFraming, MAX_HEAD_BYTES};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use rustix::net::{shutdown, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::io;
+use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -109,7 +105,7 @@
     /// Takes connections until [`Server::stop_accepting`] is called; one that has been taken by then is served. Each is taken
     /// at once; where there is no place for it, one that nobody needs gives way, so that hundreds that say nothing do not
     /// shut the others out.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Listener) {
         let mut accepting = self.accepting.subscribe();
         let stopped = loop {
             let accepted = tokio::select! {
@@ -120,45 +116,28 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     while self.held.borrow().len() >= self.max_connections() {
                         self.evict(1);
                         self.wait_for_place().await;
                     }
                     self.clone().serve(stream);
                 }
-                Err(error) if is_descriptor_shortage(&error) => {
+                Err(AcceptError::Shortage(_)) => {
                     self.on_descriptor_shortage();
                     self.wait_for_place().await;
                 }
-                Err(_) => sleep(ACCEPT_RETRY_INTERVAL).await,
+                Err(AcceptError::Other(_)) => sleep(ACCEPT_RETRY_INTERVAL).await,
             }
         };
         if stopped == Accepting::Drain {
-            self.drain_backlog(listener);
-        }
-    }
-
-    /// Takes the connections that the kernel holds for this process: their clients may have sent a request.
-    fn drain_backlog(self: &Rc<Self>, listener: TcpListener) {
-        // Asked of the kernel itself, for the runtime may not have looked since the last one came.
-        let Ok(listener) = listener.into_std() else { return };
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    if let Ok(stream) = stream {
-                        self.clone().serve(stream);
-                    }
-                }
-                Err(error) if is_transient_accept_error(&error) => {}
-                Err(_) => return,
-            }
+            // Their clients may have sent a request.
+            listener.into_backlog().into_iter().for_each(|stream| self.clone().serve(stream));
         }
     }
 
     /// Serves a connection in a task of its own.
-    fn serve(self: Rc<Self>, stream: TcpStream) {
+    fn serve(self: Rc<Self>, stream: Stream<TcpStream>) {
         let number = self.last_connection.get() + 1;
         self.last_connection.set(number);
         let held = HeldConnection { client: ClientConnection::new(), leave: Rc::default() };
@@ -251,11 +230,10 @@
 
     async fn connection(
         self: Rc<Self>,
-        stream: TcpStream,
+        stream: Stream<TcpStream>,
         client: Rc<ClientConnection>,
         leave: Rc<Notify>,
     ) -> CloseReason {
-        prompt(&stream);
         let (stream, taken) = (Rc::new(stream), Instant::now());
         let mut changed = self.changed.subscribe();
         let (server, read) = (self.clone(), client.clone());
@@ -304,18 +282,12 @@
 
 /// Answers a request whose head is not complete, and reads away what still comes of it: were the socket closed on unread
 /// bytes, the kernel would take the answer back.
-async fn refuse_incomplete_head(stream: &TcpStream) {
-    if stream.try_write(PROCESS_ENDS_RESPONSE).is_err() || shutdown(stream, Shutdown::Write).is_err() {
+async fn refuse_incomplete_head(stream: &Stream<TcpStream>) {
+    if stream.write_now(PROCESS_ENDS_RESPONSE).is_err() || stream.shutdown_write().is_err() {
         return;
     }
     let mut rest = [0; DISCARD_CHUNK_BYTES];
-    while stream.readable().await.is_ok() {
-        match stream.try_read(&mut rest) {
-            Ok(0) => return,
-            Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
-            Ok(_) | Err(_) => {}
-        }
-    }
+    while poll_fn(|cx| stream.poll_read(cx, &mut rest)).await.is_ok_and(|count| count > 0) {}
 }
 
 /// Whether a connection that has been in this phase for so long may still owe an answer.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -17,7 +17,6 @@
 mod log;
 mod passing;
 mod peers;
-mod prompt;
 mod request_log;
 mod telemetry;
 mod upstream;
--- a/crates/agent/src/peers/mod.rs
+++ b/crates/agent/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use bellcroft_membership::{Change, Config, Digest, Figures, Heard, Hearsay, Id, Membership, Output, Stance};
+use bellcroft_net::DatagramSocket;
 use micasail::{FleetState, PeerId, Sign};
 use status::{MemberStatus, MembershipStatus, SeenStatus, SiteStatus};
 use std::cell::{Cell, RefCell};
@@ -15,7 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::UdpSocket;
 use tokio::time::sleep_until;
 use tracing::{info, warn};
 
@@ -54,7 +54,7 @@
     name: String,
     core: RefCell<Membership>,
     hearsay: RefCell<Hearsay>,
-    socket: UdpSocket,
+    socket: DatagramSocket,
     clock: Clock,
     decisions: Weak<dyn Decisions>,
     counts: Cell<Counts>,
@@ -74,7 +74,7 @@
         clock: Clock,
         decisions: Weak<dyn Decisions>,
     ) -> io::Result<Rc<Self>> {
-        let socket = UdpSocket::bind(listen).await?;
+        let socket = DatagramSocket::bind(listen).await?;
         let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let core = Membership::new(config, clock.now(), life, seed);
         let peers = Rc::new(Peers {
@@ -103,7 +103,7 @@
         loop {
             let next = self.clock.instant(self.core.borrow().next());
             tokio::select! {
-                got = self.socket.recv_from(&mut buffer) => match got {
+                got = self.socket.receive(&mut buffer) => match got {
                     Ok((length, from)) => {
                         self.turn(|core, now, out| core.receive(now, from, &buffer[..length], out));
                     }
@@ -129,7 +129,7 @@
         for output in out {
             match output {
                 Output::Send(to, bytes) => {
-                    if self.socket.try_send_to(&bytes, to).is_err() {
+                    if self.socket.send_now(&bytes, to).is_err() {
                         self.count(|counts| counts.unsent += 1);
                     }
                 }
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -3,14 +3,13 @@
 use super::metered_stream::{MeteredStream, StreamProgress};
 use super::response::MAX_HEAD_BYTES;
 use crate::passing::Load;
-use crate::prompt::prompt;
+use bellcroft_net::{connect, ConnectError};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use micasail::ServerId;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -58,19 +57,23 @@
 
 impl Connection {
     /// Connects to an address.
+    ///
+    /// # Errors
+    ///
+    /// Whose fault it is that there is none.
     pub async fn open(
         address: SocketAddr,
         peer: Peer,
         written_attempts: Rc<Cell<u64>>,
         permit: ConnectionPermit,
-    ) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
-        prompt(&stream);
+    ) -> Result<Self, ConnectError> {
+        let stream = connect(address).await?;
         let progress = Rc::new(StreamProgress::new(written_attempts));
         let stream = MeteredStream::new(stream, progress.clone());
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
-        let (sender, connection) = builder.handshake(stream).await.map_err(io::Error::other)?;
+        let handshake = builder.handshake(stream).await;
+        let (sender, connection) = handshake.map_err(|e| ConnectError::Remote(io::Error::other(e)))?;
         let task = tokio::task::spawn_local(async move {
             // How it ended shows at the sender and in the bytes written.
             let _ = connection.await;
--- a/crates/agent/src/upstream/metered_stream.rs
+++ b/crates/agent/src/upstream/metered_stream.rs
@@ -1,9 +1,9 @@
 //! A socket that counts its bytes, so that the fate of a broken attempt is known, and that stops writing when told.
 
 use crate::telemetry::FirstByte;
+use bellcroft_net::Stream;
 use bellcroft_operations::guard::AttemptWindow;
-use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
+use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -75,60 +75,59 @@
 
 /// A socket that keeps its [`StreamProgress`].
 pub struct MeteredStream {
-    io: TokioIo<TcpStream>,
+    io: Stream<TcpStream>,
     progress: Rc<StreamProgress>,
 }
 
 impl MeteredStream {
     /// Meters a connected socket.
-    pub fn new(stream: TcpStream, progress: Rc<StreamProgress>) -> Self {
-        MeteredStream { io: TokioIo::new(stream), progress }
+    pub fn new(io: Stream<TcpStream>, progress: Rc<StreamProgress>) -> Self {
+        MeteredStream { io, progress }
     }
 }
 
 impl Read for MeteredStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_SIZE];
         let room = chunk.len().min(buf.remaining());
-        let mut read = ReadBuf::new(&mut chunk[..room]);
-        ready!(Pin::new(&mut self.io).poll_read(cx, read.unfilled()))?;
-        let budget = self.progress.read_budget.get().checked_sub(read.filled().len() as u64);
+        let count = ready!(self.io.poll_read(cx, &mut chunk[..room]))?;
+        let budget = self.progress.read_budget.get().checked_sub(count as u64);
         self.progress.read_budget.set(budget.ok_or(io::ErrorKind::InvalidData)?);
-        buf.put_slice(read.filled());
+        buf.put_slice(&chunk[..count]);
         Poll::Ready(Ok(()))
     }
 }
 
 impl Write for MeteredStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.progress.check_write_allowed()?;
-        let count = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        let count = ready!(self.io.poll_write(cx, buf))?;
         Poll::Ready(Ok(self.progress.record_write(count)))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.io.shutdown_write())
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.progress.check_write_allowed()?;
-        let count = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, bufs))?;
+        let count = ready!(self.io.poll_write_vectored(cx, bufs))?;
         Poll::Ready(Ok(self.progress.record_write(count)))
     }
 }
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -3,6 +3,7 @@
 use super::connection::{Connection, ConnectionPermit, Peer};
 use super::idle::{IdleConnection, IdleConnections};
 use crate::discovery::codec::{EndpointRecord, Health};
+use bellcroft_net::ConnectError;
 use micasail::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
+use tracing::debug;
 
 /// An idle connection is closed after this share of the time in the settings: one that the backend closes while a
 /// request is on its way to it costs that request a reset of which nobody knows whether it ran.
@@ -26,8 +28,8 @@
 /// of waiting. With as many the next of them is ready about a millisecond later, and is waited for.
 const MAX_RESTING: usize = 8;
 
-/// A connection that is being waited for in a task of its own; `None` if it did not come up.
-type PendingConnection = oneshot::Receiver<Option<Connection>>;
+/// A connection that is being waited for in a task of its own.
+type PendingConnection = oneshot::Receiver<Result<Connection, Outcome>>;
 
 /// Whether one more connection may be opened while others only wait for their reuse delay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -204,7 +206,7 @@
                 IdleConnection::Resting(connection, count) => (connection, count),
                 IdleConnection::None => {
                     let opened = self.open(server)?.await;
-                    return opened.ok().flatten().ok_or(Outcome::ConnectFailed);
+                    return opened.unwrap_or(Err(Outcome::ConnectFailed));
                 }
             };
             // No other backend's connection is evicted for one that is not surely needed.
@@ -213,7 +215,7 @@
             let opening = if may_open { self.open(server).ok() } else { None };
             // In a task of its own, for an attempt that is given up meanwhile has to cost neither of them.
             let first = self.spawn_acquisition(self.clone().first_ready(resting, opening));
-            if let Some(connection) = first.await.ok().flatten() {
+            if let Ok(Ok(connection)) = first.await {
                 return Ok(connection);
             }
         }
@@ -263,30 +265,32 @@
         self: Rc<Self>,
         resting: Connection,
         opening: Option<PendingConnection>,
-    ) -> Option<Connection> {
+    ) -> Result<Connection, Outcome> {
+        let usable =
+            |connection| if self.usable(&connection) { Ok(connection) } else { Err(Outcome::ConnectFailed) };
         let Some(mut opening) = opening else {
             sleep_until(resting.reusable_at).await;
-            return Some(resting).filter(|c| self.usable(c));
+            return usable(resting);
         };
         let reusable = sleep_until(resting.reusable_at);
         tokio::pin!(reusable);
         tokio::select! {
             biased;
-            opened = &mut opening => match opened.ok().flatten() {
-                Some(opened) => {
+            opened = &mut opening => match opened {
+                Ok(Ok(opened)) => {
                     self.add_idle(resting);
-                    Some(opened)
+                    Ok(opened)
                 }
-                None => {
+                Ok(Err(_)) | Err(_) => {
                     reusable.await;
-                    Some(resting).filter(|c| self.usable(c))
+                    usable(resting)
                 }
             },
             () = &mut reusable => {
                 if self.usable(&resting) {
-                    return Some(resting);
+                    return Ok(resting);
                 }
-                opening.await.ok().flatten()
+                opening.await.unwrap_or(Err(Outcome::ConnectFailed))
             }
         }
     }
@@ -310,19 +314,29 @@
         let permit = self.permit().ok_or(Outcome::NotSent)?;
         let opening = Connection::open(address, peer, self.written_attempts.clone(), permit);
         let connect_timeout = self.connect_timeout.get();
-        Ok(self.spawn_acquisition(async move { timeout(connect_timeout, opening).await.ok()?.ok() }))
+        Ok(self.spawn_acquisition(async move {
+            match timeout(connect_timeout, opening).await {
+                Ok(Ok(connection)) => Ok(connection),
+                // What this machine lacks says nothing of the backend.
+                Ok(Err(ConnectError::Local(error))) => {
+                    debug!(server = server.0, %error, "no connection for want of something on this machine");
+                    Err(Outcome::NotSent)
+                }
+                Ok(Err(ConnectError::Remote(_))) | Err(_) => Err(Outcome::ConnectFailed),
+            }
+        }))
     }
 
     /// Waits for a connection in a task of its own: when its attempt is given up meanwhile, the connection, which has cost
     /// the backend work by then, serves the next one.
     fn spawn_acquisition(
         self: &Rc<Self>,
-        connection: impl Future<Output = Option<Connection>> + 'static,
+        connection: impl Future<Output = Result<Connection, Outcome>> + 'static,
     ) -> PendingConnection {
         let (sender, receiver) = oneshot::channel();
         let pool = self.clone();
         tokio::task::spawn_local(async move {
-            if let Err(Some(connection)) = sender.send(connection.await) {
+            if let Err(Ok(connection)) = sender.send(connection.await) {
                 pool.release(connection);
             }
         });
--- a/crates/agent/tests/unit/front.rs
+++ b/crates/agent/tests/unit/front.rs
@@ -17,7 +17,11 @@
         let taken = std::os::fd::OwnedFd::from(taken.into_std().expect("a socket"));
         let taken = TcpStream::from_std(taken.into()).expect("a stream");
         assert!(taken.set_nodelay(true).is_err(), "the option is there: the test shows nothing");
-        tokio::task::spawn_local(server.connection(taken, ClientConnection::new(), Rc::default()));
+        tokio::task::spawn_local(server.connection(
+            Stream::new(taken),
+            ClientConnection::new(),
+            Rc::default(),
+        ));
         let mut answer = String::new();
         client.read_to_string(&mut answer).await.expect("an answer");
         answer
--- a/crates/faultshim/src/spec.rs
+++ b/crates/faultshim/src/spec.rs
@@ -117,7 +117,7 @@
         let mut z = self.random.fetch_add(STEP, Ordering::Relaxed).wrapping_add(STEP);
         z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        (z ^ (z >> 31)) % self.every == 0
+        (z ^ (z >> 31)).is_multiple_of(self.every)
     }
 }
 
--- /dev/null
+++ b/crates/net/src/listener.rs
@@ -0,0 +1,98 @@
+//! Takes connections.
+
+use crate::errors::{concerns_one_connection, is_descriptor_shortage};
+use crate::Stream;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Failures of single connections in a row, after which the caller hears of one.
+const MAX_FAILED_CONNECTIONS: usize = 256;
+
+/// Why no connection was taken. The listening socket is good all the same.
+#[derive(Debug)]
+pub enum AcceptError {
+    /// This process, or the machine, has no descriptor or memory for one.
+    Shortage(io::Error),
+    /// Something else; to be tried again after a pause.
+    Other(io::Error),
+}
+
+/// A listening socket.
+#[derive(Debug)]
+pub struct Listener(TcpListener);
+
+impl Listener {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        Ok(Listener(TcpListener::bind(address).await?))
+    }
+
+    /// A socket that listens already.
+    ///
+    /// # Errors
+    ///
+    /// It can't be waited for.
+    pub fn adopt(listener: std::net::TcpListener) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        Ok(Listener(TcpListener::from_std(listener)?))
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// The system does not say.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// The next connection.
+    ///
+    /// # Errors
+    ///
+    /// Why none was taken; errors that concern a single connection are passed over.
+    pub async fn accept(&self) -> Result<Stream<TcpStream>, AcceptError> {
+        for _ in 0..MAX_FAILED_CONNECTIONS {
+            match self.0.accept().await {
+                Ok((stream, _)) => return Ok(Stream::new(stream)),
+                Err(error) if concerns_one_connection(&error) => {}
+                Err(error) if is_descriptor_shortage(&error) => return Err(AcceptError::Shortage(error)),
+                Err(error) => return Err(AcceptError::Other(error)),
+            }
+        }
+        Err(AcceptError::Other(io::ErrorKind::ConnectionAborted.into()))
+    }
+
+    /// Stops listening, and gives the connections that the kernel holds for it by now. The kernel itself is asked, for the
+    /// runtime may not have looked since the last one came.
+    pub fn into_backlog(self) -> Vec<Stream<TcpStream>> {
+        let mut backlog = Vec::new();
+        let Ok(listener) = self.0.into_std() else { return backlog };
+        let mut failed = 0;
+        while failed < MAX_FAILED_CONNECTIONS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    backlog.extend(stream.ok().map(Stream::new));
+                }
+                Err(error) if concerns_one_connection(&error) || is_descriptor_shortage(&error) => {
+                    failed += 1;
+                }
+                Err(_) => break,
+            }
+        }
+        backlog
+    }
+}
+
+impl AsFd for Listener {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
--- a/crates/telemetry/src/connection.rs
+++ b/crates/telemetry/src/connection.rs
@@ -8,10 +8,9 @@
     HeaderMap, AUTHORIZATION, CONTENT_ENCODING, CONTENT_TYPE, HOST, RETRY_AFTER, USER_AGENT,
 };
 use hyper::Request;
-use hyper_util::rt::TokioIo;
 use std::fmt;
 use std::time::{Duration, SystemTime};
-use tokio::net::TcpStream;
+use tokio::net::lookup_host;
 use tokio::task::JoinHandle;
 
 /// The most of an answer's body that is read before its connection is given up.
@@ -155,11 +154,12 @@
 
 async fn connect(url: &Url) -> Result<Open, String> {
     let wrong = |e: std::io::Error| format!("{} takes no connection: {e}", url.authority);
-    let stream = TcpStream::connect(&url.authority).await.map_err(wrong)?;
-    stream.set_nodelay(true).map_err(wrong)?;
+    let address = lookup_host(&url.authority).await.map_err(wrong)?.next();
+    let address = address.ok_or_else(|| format!("{} has no address", url.authority))?;
+    let stream = bellcroft_net::connect(address).await.map_err(|e| wrong(e.into()))?;
     let mut builder = Builder::new();
     builder.max_buf_size(HEAD_MOST).max_header_size(HEAD_MOST);
-    let (sender, driven) = builder.handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (sender, driven) = builder.handshake(stream).await.map_err(|e| e.to_string())?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows at the sender.
         let _ = driven.await;
