--- a/crates/agent/src/front/capacity.rs
+++ b/crates/agent/src/front/capacity.rs
@@ -54,7 +54,7 @@
         let held = self.held.borrow().len();
         // Those that were to close at the last one may not have yet.
         if held <= self.max_connections() {
-            let fewer = held.saturating_sub(SHORTAGE_RESERVE).max(1);
+            let fewer = held.saturating_sub(SHORTAGE_RESERVE).max(held / 2).max(1);
             self.shortage.set(Some((Instant::now() + SHORTAGE_TIMEOUT, fewer)));
             warn!("no descriptor is left for a client's connection; {held} are held, {fewer} from now on");
         }
--- a/crates/agent/src/front/mod.rs
+++ b/crates/agent/src/front/mod.rs
@@ -34,6 +34,11 @@
 
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// A shortage of descriptors or memory that lasts for so many accepts in a row is this process's own; the machine's may be
+/// over at once, and clients must not wait for it.
+const PERSISTENT_SHORTAGE: u32 = 4;
+/// Pause between those.
+const SHORTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(2);
 /// A connection that has said nothing for this long is not about to: clients connect to ask.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Read at a time of what nobody wants any more.
@@ -107,6 +112,7 @@
     /// shut the others out.
     pub async fn accept(self: Rc<Self>, listener: Listener) {
         let mut accepting = self.accepting.subscribe();
+        let mut shortages = 0;
         let stopped = loop {
             let accepted = tokio::select! {
                 biased;
@@ -117,6 +123,7 @@
             };
             match accepted {
                 Ok(stream) => {
+                    shortages = 0;
                     while self.held.borrow().len() >= self.max_connections() {
                         self.evict(1);
                         self.wait_for_place().await;
@@ -124,6 +131,11 @@
                     self.clone().serve(stream);
                 }
                 Err(AcceptError::Shortage(_)) => {
+                    shortages += 1;
+                    if shortages < PERSISTENT_SHORTAGE {
+                        sleep(SHORTAGE_RETRY_INTERVAL).await;
+                        continue;
+                    }
                     self.on_descriptor_shortage();
                     self.wait_for_place().await;
                 }
--- /dev/null
+++ b/crates/agent/tests/soak.rs
@@ -0,0 +1,38 @@
+//! The randomized soak, small and with fixed seeds; `rig soak` runs it larger and for more seeds.
+
+use rig::soak::{self, SoakPlan};
+
+/// Tries of a seed on a machine that is too busy for a verdict.
+const MAX_TRIES: usize = 4;
+
+/// Plays a seed until the machine was free enough for a verdict.
+async fn play(plan: SoakPlan) {
+    for _ in 0..MAX_TRIES {
+        let report = soak::run(plan).await;
+        if report.starved() {
+            continue;
+        }
+        assert!(report.passed(), "{report:#?}");
+        for kind in ["planned restart", "stall"] {
+            assert!(report.faults.contains_key(kind), "no {kind}: the soak shows nothing");
+        }
+        assert!(report.requests["served"] > 100, "{report:#?}");
+        return;
+    }
+    panic!("the machine was too busy for a verdict, {MAX_TRIES} times");
+}
+
+const SMALL: SoakPlan =
+    SoakPlan { seed: 1, instances: 10, servers: 8, seconds: 12.0, clients: 4, failing_calls: true };
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ten_processes_under_overlapping_faults_and_failing_calls_break_no_rule() {
+    for seed in [10, 11, 12] {
+        play(SoakPlan { seed, ..SMALL }).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ten_processes_under_overlapping_faults_break_no_rule() {
+    play(SoakPlan { seed: 21, failing_calls: false, ..SMALL }).await;
+}
--- a/crates/agent/tests/system_calls.rs
+++ b/crates/agent/tests/system_calls.rs
@@ -75,6 +75,7 @@
         "accept4 EPROTO every=3",
         "accept4 ENFILE every=4",
         "accept4 ENOBUFS every=4",
+        "accept4 ENOMEM every=2",
         "accept4 ENETDOWN every=4",
         "accept4 EPERM every=4",
     ])
--- a/crates/faultshim/src/descriptors.rs
+++ b/crates/faultshim/src/descriptors.rs
@@ -52,6 +52,7 @@
     let low = kind & ((1 << PORT_SHIFT) - 1);
     match of {
         Of::Any => true,
+        Of::Connection => low == ACCEPTED || low == CONNECTED,
         Of::Accepted => low == ACCEPTED,
         Of::Connected => low == CONNECTED,
         Of::Port(port) => low == CONNECTED && kind >> PORT_SHIFT == u32::from(port),
--- a/crates/faultshim/src/spec.rs
+++ b/crates/faultshim/src/spec.rs
@@ -9,7 +9,7 @@
 //! | `every` | one in so many calls, on average | 20 |
 //! | `seed` | for the draws | 1 |
 //! | `from`, `to` | milliseconds since the load within which it holds | always |
-//! | `of` | `accepted`, `connected`, `file`, or a port that was connected to | any |
+//! | `of` | `accepted`, `connected`, `file`, or a port that was connected to | any; of reads and writes any connection |
 //! | `ms` | how long a `stall` lasts, by how much a `step` is off (may be negative) | 0 |
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -81,6 +81,8 @@
 pub enum Of {
     /// Any.
     Any,
+    /// Connections, accepted or made: what a runtime passes its own signals by is none.
+    Connection,
     /// Connections that were accepted.
     Accepted,
     /// Connections that were made.
@@ -168,7 +170,10 @@
         every: 20,
         from_ms: 0,
         to_ms: u64::MAX,
-        of: Of::Any,
+        of: match call {
+            Call::Recv | Call::Send | Call::Writev => Of::Connection,
+            _ => Of::Any,
+        },
         random: AtomicU64::new(1),
     };
     let mut ms = 0_i64;
--- a/crates/net/src/datagram.rs
+++ b/crates/net/src/datagram.rs
@@ -1,6 +1,6 @@
 //! Datagrams.
 
-use crate::errors::retry_interrupted;
+use crate::errors::{open_with_retry, retry_interrupted};
 use socket2::{SockAddr, SockRef};
 use std::io;
 use std::net::SocketAddr;
@@ -17,7 +17,9 @@
     ///
     /// The address cannot be listened on.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        Ok(DatagramSocket(UdpSocket::bind(address).await?))
+        let socket = open_with_retry(|| std::net::UdpSocket::bind(address)).await?;
+        socket.set_nonblocking(true)?;
+        Ok(DatagramSocket(UdpSocket::from_std(socket)?))
     }
 
     /// Where it listens.
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -2,6 +2,7 @@
 
 use rustix::io::Errno;
 use std::io;
+use std::time::Duration;
 
 /// Interrupted calls in a row, after which others get their turn before the next try.
 pub(crate) const MAX_INTERRUPTIONS: usize = 64;
@@ -59,3 +60,24 @@
         }
     }
 }
+
+/// Tries to open a socket that fails for want of something on this machine, and the pause between two of them.
+const MAX_OPEN_TRIES: usize = 40;
+const OPEN_RETRY_DELAY: Duration = Duration::from_millis(25);
+
+/// Opens a socket, and again after a pause for as long as a descriptor or memory for it is wanting, a second at most.
+///
+/// # Errors
+///
+/// Another failure at once, or the last shortage.
+pub async fn open_with_retry<T>(mut open: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 1..MAX_OPEN_TRIES {
+        match open() {
+            Err(error) if is_descriptor_shortage(&error) || error.kind() == io::ErrorKind::Interrupted => {
+                tokio::time::sleep(OPEN_RETRY_DELAY).await;
+            }
+            ended => return ended,
+        }
+    }
+    open()
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use connect::{connect, ConnectError};
 pub use datagram::DatagramSocket;
-pub use errors::{is_descriptor_shortage, retry_interrupted};
+pub use errors::{open_with_retry, retry_interrupted};
 pub use listener::{AcceptError, Listener};
 pub use stream::Stream;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,12 +1,15 @@
 //! Takes connections.
 
-use crate::errors::{concerns_one_connection, is_descriptor_shortage};
+use crate::errors::{concerns_one_connection, is_descriptor_shortage, open_with_retry};
 use crate::Stream;
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Connections that the kernel holds for a process that has not taken them yet.
+const BACKLOG: i32 = 1024;
 /// Failures of single connections in a row, after which the caller hears of one.
 const MAX_FAILED_CONNECTIONS: usize = 256;
 
@@ -24,13 +27,20 @@
 pub struct Listener(TcpListener);
 
 impl Listener {
-    /// Listens on an address.
+    /// Listens on an address. A machine that lacks a descriptor for it at this moment is asked again.
     ///
     /// # Errors
     ///
     /// The address cannot be listened on.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        Ok(Listener(TcpListener::bind(address).await?))
+        let open = || {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_reuse_address(true)?;
+            socket.bind(&SockAddr::from(address))?;
+            socket.listen(BACKLOG)?;
+            Ok(socket)
+        };
+        Self::adopt(open_with_retry(open).await?.into())
     }
 
     /// A socket that listens already.
--- a/crates/rig/src/faults/shim.rs
+++ b/crates/rig/src/faults/shim.rs
@@ -23,14 +23,12 @@
 
     /// The library, which cargo builds beside the test that depends on it.
     fn library() -> PathBuf {
+        const NAME: &str = "libbellcroft_faultshim.so";
         let own = std::env::current_exe().expect("a path");
-        let library = own.parent().expect("a folder").join("libbellcroft_faultshim.so");
-        assert!(
-            library.is_file(),
-            "{} is not there: the test's package must depend on it",
-            library.display()
-        );
-        library
+        let folder = own.parent().expect("a folder");
+        let places = [folder.join(NAME), folder.join("deps").join(NAME)];
+        let found = places.iter().find(|place| place.is_file());
+        found.unwrap_or_else(|| panic!("{NAME} is not in {}", folder.display())).clone()
     }
 
     /// The variables that load it.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,6 +18,7 @@
 mod process;
 pub mod scale;
 mod server;
+pub mod soak;
 mod traffic;
 mod world;
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod measure_telemetry;
 mod play_faults;
 mod play_scale;
+mod play_soak;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -27,6 +28,9 @@
     /// Play a timeline of faults on many whole programs; exit code 1 if a rule broke or they don't agree again, 3 if the
     /// machine was too busy to tell.
     Faults(play_faults::Options),
+    /// Play randomized faults that overlap in time on many real programs; exit code 1 if a rule broke, 3 if the machine was too
+    /// busy to tell.
+    Soak(play_soak::Options),
     /// Run real agents beside many hollow ones and measure what one of them takes; exit code 3 if the machine could not keep
     /// up.
     Scale(play_scale::Options),
@@ -81,6 +85,7 @@
         Command::Metrics { into } => measure::table(&rig::metrics_table(), into.as_deref(), "metrics"),
         Command::Hollow { file } => rig::scale::run_hollow(&file),
         Command::Scale(options) => runtime.block_on(play_scale::play(&options)),
+        Command::Soak(options) => runtime.block_on(play_soak::run(&options)),
         Command::Faults(options) => runtime.block_on(play_faults::run(&options)),
         Command::Demo(options) => runtime.block_on(demo::run(&options)),
         Command::Measure(measure::What::Membership(options)) => {
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -63,6 +63,8 @@
     pub class: String,
     /// Its `Idempotency-Key`.
     pub key: Option<String>,
+    /// How long its sender will wait (`X-Timeout`), if it says so in microseconds.
+    pub timeout: Option<Duration>,
     /// When its first byte came.
     pub first_byte: Instant,
     /// When its last byte came.
@@ -90,7 +92,8 @@
     fault: watch::Sender<Fault>,
     draining: watch::Sender<bool>,
     slower: Mutex<f64>,
-    seen: Mutex<Vec<Seen>>,
+    /// Shared with the servers that were here before: what those are still about belongs to the record.
+    seen: Arc<Mutex<Vec<Seen>>>,
     recent: Mutex<VecDeque<Instant>>,
     random: Mutex<fastrand::Rng>,
     cores: Semaphore,
@@ -114,22 +117,22 @@
 impl Server {
     /// Starts one.
     pub async fn start(plan: Plan) -> Self {
-        Self::start_with(plan, Vec::new()).await
+        Self::start_with(plan, Arc::default()).await
     }
 
     /// Starts one that takes another's place, and its record of what came there.
     pub async fn start_after(plan: Plan, former: &Server) -> Self {
-        Self::start_with(plan, former.seen()).await
+        Self::start_with(plan, former.state.seen.clone()).await
     }
 
-    async fn start_with(plan: Plan, seen: Vec<Seen>) -> Self {
+    async fn start_with(plan: Plan, seen: Arc<Mutex<Vec<Seen>>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(State {
             fault: watch::Sender::new(Fault::None),
             draining: watch::Sender::new(false),
             slower: Mutex::new(1.0),
-            seen: Mutex::new(seen),
+            seen,
             recent: Mutex::default(),
             random: Mutex::new(fastrand::Rng::with_seed(plan.seed)),
             cores: Semaphore::new(plan.cores),
@@ -190,6 +193,11 @@
     }
 }
 
+/// A time such as `900u`.
+fn micros(text: &str) -> Option<Duration> {
+    text.strip_suffix('u')?.parse().ok().map(Duration::from_micros)
+}
+
 /// A request that is in work or waits to be, for as long as this lives.
 struct InWork<'a>(&'a AtomicUsize);
 
@@ -246,6 +254,7 @@
                 id: text("x-request-id"),
                 class: text("x-priority-class"),
                 key: message.header("idempotency-key").map(str::to_owned),
+                timeout: message.header("x-timeout").and_then(micros),
                 first_byte: message.first_byte,
                 last_byte: message.last_byte,
                 begun: !refused,
--- /dev/null
+++ b/crates/rig/src/soak/mod.rs
@@ -0,0 +1,125 @@
+//! A randomized soak: many real processes, faults that overlap in time, and the rules as its oracle.
+//!
+//! Everything is drawn from one seed: the timeline ([`timeline`]), the failing system calls of each process, what each client
+//! does ([`clients`]). The verdict ([`oracle`]) comes from the clients' and the servers' own records; the processes' logs add
+//! what their guards have counted.
+
+mod clients;
+mod cluster;
+mod oracle;
+mod timeline;
+
+use crate::traffic::Class;
+use cluster::SoakCluster;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How large a soak is.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct SoakPlan {
+    /// All draws come from it.
+    pub seed: u64,
+    /// Processes of the program.
+    pub instances: usize,
+    /// Stand-in servers.
+    pub servers: usize,
+    /// Seconds of faults; a quiet tail follows.
+    pub seconds: f64,
+    /// Clients of each process. Each has one request out at a time.
+    pub clients: usize,
+    /// Whether system calls of the processes fail.
+    pub failing_calls: bool,
+}
+
+/// The deadlines of the traffic's classes are multiplied by one of these: past the longest that the platform waits for at a
+/// planned restart, and so short that accepting takes up much of them.
+const DEADLINE_FACTORS: [f64; 3] = [1.0, 1.8, 0.25];
+
+impl SoakPlan {
+    /// The deadline of a class.
+    fn deadline(&self, class: &Class) -> Duration {
+        class.deadline.mul_f64(DEADLINE_FACTORS[self.seed as usize % DEADLINE_FACTORS.len()])
+    }
+}
+
+/// What came of a soak.
+#[derive(Debug, Clone, Serialize)]
+pub struct SoakReport {
+    /// The plan.
+    pub plan: SoakPlan,
+    /// Faults by kind.
+    pub faults: BTreeMap<String, usize>,
+    /// Failed system calls.
+    pub failed_calls: usize,
+    /// Requests by what became of them.
+    pub requests: BTreeMap<String, usize>,
+    /// What broke a rule, a line each.
+    pub violations: Vec<String>,
+    /// The worst lag of the soak's own clock in milliseconds.
+    pub lag_ms: f64,
+    /// The log of each slot's processes.
+    #[serde(skip)]
+    pub logs: Vec<Vec<String>>,
+}
+
+/// With a lag of more than this the soak saw its own machine and not the program.
+const MAX_LAG: Duration = Duration::from_millis(300);
+/// The lag is measured this often.
+const LAG_INTERVAL: Duration = Duration::from_millis(20);
+/// After the last fault.
+const QUIET_TAIL: Duration = Duration::from_secs(2);
+
+impl SoakReport {
+    /// No rule was broken.
+    pub fn passed(&self) -> bool {
+        self.violations.is_empty()
+    }
+
+    /// The machine was too busy for a verdict.
+    pub fn starved(&self) -> bool {
+        self.lag_ms > MAX_LAG.as_secs_f64() * 1e3
+    }
+}
+
+/// Runs a soak to its end.
+pub async fn run(plan: SoakPlan) -> SoakReport {
+    let worst_lag = Arc::<AtomicU64>::default();
+    let measuring = tokio::spawn(measure_lag(worst_lag.clone()));
+    let mut cluster = SoakCluster::start(plan).await;
+    let events = timeline::draw(&plan);
+    let mut faults = BTreeMap::new();
+    let clients = clients::start(&plan, &cluster.slots);
+    let begin = Instant::now();
+    for event in &events {
+        tokio::time::sleep_until(begin + event.at).await;
+        *faults.entry(event.fault.name().to_owned()).or_default() += 1;
+        cluster.apply(event.fault).await;
+    }
+    cluster.settle().await;
+    tokio::time::sleep(QUIET_TAIL).await;
+    let records = clients.finish().await;
+    measuring.abort();
+    let lag = Duration::from_micros(worst_lag.load(Ordering::Relaxed));
+    let mut violations = oracle::judge(&cluster, &records, lag);
+    let failed_calls = cluster.failed_calls();
+    let (reported, logs) = cluster.end().await;
+    violations.extend(reported);
+    let mut requests = BTreeMap::new();
+    for record in &records {
+        *requests.entry(record.fate.name().to_owned()).or_default() += 1;
+    }
+    SoakReport { plan, faults, failed_calls, requests, violations, lag_ms: lag.as_secs_f64() * 1e3, logs }
+}
+
+/// Notes how late the soak's own clock is, in microseconds.
+async fn measure_lag(worst: Arc<AtomicU64>) {
+    loop {
+        let due = Instant::now() + LAG_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        worst.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/soak/oracle.rs
@@ -0,0 +1,127 @@
+//! Sets the clients' records against the servers': knows the rules and nothing of the program.
+
+use super::clients::{Behavior, SoakFate, SoakRecord};
+use super::cluster::SoakCluster;
+use crate::server::Seen;
+use crate::traffic::{Fate, Record};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Up to so long after its time an answer only earns nothing; later it is lost.
+const LATE: Duration = Duration::from_millis(500);
+/// From so long after its client has left no attempt begins.
+const AFTER_LEAVING: Duration = Duration::from_millis(100);
+/// What sockets add to a limit.
+const SLACK: Duration = Duration::from_millis(50);
+/// A process may be held up for so long between reading its clock and writing.
+const MAX_STALL: Duration = Duration::from_millis(150);
+/// The time that a server is told may be longer than what its client has left by so much.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
+/// A change counts as notified so long after discovery had it.
+const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+/// A drain's grace period (`stopSendingWithinMs` of the world's settings).
+const DRAIN_GRACE_PERIOD: Duration = Duration::from_secs(2);
+
+/// What broke a rule, a line each. `lag` is the worst lag of the soak's own clock.
+pub fn judge(cluster: &SoakCluster, records: &[SoakRecord], lag: Duration) -> Vec<String> {
+    let mut violations = cluster.world.audit_but(&audited(cluster, records), |record| {
+        let until = record.sent + record.took;
+        cluster.slots[record.instance].crashed_between(record.sent - MAX_STALL, until)
+    });
+    let by_id: HashMap<&str, &SoakRecord> =
+        records.iter().map(|record| (record.id.as_str(), record)).collect();
+    // A kill without a warning may take any request that had begun.
+    let crashed = |record: &SoakRecord| {
+        cluster.slots[record.slot].crashed_between(record.began, record.ended + MAX_STALL)
+    };
+    let judged = records.iter().filter(|record| !crashed(record));
+    violations.extend(judged.filter_map(|record| answered(record, lag)));
+    for (server, seen) in cluster.world.seen() {
+        if let Some(record) = by_id.get(seen.id.as_str()) {
+            violations.extend(sent(record, server, &seen, lag).filter(|_| !crashed(record)));
+        }
+    }
+    violations.extend(drained(cluster, lag));
+    violations.sort();
+    violations
+}
+
+/// The records in the terms of the world's audit: effects, and nothing after an outcome.
+fn audited(cluster: &SoakCluster, records: &[SoakRecord]) -> Vec<Record> {
+    let fate = |record: &SoakRecord| match record.fate {
+        SoakFate::Served => Fate::Served,
+        SoakFate::Refused => Fate::Refused,
+        SoakFate::Failed => Fate::Failed,
+        SoakFate::Unanswered => Fate::Unanswered,
+        _ => Fate::Lost,
+    };
+    let of = |record: &SoakRecord| Record {
+        instance: cluster.slots[record.slot].number,
+        id: record.id.clone(),
+        class: record.class,
+        sent: record.sent,
+        took: record.ended - record.sent,
+        fate: fate(record),
+        status: record.status,
+        crossed: false,
+    };
+    records.iter().map(of).collect()
+}
+
+/// Each request that was taken has its answer in time, whatever became of its process, but for a kill without a warning.
+fn answered(record: &SoakRecord, lag: Duration) -> Option<String> {
+    let took = record.ended - record.sent;
+    let text = || {
+        format!("{} of i{} ({:?}): {:?} after {took:?}", record.id, record.slot, record.behavior, record.fate)
+    };
+    match record.fate {
+        SoakFate::Lost | SoakFate::Unanswered | SoakFate::StalledTooLong => Some(text()),
+        SoakFate::Served | SoakFate::Refused | SoakFate::Failed if took > record.wait + LATE + lag => {
+            Some(format!("late, {}", text()))
+        }
+        _ => None,
+    }
+}
+
+/// What reached a server of a request.
+fn sent(record: &SoakRecord, server: usize, seen: &Seen, lag: Duration) -> Option<String> {
+    let id = &record.id;
+    match record.fate {
+        SoakFate::Crossed => {
+            return Some(format!("{id} crossed the end of its connection and went to s{server}"))
+        }
+        SoakFate::NeverComplete | SoakFate::StalledTooLong if record.behavior == Behavior::Stalled => {
+            return Some(format!("{id} was never complete and went to s{server}"));
+        }
+        SoakFate::Left => {
+            let late = seen.first_byte.saturating_duration_since(record.ended);
+            if late > AFTER_LEAVING + SLACK + MAX_STALL + lag {
+                return Some(format!("{id} went to s{server} {late:?} after its client had left"));
+            }
+        }
+        _ => {}
+    }
+    let left = (record.sent + record.wait).saturating_duration_since(seen.last_byte);
+    let told = seen.timeout?;
+    (told > left + TIMEOUT_SLACK + SLACK + lag)
+        .then(|| format!("{id}: s{server} was told {told:?} where its client had {left:?} left"))
+}
+
+/// Nothing new goes to a draining server after the grace.
+fn drained(cluster: &SoakCluster, lag: Duration) -> Vec<String> {
+    let limit =
+        |since: Instant| cluster.reachable_for(since, NOTIFIED_AFTER) + DRAIN_GRACE_PERIOD + SLACK + lag;
+    let late = |drained: usize, since: Instant| {
+        let seen = cluster.world.seen().into_iter();
+        seen.filter(move |(server, seen)| *server == drained && seen.first_byte > limit(since))
+    };
+    let drains = cluster.drains.iter();
+    let lines = drains.flat_map(|(server, since)| {
+        late(*server, *since).map(move |(server, seen)| {
+            let after = seen.first_byte - *since;
+            format!("{} went to s{server} {after:?} after its drain", seen.id)
+        })
+    });
+    lines.collect()
+}
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -84,6 +84,11 @@
         self.directory.list(seq, &self.hosts());
     }
 
+    /// The list as it stands, as a configuration has it.
+    pub fn known(&self) -> Value {
+        json!({"seq": self.seq.load(Ordering::SeqCst), "whole": true, "hosts": self.hosts()})
+    }
+
     /// The configuration of an agent of this world, on a port of the kernel's choice.
     pub fn config(&self, name: &str) -> Value {
         let class = |class: &crate::Class| {
@@ -93,7 +98,7 @@
         };
         json!({"name": name, "listen": "127.0.0.1:0", "discovery": self.directory.address.to_string(),
                "seed": format!("seed of {name}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-               "known": {"seq": self.seq.load(Ordering::SeqCst), "whole": true, "hosts": self.hosts()},
+               "known": self.known(),
                "settings": {
                    "balancers": 1, "zone": 0, "zones": ZONES, "kinds": ["m"], "discovery": "on_request",
                    "classes": CLASSES.iter().map(class).collect::<Vec<_>>(),
