--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,7 +23,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
 //! ```
 mod api;
-mod logic;
+mod decisions;
 mod records;
 
 pub use api::*;
