Slow start survives a wall clock that was stepped before the process started

Cause: driver.rs compared a server's born_ms, by the platform's clock, with the wall clock that this process read at its own start. An hour ahead, a server that had just started looked warm. Now a start that is heard of as news tells by how much the clocks differ, and one in the future does at once (operations::clock_skew). A first list with a clock that is ahead can't be told from an old one: open.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -16,6 +16,7 @@
 use crate::request_log::{AnswerReason, RequestLog};
 use crate::telemetry::{FirstByte, Owing, NO_ROUTE};
 use crate::upstream::{AttemptLimits, AttemptProgress, AttemptResult, Content, Upstream};
+use bellcroft_operations::clock_skew::ClockSkew;
 use bellcroft_operations::guard::{AttemptHistory, AttemptWindow, Guard, ServerGroups};
 use bellcroft_operations::retune::{merge, Attempts, Book, Form, Unfit};
 use bellcroft_operations::shutdown::ShutdownSchedule;
@@ -38,6 +39,9 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
+/// What has changed since the list that the configuration knows is told at once; what is told later has happened since.
+const FIRST_ANSWER_TIME: Span = Span(500_000);
+
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -122,6 +126,13 @@
     timed_out: bool,
 }
 
+/// When a server last started: as the list says, and by this process's clock.
+#[derive(Debug, Clone, Copy)]
+struct ServerStart {
+    born_ms: f64,
+    local: Time,
+}
+
 struct State {
     balancer: Balancer,
     queue: VecDeque<Event>,
@@ -132,6 +143,11 @@
     attempts: HashMap<(RequestId, u32), Rc<AttemptProgress>>,
     servers: HashMap<String, ServerId>,
     names: HashMap<ServerId, String>,
+    /// When each server last started.
+    starts: HashMap<ServerId, ServerStart>,
+    skew: ClockSkew,
+    /// A start that is heard of from then on has just happened; none while no list is held.
+    news_from: Option<Time>,
     /// What each server drops repeats with.
     groups: HashMap<ServerId, ServerGroups>,
     /// Servers that have left, and when.
@@ -211,6 +227,9 @@
             attempts: HashMap::new(),
             servers: HashMap::new(),
             names: HashMap::new(),
+            starts: HashMap::new(),
+            skew: ClockSkew::default(),
+            news_from: None,
             groups: HashMap::new(),
             left: HashMap::new(),
             up: HashSet::new(),
@@ -241,6 +260,9 @@
         {
             let mut state = driver.state.borrow_mut();
             let list = driver.take_list(&mut state, config.known);
+            if !list.is_empty() {
+                state.news_from = Some(clock.now() + FIRST_ANSWER_TIME);
+            }
             state.queue.push_back(Event::List(ListUpdate::Saved(list)));
             for action in actions {
                 driver.carry_out(&mut state, action);
@@ -507,10 +529,12 @@
         }
         let update = {
             let state = &mut self.state.borrow_mut();
-            match list.whole {
+            let update = match list.whole {
                 true => ListUpdate::Complete(self.take_list(state, list)),
                 false => ListUpdate::Changes(self.take_list(state, list)),
-            }
+            };
+            state.news_from.get_or_insert(self.clock.now());
+            update
         };
         self.update_list(update);
     }
@@ -808,11 +832,17 @@
                 state.rejected_entries.insert(entry);
             }
         }
+        let now = self.clock.now();
         let mut lines = Vec::with_capacity(list.hosts.len());
         let names = self.names();
         if list.whole {
             state.up.clear();
         }
+        // All of them before the first is used: each may tell of a clock that is off.
+        for host in &list.hosts {
+            let server = state.intern(&host.name);
+            state.on_start(now, server, host.born_ms);
+        }
         for host in &list.hosts {
             let server = state.intern(&host.name);
             self.upstream.describe(server, host);
@@ -835,7 +865,7 @@
                 cell: CellId(host.block),
                 status,
                 weight: host.share,
-                started: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
+                started: state.started(server, host.born_ms),
             });
         }
         if list.whole {
@@ -928,6 +958,30 @@
         self.discovery.follow(driver, true, None);
     }
 
+    /// The list says when a server started (Unix time in milliseconds; 0 for long ago).
+    fn on_start(&mut self, now: Time, server: ServerId, born_ms: f64) {
+        let known = self.starts.get(&server).is_some_and(|start| start.born_ms == born_ms);
+        if born_ms > 0.0 && !known {
+            let news = self.news_from.is_some_and(|from| now >= from);
+            self.skew.on_start(now, Time::from_ms(born_ms), news);
+        }
+    }
+
+    /// That start by this process's clock; none if it was long ago. Of one start it stays the same, whatever is learned of the
+    /// clocks later, for another one would be another process.
+    fn started(&mut self, server: ServerId, born_ms: f64) -> Option<Time> {
+        if born_ms <= 0.0 {
+            self.starts.remove(&server);
+            return None;
+        }
+        let local = self.skew.local(Time::from_ms(born_ms));
+        let start = self.starts.entry(server).or_insert(ServerStart { born_ms, local });
+        if start.born_ms != born_ms {
+            *start = ServerStart { born_ms, local };
+        }
+        Some(start.local)
+    }
+
     /// An attempt of the decisions' has not gone out.
     fn on_not_sent(&mut self, request: RequestId, attempt: u32) {
         let (attempt, outcome) = (AttemptNo(attempt), Outcome::NotSent);
@@ -971,6 +1025,7 @@
         for server in &old {
             self.left.remove(server);
             self.groups.remove(server);
+            self.starts.remove(server);
             if let Some(name) = self.names.remove(server) {
                 self.servers.remove(&name);
             }
