--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -469,3 +469,33 @@
         assert!(turn < 4_000, "this machine is too busy: {late:?} second answers came in time");
     }
 }
+
+/// A server is told what its client has left when the request is written, and not when it was decided: the connection comes up
+/// late here, for its address has no room at first.
+#[tokio::test]
+async fn a_connection_that_comes_up_late_does_not_lengthen_the_deadline_that_is_told() {
+    /// By how much a server may be told more than its client has left.
+    const SLACK: Duration = Duration::from_millis(150);
+    const WAIT: Duration = Duration::from_secs(20);
+    let silent = Silent::start().await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", silent.address(), "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 20_000.into();
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["aimMs"], class["deadlineMs"]) = (16_000.into(), 20_000.into());
+        class["dedupWindowMs"] = 60_000.into();
+    }
+    let agent = Agent::with(config, |_| {}).await;
+    let mut client = agent.client().await;
+    client.send(&request("POST", "/pay", "20000m", "b")).await;
+    let sent = tokio::time::Instant::now();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut stream = silent.wake().await;
+    let message = soon("the request", read_message(&mut stream, 0)).await.expect("a request");
+    let late = message.last_byte - sent;
+    assert!(late > SLACK * 2, "it came up after {late:?}: the test shows nothing");
+    let told = message.header("x-timeout").and_then(|text| text.strip_suffix('u')?.parse().ok());
+    let told = Duration::from_micros(told.expect("a time in microseconds"));
+    let left = WAIT.saturating_sub(late);
+    assert!(told <= left + SLACK, "told {told:?} with {left:?} left");
+}
