--- a/src/decisions/dispatch.rs
+++ b/src/decisions/dispatch.rs
@@ -6,18 +6,21 @@
 
 /// Second copies go out only at this level or more of the common one.
 const COPY_LEVEL: f64 = 0.9;
+/// The longest that a process may be held up between reading its clock and writing.
+const MAX_STALL: Span = Span(150_000);
 
 impl Balancer {
     pub(super) fn send(&mut self, now: Time, pick: &Pick, server: usize, out: &mut Vec<Action>) {
         let (id, class) = (pick.id, pick.class);
         let cold = self.warmth(&self.servers[server], now) < 1.0;
+        let start_time = self.start_time();
         let Some(live) = self.live.get_mut(&id) else { return };
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
         let limits = live.request.limits();
         let timeout_at = live.deadline.min(now + limits.attempt_timeout);
         let patience = (live.wanted_by.since(now) * CONNECT_SHARE).max(CONNECT_LEAST);
-        let mut write_by = timeout_at.min(now + self.settings.drain_grace.min(patience));
+        let mut write_by = timeout_at.min(now + start_time.min(patience));
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         if let (Some(first), Effect::Deduplicated { window, .. }) =
             (first, self.settings.classes[class].effect)
@@ -52,6 +55,13 @@
         out.push(Action::Send { request: id, attempt, server, timeout_at, write_by });
     }
 
+    /// How long after its decision an attempt may begin. Its server may be told to drain just after the decision, and the
+    /// process may be held up between its last look at the clock and the write: the drain grace period covers both.
+    fn start_time(&self) -> Span {
+        let grace = self.settings.drain_grace;
+        grace.less(MAX_STALL).max(CONNECT_LEAST.min(grace))
+    }
+
     /// Sends the second copies that are due. They are the first to stop when capacity is short: while
     /// requests are held back or answers come slowly, a copy is one more in the queue.
     pub(super) fn send_copies(&mut self, now: Time, out: &mut Vec<Action>) {
--- /dev/null
+++ b/tests/drain_window.rs
@@ -0,0 +1,40 @@
+//! An attempt begins so soon after its decision that the drain grace period also covers a process that is held up.
+
+use micasail::*;
+
+/// The longest that a process may be held up between reading its clock and writing.
+const MAX_STALL: Span = Span(150_000);
+
+/// How long after its decision an attempt may begin, by the grace period.
+fn start_time(grace: Span) -> Span {
+    let class = Class { aim: Span::from_ms(8_000.0), deadline: Span::from_ms(9_000.0), ..Class::default() };
+    let settings = Settings { classes: vec![class], drain_grace: grace, ..Settings::default() };
+    let mut balancer = Balancer::new(settings, 7).expect("usable settings");
+    let (now, mut actions) = (Time::from_ms(1_000.0), Vec::new());
+    let servers = vec![Listed::serving(ServerId(0)), Listed::serving(ServerId(1))];
+    balancer.handle(now, Event::List(ListUpdate::Complete(servers)), &mut actions);
+    let request = Request::new(RequestId(1), ClassId(0), Span::from_ms(9_000.0));
+    balancer.handle(now, Event::Request(request), &mut actions);
+    let sent = actions.iter().find_map(|action| match action {
+        Action::Send { write_by, .. } => Some(write_by.since(now)),
+        _ => None,
+    });
+    sent.expect("it is sent")
+}
+
+#[test]
+fn the_grace_period_covers_a_hold_up_between_the_clock_and_the_write() {
+    for ms in [200.0, 250.0, 500.0, 1_000.0, 2_000.0] {
+        let grace = Span::from_ms(ms);
+        let latest = start_time(grace).ms() + MAX_STALL.ms();
+        assert!(latest <= grace.ms(), "{ms} ms: an attempt may begin {latest} ms after its server drains");
+    }
+}
+
+/// Less than that can cover no hold-up; an attempt still has time for a connection.
+#[test]
+fn a_short_grace_period_leaves_time_to_connect() {
+    for (ms, expected) in [(160.0, 50.0), (100.0, 50.0), (40.0, 40.0)] {
+        assert_eq!(start_time(Span::from_ms(ms)).ms(), expected, "{ms} ms");
+    }
+}
