--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! A randomized soak: many real processes, faults that overlap in time, and the rules as its oracle.
 //!
-//! Everything is drawn from one seed: the timeline ([`timeline`]), the failing system calls of each process, what each client
-//! does ([`clients`]). The verdict ([`oracle`]) comes from the clients' and the servers' own records; the processes' logs add
+//! Everything is drawn from one seed: the timeline (`timeline`), the failing system calls of each process, what each client
+//! does (`clients`). The verdict (`oracle`) comes from the clients' and the servers' own records; the processes' logs add
 //! what their guards have counted.
 
 mod clients;
