--- a/crates/rig/src/soak/cluster.rs
+++ b/crates/rig/src/soak/cluster.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// The platform waits for the longest deadline, 3 s of it at most, and for so much more between SIGTERM and SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
@@ -351,7 +351,6 @@
         for task in self.tasks.drain(..) {
             task.await.expect("a fault's task does not fail");
         }
-        sleep_until(Instant::now()).await;
     }
 
     /// Failed system calls of all processes.
