Shutdown: connections close before the last samples are written, so nothing read is lost

Callers: a client that connects before SIGTERM, rests and asks 0.7 to 2.7 s after it had its request taken in and forwarded, and its connection ended with no answer, where remote write has a receiver that does not answer.

Cause: Serving::shut_down waits for the last samples and the last status after answer_all found nothing pending. Meanwhile the connections' tasks run, read requests and send attempts, and nobody looks for pending requests again.

Fix: answer_all ends with Server::close_connections. A connection looks at that flag before it is polled, so it closes without reading once it owes no response; what was read before gets its response within the schedule.

--- a/crates/agent/src/daemon/shutdown.rs
+++ b/crates/agent/src/daemon/shutdown.rs
@@ -97,7 +97,8 @@
     }
 }
 
-/// Waits until every request has its response; at the deadline, those still pending fail.
+/// Waits until every request has its response, and closes the connections; at the deadline, requests that are still pending
+/// fail. Nothing is read afterwards, however long the rest of the shutdown takes.
 async fn finish_requests(instance: &Instance, schedule: ShutdownSchedule) {
     let clock = instance.driver.clock;
     let mut idle_at_last_check = false;
@@ -123,14 +124,31 @@
         let busy = instance.server.busy();
         // Two checks: a response decided before the first is written by the second, which also sees new requests.
         if idle_at_last_check && !busy {
-            return;
+            break;
         }
         idle_at_last_check = !busy;
         if instance.driver.guard.borrow().must_end(now) {
-            // Requests that arrived since have been refused; their responses still have to be written.
-            sleep(FLUSH_TIMEOUT).await;
+            break;
+        }
+    }
+    instance.server.close_connections();
+    finish_last_responses(instance).await;
+}
+
+/// Waits for the responses to what was read before the connections closed.
+async fn finish_last_responses(instance: &Instance) {
+    let clock = instance.driver.clock;
+    while instance.server.busy() {
+        let must_end = instance.driver.guard.borrow().must_end(clock.now());
+        // Requests that arrived since have been refused; their responses still have to be written.
+        sleep(FLUSH_TIMEOUT).await;
+        if must_end {
             return;
         }
+        if instance.driver.guard.borrow().must_answer_all(clock.now()) {
+            instance.driver.fail_pending_requests();
+            instance.server.refuse_incomplete();
+        }
     }
 }
 
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -13,7 +13,7 @@
 use crate::driver::Driver;
 use crate::request_log::CloseReason;
 use bellcroft_agent_core::body_limits::BufferPool;
-use bellcroft_agent_core::guard::ConnectionState;
+use bellcroft_agent_core::guard::{ConnectionState, Guard};
 use bellcroft_agent_core::serving::{Service, ServingState};
 use bellcroft_net::{AcceptError, Listener, Stream};
 use capacity::{can_be_spared, LAST_RESPONSE_SHARE, STATE_CHECK_INTERVAL};
@@ -75,6 +75,8 @@
     accepting: watch::Sender<Accepting>,
     /// The process ends at once: what is not complete is refused.
     ending: watch::Sender<bool>,
+    /// No further request is read: connections close as soon as they owe no response.
+    closing: watch::Sender<bool>,
     limit: Cell<usize>,
     /// The process had no descriptor left: until when it holds so many connections at most.
     shortage: Cell<Option<(Instant, usize)>>,
@@ -97,6 +99,7 @@
             changed: watch::Sender::new(()),
             accepting: watch::Sender::new(Accepting::On),
             ending: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
             limit: Cell::new(connections),
             shortage: Cell::new(None),
             held: RefCell::default(),
@@ -217,12 +220,15 @@
         self.ending.send_replace(true);
     }
 
+    /// Reads no further request: connections that owe no response close, the others once they have written it. What has
+    /// arrived and was not read is left to the kernel, so its client knows that it was not accepted.
+    pub fn close_connections(&self) {
+        self.closing.send_replace(true);
+    }
+
     /// Waits until what is not complete is refused.
     async fn process_ends(&self) {
-        let ending = self.ending.subscribe().wait_for(|ending| *ending).await.is_ok();
-        if !ending {
-            std::future::pending::<()>().await;
-        }
+        until_set(&self.ending).await;
     }
 
     /// Connections of clients at present.
@@ -256,8 +262,13 @@
         let mut connection = pin!(builder.serve_connection(framing_io, service));
         let mut leaving = pin!(client_disconnected(&stream, &client));
         let mut ending = pin!(self.process_ends());
+        let mut closing = pin!(until_set(&self.closing));
         let mut refused = false;
         loop {
+            // Before the connection is polled, which may read a request.
+            if *self.closing.borrow() && Guard::may_close(client.state().0) {
+                return CloseReason::Shutdown;
+            }
             let until = self.expires_at(&client, taken);
             if Instant::now() >= until {
                 return CloseReason::TimedOut;
@@ -265,6 +276,7 @@
             // What has come is looked at before the connection's time.
             tokio::select! {
                 biased;
+                () = closing.as_mut(), if !*self.closing.borrow() => {}
                 // An error here is the client's leaving or its bad bytes; both concern this connection alone.
                 _ = connection.as_mut() => return CloseReason::Finished,
                 () = leave.notified() => {
@@ -302,6 +314,14 @@
     while poll_fn(|cx| stream.poll_read(cx, &mut rest)).await.is_ok_and(|count| count > 0) {}
 }
 
+/// Waits until a flag is set; the flag outlives the wait.
+async fn until_set(flag: &watch::Sender<bool>) {
+    let is_set = flag.subscribe().wait_for(|is_set| *is_set).await.is_ok();
+    if !is_set {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Whether a connection that has been in this phase for so long may still owe an answer.
 fn may_owe_response(state: ConnectionState, for_so_long: Duration) -> bool {
     match state {
--- a/crates/agent/tests/planned_shutdown.rs
+++ b/crates/agent/tests/planned_shutdown.rs
@@ -92,3 +92,43 @@
     assert!(agent.end().await.success());
     served.load(Ordering::SeqCst) - before
 }
+
+/// Guards against a request that is read while the last samples are written, and lost with the exit.
+#[tokio::test]
+async fn request_during_the_last_remote_write_is_answered_or_not_read() {
+    let backend = Backend::start(|_| Reply::Mute).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let receiver = Receiver::start().await;
+    receiver.taking.send_replace(Taking::Mute);
+    let folder = Folder::new();
+    let remote_write = format!("[remote_write]\nurl = \"{}\"\ninterval = \"100ms\"\n", receiver.url());
+    let operator = folder.write("agent.toml", &remote_write);
+    let config = config(directory.address, &[host("s", backend.address, "up")]);
+    let mut agent = Agent::operated(config, &operator).await;
+    agent.ready().await;
+    // The agent closes connections that have been used; these have said nothing yet.
+    let mut resting = Vec::new();
+    for _ in 0..4 {
+        resting.push(agent.client().await);
+    }
+    agent.term().await;
+    soon("the end of accepting", async {
+        while agent.logged("no longer accepting connections") == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    // Past the checks that end the wait for requests, and within the two seconds of the last write.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for client in &mut resting {
+        let _ = client.stream.write_all(request("POST", "/pay", "2000m", "b").as_bytes()).await;
+    }
+    let mut answers = 0;
+    for client in &mut resting {
+        let answer = soon("an answer or the end", read_message(&mut client.stream, 0)).await;
+        answers += usize::from(answer.is_some());
+    }
+    assert!(agent.end().await.success());
+    assert_eq!(agent.logged("request received"), answers, "requests that were read and had no answer");
+    assert_eq!(agent.logged("violation"), 0);
+}
