Guard: a pause of the process explains a late answer, and violations are logged when they happen

The log named neither request nor moment.

Cause: on_answer compared decision and deadline and did not know that the process was stopped in between.

The guard allows 50 ms and as much more as the process was paused, 0.15 s at most; without a pause the bound is as it was, and a loop that is busy or idle shows none. Each violation is logged with rule, request, connection, lateness and pause.

--- a/crates/agent-core/src/guard.rs
+++ b/crates/agent-core/src/guard.rs
@@ -4,7 +4,7 @@
 //! of the request, and the shutdown of the process. The earliest one binds. Whatever is done against a limit nevertheless
 //! is counted as a [`Violation`].
 
-use crate::shutdown::ShutdownSchedule;
+use crate::shutdown::{ShutdownSchedule, MAX_STALL};
 use bellcroft_balancer::{DedupScope, Micros, Outcome, RetrySafety, Time};
 
 /// How late a response may be before it counts as a violation: the platform's own allowance for sockets and clocks.
@@ -98,10 +98,19 @@
     Idle,
 }
 
+/// A response that was decided too late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateAnswer {
+    /// How long after its client's deadline.
+    pub late_by: Micros,
+    /// How long the process was paused in that time.
+    pub paused: Micros,
+}
+
 /// A limit that was broken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Violation {
-    /// A response was decided after its client's deadline.
+    /// A response was decided after its client's deadline, by more than a pause of the process explains.
     LateAnswer,
     /// The balancer scheduled an attempt that could have executed a request twice; it was not sent.
     UnsafeRepeat,
@@ -205,18 +214,28 @@
         self.shutdown.is_some_and(|shutdown| now >= shutdown.answer_by())
     }
 
-    /// A response has been decided; its client waits until `client_deadline`.
-    pub fn on_answer(&mut self, now: Time, client_deadline: Time) {
-        if now > client_deadline + ANSWER_SLACK {
-            self.record(Violation::LateAnswer);
+    /// A response has been decided; its client waits until `client_deadline`, and the process has been paused for `paused`
+    /// since then. A pause of up to [`MAX_STALL`] is not the process's fault.
+    ///
+    /// # Errors
+    ///
+    /// The response is late. It counts as a violation.
+    pub fn on_answer(&mut self, now: Time, client_deadline: Time, paused: Micros) -> Result<(), LateAnswer> {
+        if now <= client_deadline + ANSWER_SLACK + paused.min(MAX_STALL) {
+            return Ok(());
         }
+        self.record(Violation::LateAnswer);
+        Err(LateAnswer { late_by: now.since(client_deadline), paused })
     }
 
-    /// A client's connection in this state is closed by this process.
-    pub fn on_close(&mut self, state: ConnectionState) {
-        if state == ConnectionState::Pending {
+    /// A client's connection in this state is closed by this process. Returns whether that is a violation.
+    #[must_use = "a violation is logged"]
+    pub fn on_close(&mut self, state: ConnectionState) -> bool {
+        let is_violation = state == ConnectionState::Pending;
+        if is_violation {
             self.record(Violation::ClosedWhilePending);
         }
+        is_violation
     }
 
     /// The process exits with this number of pending requests.
--- a/crates/agent-core/src/lib.rs
+++ b/crates/agent-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`serving`]: serving, draining and shutting down.
 //! - [`handover`]: the limits of two processes during a rolling restart.
 //! - [`stall`]: the deferral of decisions after the process stood still.
+//! - [`wake_delay`]: pauses of the process, told from its own work.
 //! - [`clock_skew`]: the difference between the wall clocks of this machine and the platform.
 //! - [`body_limits`] and [`chunks`]: buffering, time-outs and framing of bodies.
 //! - [`reconfigure`]: the rules that apply while new settings take over.
@@ -23,3 +24,4 @@
 pub mod serving;
 pub mod shutdown;
 pub mod stall;
+pub mod wake_delay;
--- a/crates/agent/src/daemon/shutdown.rs
+++ b/crates/agent/src/daemon/shutdown.rs
@@ -154,11 +154,12 @@
 
 /// Logs the guard's violations, and whether every request was answered.
 fn report_result(instance: &Instance) {
-    let pending = instance.driver.pending();
+    let pending = instance.driver.pending_ids();
+    instance.driver.request_log.on_ended_while_pending(&pending);
     let mut guard = instance.driver.guard.borrow_mut();
-    guard.on_end(pending);
+    guard.on_end(pending.len());
     for (violation, count) in guard.violations().filter(|(_, count)| *count > 0) {
-        warn!(instance = %instance.name(), violation = violation.name(), count, "rule violation");
+        warn!(instance = %instance.name(), violation = violation.name(), count, "rule violations in total");
     }
     let ended_pending =
         guard.violations().any(|(violation, count)| violation == Violation::EndedWhilePending && count > 0);
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -7,6 +7,7 @@
 use bellcroft_net::Stream;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
@@ -15,6 +16,10 @@
 
 /// What the wrapper and the connection's owner know of each other.
 pub struct ClientConnection {
+    /// Its number, in the order of accepting.
+    number: u64,
+    /// The client's address; none if the kernel no longer knows it.
+    peer: Option<SocketAddr>,
     state: Cell<(ConnectionState, Instant)>,
     pub(super) ambiguous: Cell<bool>,
     pub(super) answered: Cell<bool>,
@@ -36,8 +41,10 @@
 
 impl ClientConnection {
     /// A connection that has just been accepted.
-    pub fn new() -> Rc<Self> {
+    pub fn new(number: u64, peer: Option<SocketAddr>) -> Rc<Self> {
         Rc::new(ClientConnection {
+            number,
+            peer,
             state: Cell::new((ConnectionState::Unused, Instant::now())),
             ambiguous: Cell::new(false),
             answered: Cell::new(false),
@@ -52,6 +59,16 @@
         })
     }
 
+    /// Its number, in the order of accepting.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The client's address; none if the kernel no longer knew it.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// What the connection is doing, and since when.
     pub fn state(&self) -> (ConnectionState, Instant) {
         self.state.get()
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::timeout_at;
 
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
 const DEADLINE_SLACK: Duration = Duration::from_millis(4);
@@ -104,7 +104,7 @@
             Some(answer) => answer,
             None => timeout_at(deadline + DEADLINE_SLACK, answer).await,
         };
-        self.on_answer(client_deadline);
+        self.driver.on_response_decided(open.id(), client.number(), client_deadline);
         let (how, mut response) = match answer {
             Ok(Ok(answer)) => (
                 match answer {
@@ -125,12 +125,6 @@
         Ok(response)
     }
 
-    /// A request's answer has been decided, and its client waits until then.
-    fn on_answer(&self, client_deadline: Instant) {
-        let clock = self.driver.clock;
-        self.driver.guard.borrow_mut().on_answer(clock.now(), clock.at(client_deadline));
-    }
-
     /// Marks a request's id as open; none if it is already. Ids are new with every request, and a second one would
     /// disturb the first.
     fn claim_id(&self, arrival: &IncomingRequest) -> Option<OpenId> {
@@ -143,6 +137,12 @@
 /// An id that is open as long as this is.
 pub(super) struct OpenId(Rc<RefCell<HashSet<Box<str>>>>, Box<str>);
 
+impl OpenId {
+    fn id(&self) -> &str {
+        &self.1
+    }
+}
+
 impl Drop for OpenId {
     fn drop(&mut self) {
         self.0.borrow_mut().remove(&self.1);
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -155,24 +155,30 @@
     fn serve(self: Rc<Self>, stream: Stream<TcpStream>) {
         let number = self.last_connection.get() + 1;
         self.last_connection.set(number);
-        let held = HeldConnection { client: ClientConnection::new(), leave: Rc::default() };
+        let held = HeldConnection {
+            client: ClientConnection::new(number, stream.peer_addr().ok()),
+            leave: Rc::default(),
+        };
         let (client, leave) = (held.client.clone(), held.leave.clone());
         self.held.borrow_mut().insert(number, held);
         tokio::task::spawn_local(async move {
             let reason = self.clone().connection(stream, client.clone(), leave).await;
-            self.on_closed(number, &client, reason);
+            self.on_closed(&client, reason);
             self.held.borrow_mut().remove(&number);
             self.freed.notify_one();
         });
     }
 
     /// A client's connection has ended, or is closed now.
-    fn on_closed(&self, number: u64, client: &ClientConnection, reason: CloseReason) {
+    fn on_closed(&self, client: &ClientConnection, reason: CloseReason) {
         let (state, _) = client.state();
-        self.driver.request_log.on_connection_closed(number, state, reason);
+        let log = &self.driver.request_log;
+        log.on_connection_closed(client.number(), client.peer(), state, reason);
         let by_this_process = !matches!(reason, CloseReason::ClientDisconnected | CloseReason::Finished);
-        if by_this_process && client.stuck().is_none() {
-            self.driver.guard.borrow_mut().on_close(state);
+        let must_log =
+            by_this_process && client.stuck().is_none() && self.driver.guard.borrow_mut().on_close(state);
+        if must_log {
+            log.on_closed_while_pending(client.number(), reason);
         }
     }
 
--- a/crates/agent/src/driver/mod.rs
+++ b/crates/agent/src/driver/mod.rs
@@ -34,6 +34,7 @@
 use bellcroft_agent_core::reconfigure::{AttemptLimitTransition, ClassRegistry};
 use bellcroft_agent_core::shutdown::ShutdownSchedule;
 use bellcroft_agent_core::stall::StallDetector;
+use bellcroft_agent_core::wake_delay::WakeDelays;
 use bellcroft_balancer::{Action, Balancer, EndpointUpdate, Event, Micros, ServerId, SettingsError};
 use bellcroft_platform_settings::Names;
 use bellcroft_routes::{BudgetIds, LatencyWindow, RouteTable};
@@ -101,6 +102,8 @@
     /// Logs the events of each request.
     pub request_log: Rc<RequestLog>,
     state: RefCell<State>,
+    /// How late the task of [`Driver::run`] woke.
+    wake_delays: RefCell<WakeDelays>,
     /// Wakes the task of [`Driver::run`] when the earliest timer or the deferral has changed.
     wake: Notify,
     /// The other instances, if they are configured.
@@ -145,6 +148,7 @@
             guard: Rc::default(),
             request_log: Rc::default(),
             state: RefCell::new(state),
+            wake_delays: RefCell::default(),
             wake: Notify::new(),
             peers: RefCell::default(),
             fleet_size: Cell::new(0),
--- a/crates/agent/src/driver/requests.rs
+++ b/crates/agent/src/driver/requests.rs
@@ -248,6 +248,12 @@
         self.state.borrow().requests.pending.len()
     }
 
+    /// The ids of the requests without a final response.
+    pub fn pending_ids(&self) -> Vec<Rc<str>> {
+        let state = self.state.borrow();
+        state.requests.pending.values().map(|pending| pending.request.request_id.clone()).collect()
+    }
+
     /// When the response to a request with this deadline is due: no later than the process's shutdown allows.
     fn answer_by(&self, deadline: Instant) -> Time {
         self.guard.borrow().answer_by(self.clock.at(deadline))
--- a/crates/agent/src/driver/timers.rs
+++ b/crates/agent/src/driver/timers.rs
@@ -2,7 +2,7 @@
 
 use super::{duration, Driver, State};
 use bellcroft_agent_core::stall::{StallDetector, LIST_TIMEOUT};
-use bellcroft_balancer::{Event, Time, TimerId};
+use bellcroft_balancer::{Event, Micros, Time, TimerId};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
@@ -13,6 +13,12 @@
 /// The interval between two sweeps of idle connections to servers; they expire after whole seconds.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The processor time that this thread has used.
+fn processor_time() -> Micros {
+    let used = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Micros(used.tv_sec as u64 * 1_000_000 + used.tv_nsec as u64 / 1_000)
+}
+
 /// The balancer's timers, the earliest first. Timers of one time fire in the order of their ids.
 #[derive(Default)]
 pub(super) struct TimerQueue {
@@ -45,10 +51,13 @@
     pub async fn run(self: Rc<Self>) {
         let mut next_sweep = Instant::now() + IDLE_SWEEP_INTERVAL;
         loop {
+            let due = self.next_wake(next_sweep);
+            self.wake_delays.borrow_mut().on_sleep(self.clock.now(), self.clock.at(due), processor_time);
             tokio::select! {
-                () = tokio::time::sleep_until(self.next_wake(next_sweep)) => {}
+                () = tokio::time::sleep_until(due) => {}
                 () = self.wake.notified() => {}
             }
+            self.wake_delays.borrow_mut().on_wake(self.clock.now(), processor_time);
             self.queue_due_timers();
             self.pump();
             if Instant::now() >= next_sweep {
@@ -58,6 +67,18 @@
         }
     }
 
+    /// Checks a response against its client's deadline, and logs one that is late.
+    pub fn on_response_decided(&self, request_id: &str, connection: u64, client_deadline: Instant) {
+        let (now, deadline) = (self.clock.now(), self.clock.at(client_deadline));
+        if now <= deadline {
+            return;
+        }
+        let paused = self.wake_delays.borrow().paused_since(deadline, now, processor_time);
+        if let Err(late) = self.guard.borrow_mut().on_answer(now, deadline, paused) {
+            self.request_log.on_late_answer(request_id, connection, late);
+        }
+    }
+
     /// The end of the deferral while decisions are deferred, since timers cannot be handled before; otherwise the earliest
     /// timer. The sweep at the latest.
     fn next_wake(&self, next_sweep: Instant) -> Instant {
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -4,10 +4,13 @@
 //! from the start of a shutdown: that is short, and its pending requests cannot be traced afterwards. A denied attempt is a
 //! warning, unless the shutdown denies it.
 
-use bellcroft_agent_core::guard::{ConnectionState, SendDenied};
+use bellcroft_agent_core::guard::{ConnectionState, LateAnswer, SendDenied, Violation};
 use bellcroft_balancer::{ClassId, Outcome, ServerId};
 use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 use tracing::{debug, info, warn};
 
 /// Logs an event at the present level.
@@ -49,10 +52,39 @@
     Shutdown,
 }
 
+/// Violations of one kind are logged once in this time; those in between are counted.
+const VIOLATION_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of requests that one line names.
+const MAX_LOGGED_IDS: usize = 10;
+
+/// Limits how often violations of one kind are logged.
+#[derive(Debug, Default)]
+struct ViolationReports {
+    logged_at: Cell<Option<Instant>>,
+    not_logged: Cell<u64>,
+}
+
+impl ViolationReports {
+    /// A violation has happened. The number to log now, with those that were not logged; none if it is too soon.
+    fn next(&self) -> Option<u64> {
+        let count = self.not_logged.get() + 1;
+        let is_due = self.logged_at.get().is_none_or(|at| at.elapsed() >= VIOLATION_LOG_INTERVAL);
+        self.not_logged.set(if is_due { 0 } else { count });
+        if is_due {
+            self.logged_at.set(Some(Instant::now()));
+        }
+        is_due.then_some(count)
+    }
+}
+
 /// The request log of a process.
 #[derive(Debug, Default)]
 pub struct RequestLog {
     shutting_down: Cell<bool>,
+    late_answers: ViolationReports,
+    closed_while_pending: ViolationReports,
+    unsafe_repeats: ViolationReports,
 }
 
 impl RequestLog {
@@ -78,6 +110,10 @@
             SendDenied::ProcessEnding => event!(self, id, attempt, server, ?reason, "attempt denied"),
             SendDenied::MayRunTwice | SendDenied::OutsideDedupWindow | SendDenied::OutsideDedupGroup => {
                 warn!(target: "bellcroft::requests", id, attempt, server, ?reason, "attempt denied");
+                if let Some(count) = self.unsafe_repeats.next() {
+                    let rule = Violation::UnsafeRepeat.name();
+                    warn!(target: "bellcroft::requests", rule, id, attempt, ?reason, count, "rule violation");
+                }
             }
         }
     }
@@ -97,8 +133,42 @@
         event!(self, id, "client disconnected");
     }
 
-    /// A client's connection has ended in this state.
-    pub fn on_connection_closed(&self, connection: u64, state: ConnectionState, reason: CloseReason) {
-        event!(self, connection, ?state, ?reason, "downstream connection closed");
+    /// A response was decided after its client's deadline.
+    pub fn on_late_answer(&self, id: &str, connection: u64, late: LateAnswer) {
+        let Some(count) = self.late_answers.next() else { return };
+        let rule = Violation::LateAnswer.name();
+        let late_by = Duration::from_micros(late.late_by.0);
+        let paused = Duration::from_micros(late.paused.0);
+        warn!(target: "bellcroft::requests", rule, id, connection, ?late_by, ?paused, count, "rule violation");
+    }
+
+    /// A connection was closed by this process while a request had no response.
+    pub fn on_closed_while_pending(&self, connection: u64, close_reason: CloseReason) {
+        let Some(count) = self.closed_while_pending.next() else { return };
+        let rule = Violation::ClosedWhilePending.name();
+        warn!(target: "bellcroft::requests", rule, connection, ?close_reason, count, "rule violation");
+    }
+
+    /// The process ends while these requests have no response.
+    pub fn on_ended_while_pending(&self, ids: &[Rc<str>]) {
+        if ids.is_empty() {
+            return;
+        }
+        let (rule, count) = (Violation::EndedWhilePending.name(), ids.len());
+        let ids = &ids[..count.min(MAX_LOGGED_IDS)];
+        warn!(target: "bellcroft::requests", rule, ?ids, count, "rule violation");
+    }
+
+    /// A client's connection has ended in this state. No byte of a request was read and not answered if it was unused or
+    /// idle.
+    pub fn on_connection_closed(
+        &self,
+        connection: u64,
+        peer: Option<SocketAddr>,
+        state: ConnectionState,
+        reason: CloseReason,
+    ) {
+        let peer = peer.map(tracing::field::display);
+        event!(self, connection, peer, ?state, ?reason, "downstream connection closed");
     }
 }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -4,7 +4,7 @@
 use hyper::rt::ReadBufCursor;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
@@ -72,6 +72,15 @@
         Stream(stream)
     }
 
+    /// The peer's address.
+    ///
+    /// # Errors
+    ///
+    /// The peer has reset the connection.
+    pub fn peer_addr(&self) -> io::Result<SocketAddr> {
+        self.0.peer_addr()
+    }
+
     /// Waits until the peer has closed, however many of its bytes are unread: a read would return the end only after them.
     pub async fn peer_closed(&self) {
         // No interest is for the end of the stream alone. `PRIORITY` is for urgent data too, which is not requested from the
--- a/crates/testbed/src/soak/cluster.rs
+++ b/crates/testbed/src/soak/cluster.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout_at, Instant};
@@ -29,6 +29,8 @@
 /// One in so many calls of a kind fails.
 const CALLS_PER_FAULT: u64 = 60;
 
+const SECONDS_PER_DAY: u64 = 86_400;
+
 /// When something began, and when it was over.
 type Interval = (Instant, Option<Instant>);
 
@@ -90,6 +92,15 @@
         lock(&self.violations).push(format!("i{}: {what}", self.number));
     }
 
+    /// Adds a line of the soak's own to the log of the slot's processes, with the machine's time of day.
+    fn note(&self, what: impl std::fmt::Display) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let seconds = now.as_secs() % SECONDS_PER_DAY;
+        let (hour, minute, second) = (seconds / 3_600, seconds / 60 % 60, seconds % 60);
+        let micros = now.subsec_micros();
+        lock(&self.logs).push(format!("soak T{hour:02}:{minute:02}:{second:02}.{micros:06}Z {what}"));
+    }
+
     async fn spawn(&self) -> Agent {
         let mut config = lock(&self.config).clone();
         // A process that starts is given the list as it stands.
@@ -129,6 +140,7 @@
         let longest = CLASSES.iter().map(|class| self.plan.deadline(class)).max().unwrap_or_default();
         agent.term().await;
         let told = Instant::now();
+        self.note("SIGTERM sent");
         self.gate.send_replace(Gate::ClosesAt(told + CONNECTS_AFTER_TERM));
         let killed_at = told + longest.min(MAX_PLATFORM_DEADLINE) + KILL_MARGIN;
         match timeout_at(killed_at, agent.child.wait()).await {
@@ -149,6 +161,7 @@
         let Ok(mut place) = self.agent.try_lock() else { return };
         let Some(mut agent) = place.take() else { return };
         lock(&self.crashes).push((Instant::now(), None));
+        self.note("SIGKILL sent");
         self.gate.send_replace(Gate::Closed);
         self.pid.store(0, Ordering::SeqCst);
         agent.child.kill().await.expect("it runs");
@@ -166,8 +179,10 @@
         }
         // It may end just now; then there is nobody to stop.
         if signal("-STOP", pid).await {
+            self.note("SIGSTOP sent");
             sleep(lasts).await;
             signal("-CONT", pid).await;
+            self.note("SIGCONT sent");
         }
     }
 
@@ -178,6 +193,7 @@
             let text = lock(&self.config).to_string();
             agent.replace(&text);
             agent.hang_up().await;
+            self.note("SIGHUP sent");
         }
     }
 }
