--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -213,6 +213,9 @@
         set(&families::CONNECTIONS_MOST, &["server"], max_server_connections);
         set(&families::READY, &[], usize::from(self.phase() == Phase::Ready));
         set(&families::GENERATION, &[], self.reloads.borrow().generation() as usize);
+        for (violation, total) in self.driver.guard.borrow().violations() {
+            telemetry.rule_violations(violation.name(), total);
+        }
         self.control.refresh_gauges();
     }
 }
--- a/crates/agent/tests/telemetry.rs
+++ b/crates/agent/tests/telemetry.rs
@@ -79,6 +79,8 @@
     assert_eq!(reached as usize, stage.world.seen().len());
     assert_eq!(during.sum("bellcroft_rule_breaches_total", &[]), 0.0);
     assert_eq!(during.latest("bellcroft_rule_breaches_total", &[]).len(), 4);
+    assert_eq!(during.sum("bellcroft_rule_violations_total", &[]), 0.0);
+    assert_eq!(during.latest("bellcroft_rule_violations_total", &[]).len(), 4);
     assert_eq!(during.sum("bellcroft_servers", &[("state", "draining"), ("zone", "south")]), 1.0);
     assert_eq!(during.sum("bellcroft_servers", &[("state", "up")]), 3.0);
     assert_eq!(during.sum("bellcroft_tenant_requests_total", &[("tenant", "acme")]) as usize, records.len());
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -65,6 +65,7 @@
     CONNECTIONS_MOST Gauge "bellcroft_connections_most" ["side"] FEW, "Connections that this process may hold: client, server.";
 
     BREACHES Counter "bellcroft_rule_breaches_total" ["rule"] FEW, "Breaches of a rule, by what left and came back on sockets.";
+    VIOLATIONS Counter "bellcroft_rule_violations_total" ["rule"] FEW, "Limits of a request that this instance broke by its own account: late_answer (past its time by more than a pause of the process explains), unsafe_repeat (not sent), closed_while_pending, ended_while_pending.";
     NEAR Counter "bellcroft_rule_near_misses_total" ["rule"] FEW, "Kept only within what is allowed for sockets and clocks (50 ms), or with under a tenth of a cold server's budget left.";
     MARGIN Gauge "bellcroft_rule_margin_seconds" ["rule"] FEW, "The smallest time that was left to the rule's limit since the last sample; not there if there was none.";
     COLD_LEFT Gauge "bellcroft_cold_budget_left_ratio" [] FEW, "The smallest share of a cold server's budget that was left since the last sample; not there if there was none.";
--- a/crates/telemetry/src/instance.rs
+++ b/crates/telemetry/src/instance.rs
@@ -444,6 +444,11 @@
         self.observer.borrow_mut().look(now);
     }
 
+    /// The total of one kind of violation; it is counted by the guard.
+    pub fn rule_violations(&self, rule: &str, total: u64) {
+        raise(&self.registry.counter(&VIOLATIONS, &[rule]), total);
+    }
+
     /// What remote write has done; its counts are the sender's own.
     pub fn remote(&self, counts: &sender::Counts, queue: usize, oldest: Duration, clock_steps: u64) {
         let words = [
