Scale run: a void run gives no verdict, and a process that dies early is named

What was seen: hollow_agent_with_another_interval_is_told_from_a_real_one failed at times.

Cause: the tests compared figures that the run had declared void. All 24 hollow agents share one process; without a processor for a second it answers nobody, while real agents have a process each. The tests now play until a run counts, four at most, and demand the same differences of it; a void run no longer passes either.

--- a/crates/testbed/src/scale/children.rs
+++ b/crates/testbed/src/scale/children.rs
@@ -1,6 +1,7 @@
 //! The processes of a run: started, watched, ended, each with its last lines at hand.
 
 use super::hollow::HollowReport;
+use super::run::RunError;
 use std::collections::VecDeque;
 use std::fmt;
 use std::path::{Path, PathBuf};
@@ -123,11 +124,14 @@
     /// # Errors
     ///
     /// It has ended.
-    pub async fn go(&mut self) -> std::io::Result<()> {
-        match &mut self.input {
-            Some(input) => input.write_all(b"go\n").await,
-            None => Ok(()),
+    pub async fn go(&mut self) -> Result<(), RunError> {
+        let Some(input) = &mut self.input else { return Ok(()) };
+        if input.write_all(b"go\n").await.is_ok() {
+            return Ok(());
         }
+        // Its end of the pipe is closed before its status is known.
+        let status = self.child.wait().await?;
+        Err(self.ended_unexpectedly(status).into())
     }
 
     /// A hollow process's longest oversleep since the last call, in milliseconds.
@@ -145,15 +149,16 @@
             return Ok(());
         }
         match self.child.try_wait() {
-            Ok(Some(status)) => Err(ProcessEnded {
-                name: self.name.clone(),
-                status,
-                last_lines: lock(&self.output).lines.iter().cloned().collect(),
-            }),
+            Ok(Some(status)) => Err(self.ended_unexpectedly(status)),
             Ok(None) | Err(_) => Ok(()),
         }
     }
 
+    fn ended_unexpectedly(&self, status: ExitStatus) -> ProcessEnded {
+        let last_lines = lock(&self.output).lines.iter().cloned().collect();
+        ProcessEnded { name: self.name.clone(), status, last_lines }
+    }
+
     /// Kills it.
     pub async fn kill(&mut self) {
         self.expected_to_end = true;
--- a/crates/testbed/tests/scale.rs
+++ b/crates/testbed/tests/scale.rs
@@ -50,19 +50,36 @@
     ))
 }
 
+/// The maximum of runs on a machine that is too busy for a verdict.
+const MAX_RUNS: usize = 4;
+
+/// Plays a scenario until its figures count. Those of a void run do not: an agent whose process got no processor for a
+/// second sends less than one beside it, whatever it is.
+async fn play_valid(scenario: &Scenario) -> RunResult {
+    let mut reasons = Vec::new();
+    for _ in 0..MAX_RUNS {
+        let result = play(scenario).await.unwrap_or_else(|why| panic!("{why}"));
+        if result.void.is_empty() {
+            return result;
+        }
+        reasons.push(result.void);
+    }
+    panic!("the machine was too busy for a verdict, {MAX_RUNS} times: {reasons:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hollow_agent_sends_what_a_real_one_beside_it_sends() {
-    let result = play(&side_by_side("")).await.unwrap_or_else(|why| panic!("{why}"));
-    assert_eq!(compare(&result), [], "void: {:?}", result.void);
+    let result = play_valid(&side_by_side("")).await;
+    assert_eq!(compare(&result), []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn hollow_agent_with_another_interval_is_told_from_a_real_one() {
     let other = side_by_side("hollow_telemetry_interval_s = 1.0\n");
-    let result = play(&other).await.unwrap_or_else(|why| panic!("{why}"));
+    let result = play_valid(&other).await;
     let differences = compare(&result);
     let figures: Vec<&str> = differences.iter().map(|difference| difference.figure).collect();
-    assert_eq!(figures, ["telemetry posts"], "{differences:?}, void: {:?}", result.void);
+    assert_eq!(figures, ["telemetry posts"], "{differences:?}, {:?}", result.fleet);
 }
 
 /// With a window so long that the run ends by the kill and by nothing else.
