Shutdown: a pause that delayed SIGTERM counts into the time until SIGKILL

Callers: where a process is stopped for 0.5 s while SIGTERM arrives and servers hang, two of four requests had no answer at SIGKILL.

Cause: the schedule counts from the reading of the signal and reserves 0.15 s for the time before; the process did not know that it had been paused for longer.

Fix: the event loop knows of a pause that ended just now. Answers and exit count from its beginning, less the reserve, accepting from the reading, since the signal may have come at either end. Unchanged for pauses of up to 0.15 s.

Evidence: process_paused_for_long_while_sigterm_arrives_answers_before_kill failed with the pause left out ([504, 504, -, -]) and passes; the seven tests of shutdown.rs, guard and wake_delay passed.

Connections that are still open when the process exits are logged too, with their state: a client's last request can be told from one that was read.

--- a/crates/agent-core/src/shutdown.rs
+++ b/crates/agent-core/src/shutdown.rs
@@ -1,8 +1,8 @@
 //! The times of a graceful shutdown.
 //!
-//! The platform sends SIGTERM, and SIGKILL no sooner than the longest deadline (3 s at most) and 0.7 s more after it. All
-//! times here count from the moment at which the process read the signal, which may be [`MAX_STALL`] after it was sent; a
-//! response may be written [`MAX_STALL`] after it was due.
+//! The platform sends SIGTERM, and SIGKILL no sooner than the longest deadline (3 s at most) and 0.7 s more after it. The
+//! process reads the signal up to [`MAX_STALL`] after it was sent, or later where it was paused for longer; a response may be
+//! written [`MAX_STALL`] after it was due.
 
 use bellcroft_balancer::{Micros, Time};
 
@@ -19,6 +19,22 @@
 /// The time between the last responses and the exit, in which requests are rejected at once.
 pub const EXIT_RESERVE: Micros = Micros(100_000);
 
+/// A request to shut down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShutdownSignal {
+    /// When the process read it.
+    pub read_at: Time,
+    /// The pause of the process that ended as it read the signal; the signal may have been sent at its beginning.
+    pub paused: Micros,
+}
+
+impl ShutdownSignal {
+    /// A signal that was read at once, or within [`MAX_STALL`].
+    pub fn read_at(read_at: Time) -> Self {
+        ShutdownSignal { read_at, paused: Micros::ZERO }
+    }
+}
+
 /// The times of one shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownSchedule {
@@ -27,10 +43,14 @@
 }
 
 impl ShutdownSchedule {
-    /// The schedule after a signal at `signalled`, with the longest deadline of the settings at that time. An operator may
-    /// shorten the shutdown: `operator_limit` counts from the end of accepting.
-    pub fn new(signalled: Time, longest_deadline: Micros, operator_limit: Option<Micros>) -> Self {
-        let killed_at = signalled + longest_deadline.min(MAX_PLATFORM_DEADLINE) + PLATFORM_KILL_MARGIN;
+    /// The schedule after a signal, with the longest deadline of the settings at that time. An operator may shorten the
+    /// shutdown: `operator_limit` counts from the end of accepting.
+    pub fn new(signal: ShutdownSignal, longest_deadline: Micros, operator_limit: Option<Micros>) -> Self {
+        let signalled = signal.read_at;
+        // New connections arrive for some time after the signal, so accepting counts from its latest time, and the end of
+        // the process from its earliest.
+        let sent_at = signalled - signal.paused.saturating_sub(MAX_STALL);
+        let killed_at = sent_at + longest_deadline.min(MAX_PLATFORM_DEADLINE) + PLATFORM_KILL_MARGIN;
         let platform = killed_at - MAX_STALL - MAX_STALL - WRITE_RESERVE;
         let operator = operator_limit.map_or(platform, |limit| signalled + ACCEPT_TIMEOUT + limit);
         ShutdownSchedule { signalled, answer_by: platform.min(operator) }
--- a/crates/agent-core/src/wake_delay.rs
+++ b/crates/agent-core/src/wake_delay.rs
@@ -13,6 +13,8 @@
 const MAX_PAUSES: usize = 8;
 /// Shorter pauses are those of any scheduler.
 const MIN_PAUSE: Micros = Micros(1_000);
+/// After a pause, what happened during it is known within this time.
+const JUST_ENDED: Micros = Micros(20_000);
 /// A sample of the processor time is used again for so long: reading it is a system call.
 const SAMPLE_INTERVAL: Micros = Micros(5_000);
 
@@ -72,6 +74,12 @@
         Micros(pauses.map(|pause| pause.within(from, now).0).sum())
     }
 
+    /// How long the pause lasted that ended just now.
+    pub fn latest_pause(&self, now: Time, processor_time: impl FnOnce() -> Micros) -> Micros {
+        let pause = self.current(now, processor_time).or_else(|| self.pauses.front().copied());
+        pause.filter(|pause| now.since(pause.woke) < JUST_ENDED).map_or(Micros::ZERO, |pause| pause.idle)
+    }
+
     /// The pause that ends now, if the loop is late. Work that was done between the sample and the due time counts as work
     /// of the late wake, so the pause is never overestimated.
     fn current(&self, now: Time, processor_time: impl FnOnce() -> Micros) -> Option<Pause> {
--- a/crates/agent-core/tests/guard.rs
+++ b/crates/agent-core/tests/guard.rs
@@ -20,7 +20,8 @@
     for deadline_ms in (10..20_000).step_by(10).map(f64::from) {
         let sent = at(0.0);
         let killed = sent + MS * deadline_ms.min(3_000.0) + MS * 700.0;
-        let schedule = ShutdownSchedule::new(sent + MAX_STALL, MS * deadline_ms, None);
+        let schedule =
+            ShutdownSchedule::new(ShutdownSignal::read_at(sent + MAX_STALL), MS * deadline_ms, None);
         assert!(schedule.answer_by() + MAX_STALL < killed, "{deadline_ms} ms: answers held up");
         assert!(schedule.exit_by() < killed, "{deadline_ms} ms: exit");
         assert!(schedule.accept_until() <= schedule.exit_by());
@@ -31,11 +32,25 @@
     }
 }
 
+/// A signal that was read after a longer pause may have been sent at its beginning, or at its end.
+#[test]
+fn responses_precede_sigkill_after_a_signal_that_a_pause_delayed() {
+    for paused_ms in [0.0, 150.0, 151.0, 400.0, 1_000.0] {
+        let read_at = at(paused_ms);
+        let signal = ShutdownSignal { read_at, paused: MS * paused_ms };
+        let schedule = ShutdownSchedule::new(signal, MS * 3_000.0, None);
+        let killed = at(3_700.0);
+        assert!(schedule.answer_by() + MAX_STALL < killed, "paused for {paused_ms} ms");
+        assert!(schedule.exit_by() < killed, "paused for {paused_ms} ms");
+        assert!(schedule.accept_until() >= read_at + MS * 400.0, "paused for {paused_ms} ms: accepting");
+    }
+}
+
 #[test]
 fn operator_limit_only_shortens_the_shutdown() {
-    let platform = ShutdownSchedule::new(at(0.0), MS * 2_500.0, None);
-    let shorter = ShutdownSchedule::new(at(0.0), MS * 2_500.0, Some(MS * 200.0));
-    let longer = ShutdownSchedule::new(at(0.0), MS * 2_500.0, Some(MS * 60_000.0));
+    let platform = ShutdownSchedule::new(ShutdownSignal::read_at(at(0.0)), MS * 2_500.0, None);
+    let shorter = ShutdownSchedule::new(ShutdownSignal::read_at(at(0.0)), MS * 2_500.0, Some(MS * 200.0));
+    let longer = ShutdownSchedule::new(ShutdownSignal::read_at(at(0.0)), MS * 2_500.0, Some(MS * 60_000.0));
     assert_eq!(shorter.answer_by(), at(850.0));
     assert_eq!(longer, platform);
 }
@@ -44,9 +59,9 @@
 fn first_shutdown_limits_all_deadlines_and_windows() {
     let mut guard = Guard::default();
     assert_eq!(guard.answer_by(at(60_000.0)), at(60_000.0));
-    let schedule = ShutdownSchedule::new(at(0.0), MS * 2_000.0, None);
+    let schedule = ShutdownSchedule::new(ShutdownSignal::read_at(at(0.0)), MS * 2_000.0, None);
     guard.begin_shutdown(schedule);
-    guard.begin_shutdown(ShutdownSchedule::new(at(500.0), MS * 2_000.0, None));
+    guard.begin_shutdown(ShutdownSchedule::new(ShutdownSignal::read_at(at(500.0)), MS * 2_000.0, None));
     assert_eq!(guard.shutdown(), Some(schedule));
     assert_eq!(guard.answer_by(at(60_000.0)), schedule.answer_by());
     assert_eq!(guard.answer_by(at(100.0)), at(100.0));
--- a/crates/agent-core/tests/wake_delay.rs
+++ b/crates/agent-core/tests/wake_delay.rs
@@ -66,3 +66,15 @@
     assert_eq!(paused(&delays, 1_700.0, 2_000.0), ms(60.0));
     assert_eq!(paused(&delays, 0.0, 2_000.0), ms(160.0));
 }
+
+#[test]
+fn latest_pause_is_the_one_that_has_just_ended() {
+    let unread = || unreachable!("the loop is not late");
+    let delays = late(30.0);
+    assert_eq!(delays.latest_pause(at(200.5), unread), ms(120.0));
+    assert_eq!(delays.latest_pause(at(230.0), unread), Micros::ZERO, "long over");
+    let mut due = WakeDelays::default();
+    due.on_sleep(at(0.0), at(50.0), || Micros::ZERO);
+    assert_eq!(due.latest_pause(at(450.0), || Micros::ZERO), ms(400.0), "the loop has not woken yet");
+    assert_eq!(WakeDelays::default().latest_pause(at(1.0), unread), Micros::ZERO);
+}
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -18,6 +18,7 @@
 use crate::downstream::Server;
 use bellcroft_agent_core::handover::HandoverEvent;
 use bellcroft_agent_core::serving::ShutdownKind;
+use bellcroft_agent_core::shutdown::ShutdownSignal;
 use bellcroft_net::Listener;
 use serde_json::Value;
 use std::cell::RefCell;
@@ -274,6 +275,7 @@
     async fn shut_down(mut self) {
         let instance = &self.instance;
         let signalled = instance.driver.clock.now();
+        let signal = ShutdownSignal { read_at: signalled, paused: instance.driver.latest_pause() };
         let replaced = instance.handover.borrow().is_replaced();
         if let Some(handover_listener) = &self.handover_listener {
             handover_listener.successor_owns_socket.set(replaced);
@@ -288,7 +290,7 @@
         let kind = if replaced { ShutdownKind::Replaced } else { ShutdownKind::Final };
         instance.server.change(|service| service.shut_down(signalled, kind));
         let successor = if replaced || handed_over { Successor::Listening } else { Successor::None };
-        shutdown::answer_all(instance, signalled, self.accept_task.take(), successor).await;
+        shutdown::answer_all(instance, signal, self.accept_task.take(), successor).await;
         // After the last response, so that the last samples count it.
         instance.control.stop_telemetry().await;
         instance.set_phase(Phase::Stopped);
@@ -302,6 +304,7 @@
             let requests = serde_json::to_string(&instance.status().requests).unwrap_or_default();
             info!(instance = %instance.name(), %requests, "final request totals");
         }
+        instance.server.on_exit();
         drop(self.state.take());
     }
 }
--- a/crates/agent/src/daemon/shutdown.rs
+++ b/crates/agent/src/daemon/shutdown.rs
@@ -5,7 +5,7 @@
 use super::instance::Instance;
 use crate::downstream::Accepting;
 use bellcroft_agent_core::guard::Violation;
-use bellcroft_agent_core::shutdown::ShutdownSchedule;
+use bellcroft_agent_core::shutdown::{ShutdownSchedule, ShutdownSignal};
 use bellcroft_balancer::{Micros, Time};
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -27,15 +27,16 @@
 /// Answers everything that was accepted, within the platform's and the operator's limits; returns when nothing is pending.
 pub(super) async fn answer_all(
     instance: &Instance,
-    signalled: Time,
+    signal: ShutdownSignal,
     accept_task: Option<JoinHandle<()>>,
     successor: Successor,
 ) {
-    let schedule = schedule(instance, signalled);
+    let schedule = schedule(instance, signal);
     instance.driver.begin_shutdown(schedule);
-    let after = |time: Time| Duration::from_micros(time.since(signalled).0);
+    let after = |time: Time| Duration::from_micros(time.since(signal.read_at).0);
     info!(
         instance = %instance.name(),
+        paused = ?Duration::from_micros(signal.paused.0),
         accept_for = ?after(schedule.accept_until()),
         answer_within = ?after(schedule.answer_by()),
         exit_within = ?after(schedule.exit_by()),
@@ -54,11 +55,11 @@
 }
 
 /// By the settings in force now, not by those of the start.
-fn schedule(instance: &Instance, signalled: Time) -> ShutdownSchedule {
+fn schedule(instance: &Instance, signal: ShutdownSignal) -> ShutdownSchedule {
     let config = instance.control.config();
     let longest_deadline = config.settings.classes.iter().map(|class| class.deadline).max();
     let operator_limit = config.daemon.stop_within.map(|limit| Micros(limit.as_micros() as u64));
-    ShutdownSchedule::new(signalled, longest_deadline.unwrap_or_default(), operator_limit)
+    ShutdownSchedule::new(signal, longest_deadline.unwrap_or_default(), operator_limit)
 }
 
 async fn stop_accepting(
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -182,6 +182,13 @@
         }
     }
 
+    /// The process exits: the connections that are left end with it.
+    pub fn on_exit(&self) {
+        for held in self.held.borrow().values() {
+            self.on_closed(&held.client, CloseReason::Shutdown);
+        }
+    }
+
     /// A connection that leaves frees its place; one that may leave soon is found by looking again.
     async fn wait_for_place(&self) {
         let _ = timeout(ACCEPT_RETRY_INTERVAL, self.freed.notified()).await;
--- a/crates/agent/src/driver/timers.rs
+++ b/crates/agent/src/driver/timers.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// How long the pause of this process lasted that ended just now; zero if there was none.
+    pub fn latest_pause(&self) -> Micros {
+        self.wake_delays.borrow().latest_pause(self.clock.now(), processor_time)
+    }
+
     /// Checks a response against its client's deadline, and logs one that is late.
     pub fn on_response_decided(&self, request_id: &str, connection: u64, client_deadline: Instant) {
         let (now, deadline) = (self.clock.now(), self.clock.at(client_deadline));
--- a/crates/agent/tests/shutdown.rs
+++ b/crates/agent/tests/shutdown.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Stalls {
     Never,
+    /// While SIGTERM arrives, for so long.
+    AtTerm(Duration),
     /// While SIGTERM arrives, and repeatedly from this long before SIGKILL on.
     AroundBothSignals(Duration),
 }
@@ -103,7 +105,8 @@
     let longest = Duration::from_millis(deadlines_ms[2]).min(MAX_PLATFORM_WAIT);
     let killed_at = told + longest + KILL_MARGIN;
     if stalls != Stalls::Never {
-        tokio::time::sleep(MAX_STALL).await;
+        let lasts = if let Stalls::AtTerm(lasts) = stalls { lasts } else { MAX_STALL };
+        tokio::time::sleep(lasts).await;
         kill("-CONT", id).await;
     }
     let at = |ms: u64| told + Duration::from_millis(ms);
@@ -130,7 +133,7 @@
     };
     let stalling = async {
         match stalls {
-            Stalls::Never => std::future::pending().await,
+            Stalls::Never | Stalls::AtTerm(_) => std::future::pending().await,
             Stalls::AroundBothSignals(before) => stall_repeatedly(&agent, killed_at - before).await,
         }
     };
@@ -172,6 +175,13 @@
     }
 }
 
+/// Longer than the pause that the schedule reserves for reading SIGTERM.
+#[tokio::test]
+async fn process_paused_for_long_while_sigterm_arrives_answers_before_kill() {
+    let stalls = Stalls::AtTerm(Duration::from_millis(500));
+    assert_answered(planned_restart([1_079, 2_698, 3_000], stalls).await);
+}
+
 #[tokio::test]
 async fn short_deadlines_leave_time_for_responses() {
     let stalls = Stalls::AroundBothSignals(Duration::from_millis(500));
