Soak: signals in series, clients to the last moment, crowds, and crossings judged by the log

The soak played one signal at a time, clients paused after SIGTERM as before it, there was no crowd, and a request on a kept connection that ended without an answer within 0.1 s was excused unseen.

The excuse holds only where the process's log shows that no byte of the request had been read; the 0.1 s stay as well. A violation shows the last ten log lines of its request, the report the requests in each tenth of a second after SIGTERM.

Found in the soak itself: a process's log was read as soon as its exit was known, before its last lines had come; now to its end. The slot of a process is a module of its own.

--- a/crates/testbed/src/play_soak.rs
+++ b/crates/testbed/src/play_soak.rs
@@ -55,11 +55,12 @@
             println!("{}", serde_json::json!(report));
         } else {
             println!(
-                "seed {seed}: {} violations, faults {:?}, {} failed calls, requests {:?}, lag {:.0} ms",
+                "seed {seed}: {} violations, faults {:?}, {} failed calls, requests {:?}, after SIGTERM by tenths of a second {:?}, lag {:.0} ms",
                 report.violations.len(),
                 report.faults,
                 report.failed_calls,
                 report.requests,
+                report.begun_after_sigterm,
                 report.lag_ms
             );
             report.violations.iter().take(MAX_PRINTED).for_each(|line| println!("  VIOLATION: {line}"));
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
+use tokio::task::JoinHandle;
 
 /// Settings for the classes `read`, `save` and `pay`, with long deadlines.
 pub fn settings() -> Value {
@@ -35,6 +36,7 @@
     pub child: Child,
     /// What it has written to its log.
     pub log: Arc<Mutex<Vec<String>>>,
+    log_reader: JoinHandle<()>,
     file: PathBuf,
 }
 
@@ -134,12 +136,12 @@
         // Someone must read on, or a full pipe would stop the agent.
         let lines = Arc::new(Mutex::new(first));
         let kept = lines.clone();
-        tokio::spawn(async move {
+        let log_reader = tokio::spawn(async move {
             while let Ok(Some(line)) = log.next_line().await {
                 kept.lock().unwrap_or_else(PoisonError::into_inner).push(line);
             }
         });
-        Agent { address, child, log: lines, file }
+        Agent { address, child, log: lines, log_reader, file }
     }
 
     /// Starts one that goes by an operator's file too.
@@ -150,6 +152,12 @@
         .await
     }
 
+    /// All that it logged, once it has ended: its last lines may come after its exit is known.
+    pub async fn complete_log(&mut self) -> Vec<String> {
+        soon("the end of the log", &mut self.log_reader).await.expect("the reader does not fail");
+        std::mem::take(&mut *self.log.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Lines of its log that hold this text.
     pub fn logged(&self, text: &str) -> usize {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).iter().filter(|l| l.contains(text)).count()
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -1,9 +1,10 @@
 //! The clients of a soak: those that keep a connection, write slowly, rest before they ask, leave, or have little time.
 
-use super::cluster::{Gate, Slot};
+use super::slot::{Gate, Slot};
 use super::SoakPlan;
 use crate::http::read_message;
 use crate::traffic::CLASSES;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -14,6 +15,10 @@
 
 /// Mean pause of a client between two requests.
 const PAUSE: Duration = Duration::from_millis(120);
+/// The same while the client's process ends.
+const ENDING_PAUSE: Duration = Duration::from_millis(20);
+/// The longest rest of a connection before its request.
+const MAX_REST: Duration = Duration::from_secs(2);
 /// Past its time a request is waited for this long; later it has no answer.
 const ANSWER_SLACK: Duration = Duration::from_secs(5);
 /// A request that crosses the end of its connection is sent to a process that has not read it. One that was out for longer
@@ -86,6 +91,8 @@
     pub slot: usize,
     /// Its `X-Request-ID`.
     pub id: String,
+    /// The client's address.
+    pub client: Option<SocketAddr>,
     /// Its place in [`CLASSES`].
     pub class: usize,
     /// What its client did.
@@ -163,10 +170,17 @@
 
 impl Client {
     async fn run(mut self, records: Arc<Mutex<Vec<SoakRecord>>>, mut stop: watch::Receiver<bool>) {
+        let mut gate = self.slot.gate.subscribe();
         loop {
-            let pause = PAUSE.mul_f64(2.0 * self.random.f64());
+            let killed_at = gate.borrow_and_update().killed_at();
+            let pause = match killed_at {
+                Some(_) => ENDING_PAUSE,
+                None => PAUSE.mul_f64(2.0 * self.random.f64()),
+            };
+            // A process that is told to end gets the next request of each client at once.
             tokio::select! {
                 () = sleep(pause) => {}
+                _ = gate.changed(), if killed_at.is_none() => {}
                 _ = stop.wait_for(|on| *on) => return,
             }
             let ended = self.next_requests().await;
@@ -240,15 +254,19 @@
         let began = Instant::now();
         let (mut stream, mut reused) = self.connection(behavior).await?;
         if behavior == Behavior::Resting {
-            sleep(Duration::from_millis(self.random.u64(..2_000))).await;
+            // On the connections of a process that ends, up to its last moment.
+            let longest = self.slot.gate.borrow().killed_at().map_or(MAX_REST, |at| at - Instant::now());
+            sleep(longest.mul_f64(self.random.f64())).await;
             reused = true;
         }
         let request = self.outgoing(behavior);
+        let client = stream.local_addr().ok();
         let written = self.write(&mut stream, &request, behavior).await;
         let sent = Instant::now();
         let mut record = SoakRecord {
             slot: self.slot.number,
             id: request.id,
+            client,
             class: request.class,
             behavior,
             began,
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -6,10 +6,13 @@
 
 mod clients;
 mod cluster;
+mod crowd;
 mod oracle;
+mod slot;
 mod timeline;
 
 use crate::traffic::Class;
+use clients::SoakRecord;
 use cluster::SoakCluster;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -57,7 +60,9 @@
     pub failed_calls: usize,
     /// Requests by what became of them.
     pub requests: BTreeMap<String, usize>,
-    /// What broke a rule, a line each.
+    /// Requests sent in each tenth of a second after their process's SIGTERM.
+    pub begun_after_sigterm: Vec<usize>,
+    /// What broke a rule, each with its request's last log lines.
     pub violations: Vec<String>,
     /// The worst lag of the soak's own clock in milliseconds.
     pub lag_ms: f64,
@@ -70,6 +75,8 @@
 const MAX_LAG: Duration = Duration::from_millis(300);
 /// The lag is measured this often.
 const LAG_INTERVAL: Duration = Duration::from_millis(20);
+/// Lines of a request's log that a violation shows.
+const MAX_LOG_LINES: usize = 10;
 /// After the last fault.
 const QUIET_TAIL: Duration = Duration::from_secs(2);
 
@@ -94,7 +101,7 @@
     let mut faults = BTreeMap::new();
     let clients = clients::start(&plan, &cluster.slots);
     let begin = Instant::now();
-    for event in &events {
+    for event in events {
         tokio::time::sleep_until(begin + event.at).await;
         *faults.entry(event.fault.name().to_owned()).or_default() += 1;
         cluster.apply(event.fault).await;
@@ -104,15 +111,53 @@
     let records = clients.finish().await;
     measuring.abort();
     let lag = Duration::from_micros(worst_lag.load(Ordering::Relaxed));
-    let mut violations = oracle::judge(&cluster, &records, lag);
     let failed_calls = cluster.failed_calls();
-    let (reported, logs) = cluster.end().await;
-    violations.extend(reported);
+    let (mut violations, logs) = cluster.end().await;
+    violations.extend(oracle::judge(&cluster, &records, &logs, lag));
+    let violations = violations.into_iter().map(|violation| with_log(violation, &logs)).collect();
+    let begun_after_sigterm = count_after_sigterm(&cluster, &records);
     let mut requests = BTreeMap::new();
     for record in &records {
         *requests.entry(record.fate.name().to_owned()).or_default() += 1;
     }
-    SoakReport { plan, faults, failed_calls, requests, violations, lag_ms: lag.as_secs_f64() * 1e3, logs }
+    SoakReport {
+        plan,
+        faults,
+        failed_calls,
+        requests,
+        begun_after_sigterm,
+        violations,
+        lag_ms: lag.as_secs_f64() * 1e3,
+        logs,
+    }
+}
+
+/// Requests by the tenth of a second after their process's SIGTERM in which they were sent.
+fn count_after_sigterm(cluster: &SoakCluster, records: &[SoakRecord]) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for record in records {
+        let Some(since) = cluster.slots[record.slot].since_termination(record.sent) else { continue };
+        let tenth = (since.as_secs_f64() * 10.0) as usize;
+        if counts.len() <= tenth {
+            counts.resize(tenth + 1, 0);
+        }
+        counts[tenth] += 1;
+    }
+    counts
+}
+
+/// A violation with the last lines that its request has in the processes' logs.
+fn with_log(violation: String, logs: &[Vec<String>]) -> String {
+    let is_id =
+        |word: &&str| word.starts_with('c') && word[1..].split('-').all(|part| part.parse::<u64>().is_ok());
+    let words = violation.split(|c: char| !c.is_ascii_alphanumeric() && c != '-');
+    let Some(id) = words.filter(|word| word.contains('-')).find(is_id) else { return violation };
+    let quoted = format!("id=\"{id}\"");
+    let lines: Vec<&str> =
+        logs.iter().flatten().filter(|line| line.contains(&quoted)).map(String::as_str).collect();
+    let last = &lines[lines.len().saturating_sub(MAX_LOG_LINES)..];
+    let excerpt: String = last.iter().map(|line| format!("\n    {line}")).collect();
+    format!("{violation}{excerpt}")
 }
 
 /// Notes how late the soak's own clock is, in microseconds.
--- a/crates/testbed/src/soak/oracle.rs
+++ b/crates/testbed/src/soak/oracle.rs
@@ -2,9 +2,10 @@
 
 use super::clients::{Behavior, SoakFate, SoakRecord};
 use super::cluster::SoakCluster;
+use crate::process::log_field;
 use crate::server::Seen;
 use crate::traffic::{Fate, Record};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -23,8 +24,13 @@
 /// A drain's grace period (`stopSendingWithinMs` of the world's settings).
 const DRAIN_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
-/// What broke a rule, a line each. `lag` is the worst lag of the soak's own clock.
-pub fn judge(cluster: &SoakCluster, records: &[SoakRecord], lag: Duration) -> Vec<String> {
+/// What broke a rule, a line each. `logs` are those of each slot's processes, `lag` is the worst lag of the soak's own clock.
+pub fn judge(
+    cluster: &SoakCluster,
+    records: &[SoakRecord],
+    logs: &[Vec<String>],
+    lag: Duration,
+) -> Vec<String> {
     let mut violations = cluster.world.audit_but(&audited(cluster, records), |record| {
         let until = record.sent + record.took;
         cluster.slots[record.instance].crashed_between(record.sent - MAX_STALL, until)
@@ -36,7 +42,18 @@
         cluster.slots[record.slot].crashed_between(record.began, record.ended + MAX_STALL)
     };
     let judged = records.iter().filter(|record| !crashed(record));
-    violations.extend(judged.filter_map(|record| answered(record, lag)));
+    let evidence: Vec<CloseEvidence> = logs.iter().map(|log| CloseEvidence::read(log)).collect();
+    for record in judged {
+        let (slot, evidence) = (&cluster.slots[record.slot], &evidence[record.slot]);
+        // A crowd may have new connections shut unread.
+        let shut_unread = matches!(record.fate, SoakFate::Lost | SoakFate::Crossed)
+            && slot.crowded_between(record.began, record.ended)
+            && evidence.is_unread(record);
+        if !shut_unread {
+            violations.extend(answered(record, lag));
+            violations.extend(evidence.contradicts(record));
+        }
+    }
     for (server, seen) in cluster.world.seen() {
         if let Some(record) = by_id.get(seen.id.as_str()) {
             violations.extend(sent(record, server, &seen, lag).filter(|_| !crashed(record)));
@@ -47,6 +64,53 @@
     violations
 }
 
+/// What the processes of a slot logged of the ends of their connections.
+struct CloseEvidence<'a> {
+    /// Ids of the requests that were read.
+    received: HashSet<&'a str>,
+    /// The state in which a client's connection ended last, by the client's address.
+    states: HashMap<&'a str, &'a str>,
+}
+
+impl<'a> CloseEvidence<'a> {
+    fn read(log: &'a [String]) -> Self {
+        let received = log.iter().filter_map(|line| log_field(line, "request received", "id"));
+        let received = received.map(|id| id.trim_matches('"')).collect();
+        let closed = log.iter().filter_map(|line| {
+            let field = |name| log_field(line, "downstream connection closed", name);
+            Some((field("peer")?, field("state")?))
+        });
+        CloseEvidence { received, states: closed.collect() }
+    }
+
+    /// Whether no byte of a request was read before its connection ended, or nobody accepted that connection.
+    fn is_unread(&self, record: &SoakRecord) -> bool {
+        let client = record.client.map(|client| client.to_string()).unwrap_or_default();
+        let state = self.states.get(client.as_str());
+        !self.received.contains(record.id.as_str()) && state.is_none_or(|state| *state == "Unused")
+    }
+
+    /// A request crossed the end of its connection only if no byte of it had been read by then.
+    fn contradicts(&self, record: &SoakRecord) -> Option<String> {
+        if record.fate != SoakFate::Crossed {
+            return None;
+        }
+        let id = &record.id;
+        if self.received.contains(id.as_str()) {
+            return Some(format!(
+                "{id} of i{} was read, and its connection ended with no answer",
+                record.slot
+            ));
+        }
+        let client = record.client.map(|client| client.to_string()).unwrap_or_default();
+        match self.states.get(client.as_str()) {
+            Some(&("Unused" | "Idle")) => None,
+            Some(state) => Some(format!("{id} of i{}: its connection ended in state {state}", record.slot)),
+            None => Some(format!("{id} of i{}: the log has no end of its connection", record.slot)),
+        }
+    }
+}
+
 /// The records in the terms of the world's audit: effects, and nothing after an outcome.
 fn audited(cluster: &SoakCluster, records: &[SoakRecord]) -> Vec<Record> {
     let fate = |record: &SoakRecord| match record.fate {
