--- a/crates/agent/tests/telemetry.rs
+++ b/crates/agent/tests/telemetry.rs
@@ -36,6 +36,11 @@
     Traffic::start(&Load { agents: vec![agent.address], clients: 8, rate, seed, most: 10_000 })
 }
 
+fn assert_all_served(records: &[Record]) {
+    let not_served: Vec<&Record> = records.iter().filter(|record| record.fate != Fate::Served).collect();
+    assert!(not_served.is_empty(), "{not_served:#?} of {}", records.len());
+}
+
 fn taken(store: &Store) -> usize {
     store.sum("bellcroft_requests_total", &[]) as usize
 }
@@ -244,7 +249,7 @@
     agent.hang_up().await;
     other.until("another refusal", |store, _| store.sum("bellcroft_reloads_refused_total", &[]) == 2.0).await;
     let records = load.finish().await;
-    assert!(records.iter().all(|r| r.fate == Fate::Served));
+    assert_all_served(&records);
     agent.term().await;
     assert!(agent.end().await.success());
     assert_eq!((agent.logged("secret"), agent.logged("only a restart can take")), (0, 1));
@@ -258,7 +263,7 @@
     let load = traffic(&agent, 50.0, 9);
     load.more(60, 1).await;
     let records = load.finish().await;
-    assert!(records.iter().all(|r| r.fate == Fate::Served));
+    assert_all_served(&records);
     agent.term().await;
     assert!(agent.end().await.success());
     soon("the log's end", async {
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -4,6 +4,7 @@
 use super::SoakPlan;
 use crate::http::read_message;
 use crate::traffic::CLASSES;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -59,6 +60,8 @@
     Unanswered,
     /// It crossed the end of its connection and went out once more, under an id of its own.
     Crossed,
+    /// Its connection was refused while the process had to accept it.
+    NotAccepted,
     /// Its client left.
     Left,
     /// It was never complete, and its connection was answered or closed in time.
@@ -77,6 +80,7 @@
             SoakFate::Lost => "lost",
             SoakFate::Unanswered => "unanswered",
             SoakFate::Crossed => "crossed",
+            SoakFate::NotAccepted => "not accepted",
             SoakFate::Left => "left",
             SoakFate::NeverComplete => "never complete",
             SoakFate::StalledTooLong => "stalled too long",
@@ -160,6 +164,14 @@
     number: usize,
 }
 
+/// Why there is no connection.
+enum NoConnection {
+    /// No process has to accept one.
+    NoProcess,
+    /// The process refused it.
+    Refused,
+}
+
 /// A request as text.
 struct Outgoing {
     id: String,
@@ -233,26 +245,42 @@
         Outgoing { id, class, wait, text }
     }
 
-    /// A connection, and whether it was kept; none while there is no process.
-    async fn connection(&mut self, behavior: Behavior) -> Option<(TcpStream, bool)> {
+    /// A connection, and whether it was kept.
+    async fn connection(&mut self, behavior: Behavior) -> Result<(TcpStream, bool), NoConnection> {
         let kept = self.kept.take().filter(|_| {
             matches!(behavior, Behavior::KeepAlive | Behavior::Leaving | Behavior::ShortDeadline)
         });
         if let Some(kept) = kept {
-            return Some((kept, true));
+            return Ok((kept, true));
         }
-        let gate: Gate = *self.slot.gate.borrow();
-        if !gate.is_open() {
-            return None;
+        if !self.gate_is_open() {
+            return Err(NoConnection::NoProcess);
+        }
+        match TcpStream::connect(self.slot.address).await {
+            Ok(stream) => {
+                stream.set_nodelay(true).map_err(|_| NoConnection::NoProcess)?;
+                Ok((stream, false))
+            }
+            // Its time may have passed meanwhile.
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused && self.gate_is_open() => {
+                Err(NoConnection::Refused)
+            }
+            Err(_) => Err(NoConnection::NoProcess),
         }
-        let stream = TcpStream::connect(self.slot.address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some((stream, false))
+    }
+
+    fn gate_is_open(&self) -> bool {
+        let gate: Gate = *self.slot.gate.borrow();
+        gate.is_open()
     }
 
     async fn request(&mut self, behavior: Behavior) -> Option<SoakRecord> {
         let began = Instant::now();
-        let (mut stream, mut reused) = self.connection(behavior).await?;
+        let (mut stream, mut reused) = match self.connection(behavior).await {
+            Ok(connection) => connection,
+            Err(NoConnection::NoProcess) => return None,
+            Err(NoConnection::Refused) => return Some(self.not_accepted(behavior, began)),
+        };
         if behavior == Behavior::Resting {
             // On the connections of a process that ends, up to its last moment.
             let longest = self.slot.gate.borrow().killed_at().map_or(MAX_REST, |at| at - Instant::now());
@@ -301,6 +329,24 @@
         Some(record)
     }
 
+    fn not_accepted(&mut self, behavior: Behavior, began: Instant) -> SoakRecord {
+        let request = self.outgoing(behavior);
+        let now = Instant::now();
+        SoakRecord {
+            slot: self.slot.number,
+            id: request.id,
+            client: None,
+            class: request.class,
+            behavior,
+            began,
+            sent: now,
+            wait: request.wait,
+            ended: now,
+            fate: SoakFate::NotAccepted,
+            status: 0,
+        }
+    }
+
     /// Writes a request; false if its connection ended before it was complete.
     async fn write(&mut self, stream: &mut TcpStream, request: &Outgoing, behavior: Behavior) -> bool {
         let bytes = request.text.as_bytes();
--- a/crates/testbed/src/soak/oracle.rs
+++ b/crates/testbed/src/soak/oracle.rs
@@ -149,7 +149,9 @@
         format!("{} of i{} ({:?}): {:?} after {took:?}", record.id, record.slot, record.behavior, record.fate)
     };
     match record.fate {
-        SoakFate::Lost | SoakFate::Unanswered | SoakFate::StalledTooLong => Some(text()),
+        SoakFate::Lost | SoakFate::Unanswered | SoakFate::StalledTooLong | SoakFate::NotAccepted => {
+            Some(text())
+        }
         SoakFate::Served | SoakFate::Refused | SoakFate::Failed if took > record.wait + LATE + lag => {
             Some(format!("late, {}", text()))
         }
