Admission: an impatient client's first request is not taken for a retry

Cause, followed by ids with the request log at debug: 696 of 774 refusals came within 2 ms, with no attempt and 1 to 5 requests in flight; a trial that logs the reason had all 696 in is_too_late, none by limits, admission or slow start (the lead on set_level is refuted). From second 1 to 16 a third of the requests come with a fifth to a third of the usual X-Timeout, unmarked, and all of these were refused: time_spent_before took any unusual time left for a retry that has used up its objective, though nothing had been refused before the first of them.

Fix: such a request is a retry if its client marks it (X-Retried), or if a request of its class was rejected or has failed recently that no retry has followed yet; refusing a supposed retry is no such ending, so a wrong guess does not feed itself.

The former test held that an unusual time alone makes a retry, which the trace refutes; in its place are the same assertions for marked retries, for unmarked ones after a request was given up, and that without one the request is sent.

--- a/crates/balancer/src/decisions/admission.rs
+++ b/crates/balancer/src/decisions/admission.rs
@@ -7,6 +7,9 @@
 /// Maximum number of votes for the usual time left of a class; a change in the clients' behaviour is accepted after as many
 /// requests.
 const MAX_VOTES: u32 = 50;
+/// With fewer recent rejections and failures no request is taken for a retry that is not marked as one; less than one, for
+/// they decay.
+const MIN_RETRIABLE_ENDINGS: f64 = 0.5;
 /// The fraction of its class's baseline latency that a response takes at least.
 const FASTEST_RESPONSE: f64 = 0.7;
 
@@ -35,7 +38,7 @@
 
     /// The state of a new request, which is counted as traffic here.
     fn pending_request(&mut self, now: Time, request: Request) -> PendingRequest {
-        let spent = self.time_spent_before(&request);
+        let spent = self.time_spent_before(now, &request);
         let deadline = now + request.time_left.min(request.limits().timeout);
         let objective = self.settings.classes[request.class.0].latency_objective;
         let time_to_objective =
@@ -47,6 +50,7 @@
             deadline,
             objective_deadline: (now + time_to_objective).min(deadline),
             attempts: Vec::new(),
+            is_client_retry: spent > Micros::ZERO,
             is_bound: false,
             is_exhausted: false,
             over_quota,
@@ -54,10 +58,12 @@
         }
     }
 
-    /// The time that a client's earlier attempts have taken. First attempts of a class arrive with equal time left; with
-    /// another one, the request is a retry with the remainder of its deadline.
-    fn time_spent_before(&mut self, request: &Request) -> Micros {
+    /// The time that a client's earlier attempts have taken. First attempts of a class usually arrive with equal time left.
+    /// A request with another one is a retry with the remainder of its deadline if its client marks it, or if a request of
+    /// its class was rejected or has failed that no retry has followed yet. Otherwise its client has less patience.
+    fn time_spent_before(&mut self, now: Time, request: &Request) -> Micros {
         let tolerance = self.settings.event_interval;
+        let deadline = self.settings.classes[request.class.0].deadline;
         let stats = &mut self.classes[request.class.0];
         let (usual, time_left) = (stats.usual_time_left, request.time_left);
         let is_usual =
@@ -72,7 +78,15 @@
         if is_first {
             return Micros::ZERO;
         }
-        self.settings.classes[request.class.0].deadline.saturating_sub(time_left)
+        let follows_an_ending = stats.retriable_endings.at(now) >= MIN_RETRIABLE_ENDINGS;
+        if follows_an_ending {
+            stats.retriable_endings.add(now, deadline.ms(), -1.0);
+        }
+        if request.is_retry || follows_an_ending {
+            deadline.saturating_sub(time_left)
+        } else {
+            Micros::ZERO
+        }
     }
 
     /// The body of a streaming request is complete: its servers can process it now, and its deadline runs.
--- a/crates/balancer/src/decisions/outcomes.rs
+++ b/crates/balancer/src/decisions/outcomes.rs
@@ -100,11 +100,16 @@
     /// Gives the final response: a rejection if it is certain that the request did not run, else a failure.
     pub(super) fn finish(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.remove(&id) else { return };
+        let class = pending.request.class.0;
+        if !pending.is_client_retry {
+            let deadline_ms = self.settings.classes[class].deadline.ms();
+            self.classes[class].retriable_endings.add(now, deadline_ms, 1.0);
+        }
         if !self.allowed_actions(now, &pending).reject {
             actions.push(Action::Fail { request: id });
             return;
         }
-        let objective = self.settings.classes[pending.request.class.0].latency_objective;
+        let objective = self.settings.classes[class].latency_objective;
         let retry_after = (objective * RETRY_AFTER_FRACTION).min(self.settings.max_retry_after);
         let retry_after = self.settings.retry_after.then_some(retry_after);
         actions.push(Action::Shed { request: id, retry_after });
--- a/crates/balancer/src/state/averages.rs
+++ b/crates/balancer/src/state/averages.rs
@@ -11,6 +11,9 @@
 }
 
 impl DecayingSum {
+    /// A sum without terms.
+    pub(crate) const ZERO: DecayingSum = DecayingSum { sum: 0.0, time_constant_ms: 0.0, updated_at: Time(0) };
+
     /// The decayed value at `now`.
     pub(crate) fn at(&self, now: Time) -> f64 {
         self.sum * (-now.since(self.updated_at).ms() / self.time_constant_ms.max(1.0)).exp()
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) usual_time_left: Micros,
     /// How many recent requests agree with `usual_time_left`.
     pub(crate) usual_votes: u32,
+    /// Requests that were recently rejected or failed and that no client's retry has followed yet.
+    pub(crate) retriable_endings: DecayingSum,
     /// Its requests are shed last.
     pub(crate) is_protected: bool,
 }
@@ -44,6 +46,7 @@
         recent_latency: INITIAL_LATENCY,
         usual_time_left: Micros::ZERO,
         usual_votes: 0,
+        retriable_endings: DecayingSum::ZERO,
         is_protected: false,
     };
 }
--- a/crates/balancer/src/state/requests.rs
+++ b/crates/balancer/src/state/requests.rs
@@ -44,6 +44,8 @@
     /// When the latency objective, or the deadline if that is earlier, expires.
     pub(crate) objective_deadline: Time,
     pub(crate) attempts: Vec<Attempt>,
+    /// Its client has had an answer to an earlier request for the same.
+    pub(crate) is_client_retry: bool,
     /// Its response stream has begun.
     pub(crate) is_bound: bool,
     /// A part of its body is no longer buffered: no further attempt can be sent.
--- a/crates/balancer/tests/overload.rs
+++ b/crates/balancer/tests/overload.rs
@@ -135,20 +135,51 @@
     assert!(twenty * 2 < one, "{twenty} sends beside twenty others, {one} alone");
 }
 
-/// A client's retry is recognised by its unusual time left; after its objective, serving it is of no value.
-#[test]
-fn client_retry_past_objective_is_rejected() {
+fn sends(harness: &mut Harness, id: u64, left_ms: f64, is_retry: bool) -> bool {
+    let request = Request::new(RequestId(1000 + id), ClassId(0), Micros::from_ms(left_ms));
+    let actions = harness.handle(Event::Request(Request { is_retry, ..request }));
+    actions.iter().any(|action| matches!(action, Action::Send { .. }))
+}
+
+/// First attempts of a class arrive with equal time left, here with 500 of 800 ms.
+fn harness_with_usual_time_left() -> Harness {
     let mut harness = Harness::new(settings(), 1);
     harness.set_endpoints(fleet(9, 1, 1));
-    let mut ask = |id: u64, left: f64| {
-        let request = Request::new(RequestId(1000 + id), ClassId(0), Micros::from_ms(left));
-        harness.handle(Event::Request(request)).iter().any(|a| matches!(a, Action::Send { .. }))
-    };
     for id in 0..10 {
-        assert!(ask(id, 500.0), "first tries of a class wait alike, here for 500 of 800 ms");
+        assert!(sends(&mut harness, id, 500.0, false));
+    }
+    harness
+}
+
+/// A client's retry is recognised by its mark; after its objective, serving it is of no value.
+#[test]
+fn marked_client_retry_past_objective_is_rejected() {
+    let mut harness = harness_with_usual_time_left();
+    assert!(sends(&mut harness, 10, 700.0, true), "100 ms spent: half of the objective is left");
+    assert!(!sends(&mut harness, 11, 580.0, true), "220 ms spent: past the objective of 200 ms");
+}
+
+/// Without a mark it is recognised by its unusual time left, after a request of its class has been given up.
+#[test]
+fn unmarked_client_retry_past_objective_is_rejected() {
+    let mut harness = harness_with_usual_time_left();
+    let give_up = |harness: &mut Harness, id: u64| {
+        assert!(!sends(harness, id, 1.0, false), "nobody answers that soon");
+    };
+    give_up(&mut harness, 20);
+    assert!(sends(&mut harness, 10, 700.0, false), "100 ms spent: half of the objective is left");
+    give_up(&mut harness, 21);
+    assert!(!sends(&mut harness, 11, 580.0, false), "220 ms spent: past the objective of 200 ms");
+    assert!(sends(&mut harness, 12, 580.0, false), "each that was given up has had its retry");
+}
+
+/// A client with less patience than others must not be rejected for a retry that it is not.
+#[test]
+fn request_with_unusual_time_left_is_no_retry_if_none_was_given_up() {
+    let mut harness = harness_with_usual_time_left();
+    for id in 10..14 {
+        assert!(sends(&mut harness, id, 400.0, false), "nothing was rejected and nothing failed");
     }
-    assert!(ask(10, 700.0), "100 ms spent: half of the objective is left");
-    assert!(!ask(11, 580.0), "220 ms spent: past the objective of 200 ms");
 }
 
 fn pressed(settings: Settings, ask: impl Fn(u32) -> Request) -> BTreeMap<(usize, Option<usize>), (u32, u32)> {
