--- a/crates/agent-core/src/shutdown.rs
+++ b/crates/agent-core/src/shutdown.rs
@@ -46,12 +46,15 @@
     /// The schedule after a signal, with the longest deadline of the settings at that time. An operator may shorten the
     /// shutdown: `operator_limit` counts from the end of accepting.
     pub fn new(signal: ShutdownSignal, longest_deadline: Micros, operator_limit: Option<Micros>) -> Self {
+        let answer_by = |sent_at: Time| {
+            let killed_at = sent_at + longest_deadline.min(MAX_PLATFORM_DEADLINE) + PLATFORM_KILL_MARGIN;
+            killed_at - MAX_STALL - MAX_STALL - WRITE_RESERVE
+        };
         let signalled = signal.read_at;
-        // New connections arrive for some time after the signal, so accepting counts from its latest time, and the end of
-        // the process from its earliest.
-        let sent_at = signalled - signal.paused.saturating_sub(MAX_STALL);
-        let killed_at = sent_at + longest_deadline.min(MAX_PLATFORM_DEADLINE) + PLATFORM_KILL_MARGIN;
-        let platform = killed_at - MAX_STALL - MAX_STALL - WRITE_RESERVE;
+        // The signal may have been sent at the beginning of the pause, or at its end: then new connections still arrive.
+        let earliest_sent = signalled - signal.paused.saturating_sub(MAX_STALL);
+        let accepted = answer_by(signalled).min(signalled + ACCEPT_TIMEOUT);
+        let platform = answer_by(earliest_sent).max(accepted);
         let operator = operator_limit.map_or(platform, |limit| signalled + ACCEPT_TIMEOUT + limit);
         ShutdownSchedule { signalled, answer_by: platform.min(operator) }
     }
--- a/crates/agent-core/tests/guard.rs
+++ b/crates/agent-core/tests/guard.rs
@@ -46,6 +46,22 @@
     }
 }
 
+/// However long the pause was, new connections are accepted for as long as they arrive after a signal that was sent at its end.
+#[test]
+fn connections_are_accepted_after_a_signal_that_any_pause_delayed() {
+    for deadline_ms in [10.0, 400.0, 625.0, 3_000.0] {
+        for paused_ms in [151.0, 700.0, 1_200.0, 60_000.0] {
+            let signal = ShutdownSignal { read_at: at(0.0), paused: MS * paused_ms };
+            let schedule = ShutdownSchedule::new(signal, MS * deadline_ms, None);
+            let accepted_for = schedule.accept_until().since(at(0.0));
+            assert!(
+                accepted_for >= MS * 400.0,
+                "{deadline_ms} ms, paused for {paused_ms} ms: {accepted_for:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn operator_limit_only_shortens_the_shutdown() {
     let platform = ShutdownSchedule::new(ShutdownSignal::read_at(at(0.0)), MS * 2_500.0, None);
