Test: the state directory's file is waited for, as a thread of its own writes it

The test had waited until the status, which the serving process itself gives, told of readiness; the file is written by a thread after that. It is waited for now, and still has to name the one that serves.

--- a/crates/agent/tests/daemon/state_directory.rs
+++ b/crates/agent/tests/daemon/state_directory.rs
@@ -5,6 +5,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 use testbed::*;
 use tokio::net::TcpStream;
 use tokio::process::Command;
@@ -46,7 +47,13 @@
             config["listen"].as_str().expect("text").parse().expect("an address");
         let mut client = Client { stream: TcpStream::connect(address).await.expect("it listens") };
         assert_eq!(client.ask(&request("GET", "/read", "5000m", "")).await.status(), 200);
-        assert_eq!(daemon.file()["pid"].as_u64(), Some(u64::from(pid)));
+        // A thread of its own writes the file, after the status has told of readiness.
+        soon("the file of the one that serves", async {
+            while daemon.file()["pid"].as_u64() != Some(u64::from(pid)) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        })
+        .await;
         if round < 49 {
             serving.kill().await.expect("it is killed");
         } else {
