--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -290,20 +290,7 @@
         let request = self.outgoing(behavior);
         let client = stream.local_addr().ok();
         let written = self.write(&mut stream, &request, behavior).await;
-        let sent = Instant::now();
-        let mut record = SoakRecord {
-            slot: self.slot.number,
-            id: request.id,
-            client,
-            class: request.class,
-            behavior,
-            began,
-            sent,
-            wait: request.wait,
-            ended: sent,
-            fate: SoakFate::Lost,
-            status: 0,
-        };
+        let mut record = self.record(request, behavior, began, client);
         if !written {
             // It was never complete.
             record.fate = if reused { SoakFate::Crossed } else { SoakFate::NeverComplete };
@@ -320,7 +307,7 @@
                 record.ended = Instant::now();
             }
             Behavior::Stalled => {
-                let ended = timeout_at(sent + STALLED_TIMEOUT, read_message(&mut stream, 0)).await;
+                let ended = timeout_at(record.sent + STALLED_TIMEOUT, read_message(&mut stream, 0)).await;
                 record.fate = if ended.is_ok() { SoakFate::NeverComplete } else { SoakFate::StalledTooLong };
                 record.ended = Instant::now();
             }
@@ -331,18 +318,29 @@
 
     fn not_accepted(&mut self, behavior: Behavior, began: Instant) -> SoakRecord {
         let request = self.outgoing(behavior);
+        SoakRecord { fate: SoakFate::NotAccepted, ..self.record(request, behavior, began, None) }
+    }
+
+    /// The record of a request that has been sent just now and has no answer yet.
+    fn record(
+        &self,
+        request: Outgoing,
+        behavior: Behavior,
+        began: Instant,
+        client: Option<SocketAddr>,
+    ) -> SoakRecord {
         let now = Instant::now();
         SoakRecord {
             slot: self.slot.number,
             id: request.id,
-            client: None,
+            client,
             class: request.class,
             behavior,
             began,
             sent: now,
             wait: request.wait,
             ended: now,
-            fate: SoakFate::NotAccepted,
+            fate: SoakFate::Lost,
             status: 0,
         }
     }
