Failing tests: unsound forms of a GET, a keyed and an unsafe POST are served

Callers saw requests that are not sound answered as served, all of them GETs. The forms of malformed_requests.rs were tried on an unsafe POST, three of them on a GET. They are now a table in the testbed, each tried for each effect, alone, behind another, together with a sound one before or behind it, in pieces, and with bodies of 0 to 200,000 bytes.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod open_loop;
 mod page;
 mod process;
+pub mod request_forms;
 pub mod scale;
 mod server;
 pub mod soak;
