One definition of a sound request, by the effect of its class; what is outside gets an error

Callers saw requests that are not sound, all of them GETs, answered as served. Cause: soundness was a list of refusals that were found form by form on an unsafe POST; what nobody had listed was served: a key on a GET or an unsafe POST, an expectation without a body or an unknown one, a WebSocket handshake, a Host that is not the target's, // and dot segments that change the class, two affinity keys, ids and keys of several words, X-Retried, X-Attrs and X-Timeout in other forms, and bytes behind a request that begin no request.

sound_request/ is the definition: class-independent rules, method, key and body by effect, the platform's fields in their forms, and the bytes that came behind. Each reason is a typed value with the rule it comes from; each refusal is logged with id, reason and a count by reason, at info once a second for each reason.

The generator draws sound requests, changes up to three places and asks a reference grammar that shares no code with the agent. Both errors count.

--- a/crates/agent-core/src/reconfigure/classes.rs
+++ b/crates/agent-core/src/reconfigure/classes.rs
@@ -29,12 +29,9 @@
         }
     }
 
-    /// Whether a request of this signature may have this retry safety. An idempotency key that the class does not use is
-    /// harmless.
+    /// Whether a request of this signature may have this retry safety.
     fn fits(self, retry_safety: RetrySafety) -> bool {
-        let expected = ClassSignature::of(retry_safety);
-        self == expected
-            || (self, expected) == (ClassSignature::WithIdempotencyKey, ClassSignature::WithoutIdempotencyKey)
+        self == ClassSignature::of(retry_safety)
     }
 }
 
@@ -164,13 +161,8 @@
     /// Returns an error if no class of this name applies at present, or none that fits the signature.
     pub fn find(&self, now: Time, name: &str, signature: ClassSignature) -> Result<usize, IncompatibleClass> {
         let named = || self.entries.iter().enumerate().filter(|(_, entry)| entry.name == name);
-        // Classes with exactly this signature come first; among them the order is transition, present, former.
-        let rank = |entry: &Entry| {
-            let is_exact = signature == ClassSignature::of(entry.class.retry_safety);
-            Some((!is_exact, entry.precedence(now)?))
-        };
         let fitting = named().filter(|(_, entry)| signature.fits(entry.class.retry_safety));
-        let best = fitting.filter_map(|(index, entry)| Some((rank(entry)?, index))).min();
+        let best = fitting.filter_map(|(index, entry)| Some((entry.precedence(now)?, index))).min();
         if let Some((_, index)) = best {
             return Ok(index);
         }
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -2,6 +2,7 @@
 
 use super::accept::AcceptDelay;
 use super::eviction::LATE_RESPONSE_ALLOWANCE;
+use super::sound_request::UnsoundRequest;
 use crate::telemetry::PendingTimer;
 use bellcroft_agent_core::body_limits::ProgressTimeout;
 use bellcroft_agent_core::guard::ConnectionState;
@@ -17,28 +18,15 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Why a request is rejected once its head has been received.
+/// Why a request is rejected by what was received of it, before it is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestRejection {
-    /// The length of its body can be interpreted in two ways.
-    AmbiguousLength,
-    /// Its head does not follow the grammar of HTTP/1.1.
-    Malformed,
+    /// It is not sound.
+    Unsound(UnsoundRequest),
     /// There is no memory for its head.
     OutOfMemory,
 }
 
-impl RequestRejection {
-    /// The text of the response.
-    pub fn text(self) -> &'static str {
-        match self {
-            RequestRejection::AmbiguousLength => "the request's length can be read in two ways",
-            RequestRejection::Malformed => "the request's head is malformed",
-            RequestRejection::OutOfMemory => "no memory is left for a request with so long a head",
-        }
-    }
-}
-
 /// The state of a client's connection, shared by [`super::framing::RequestFraming`] and the connection's owner.
 pub struct ClientConnection {
     /// The connection's number, in the order of accepting.
@@ -47,7 +35,7 @@
     peer: Option<SocketAddr>,
     /// The state, and the time at which it began.
     state: Cell<(ConnectionState, Instant)>,
-    /// Why the current request is rejected after its head; none if it is not.
+    /// Why the current request is rejected; none if it is not.
     rejection: Cell<Option<RequestRejection>>,
     /// Whether a response has been written since the framing last checked.
     pub(super) response_written: Cell<bool>,
@@ -212,12 +200,12 @@
         }
     }
 
-    /// Why the current request is rejected after its head; none if it is not. Nothing of such a request is forwarded.
+    /// Why the current request is rejected; none if it is not. It does not reach a server as a whole.
     pub fn rejection(&self) -> Option<RequestRejection> {
         self.rejection.get()
     }
 
-    /// Rejects the current request, of which only the head is read.
+    /// Rejects the current request.
     pub(super) fn reject_request(&self, rejection: RequestRejection) {
         self.rejection.set(Some(rejection));
     }
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -1,9 +1,10 @@
 //! Handles a request from its head to its response: submits it to the driver, and withdraws it if its client disconnects.
 
 use super::connection::{ClientConnection, RequestRejection};
-use super::request::{header_text, ReadError};
-use super::response::{plain_response, response_for};
+use super::request::ReadError;
+use super::response::{plain_response, response_for, unsound_response};
 use super::response_body::{ClientResponseBody, ResponseCompletion};
+use super::sound_request::request_id;
 use super::{Server, LAST_RESPONSE_SHARE};
 use crate::daemon::status::RequestOutcome;
 use crate::driver::{Driver, FinalResponse, IncomingRequest, SubmittedRequest};
@@ -24,6 +25,8 @@
 /// deadline.
 const DEADLINE_SLACK: Duration = Duration::from_millis(4);
 
+/// The text of the refusal of a request for whose head there is no memory.
+const NO_MEMORY_FOR_HEAD: &str = "no memory is left for a request with so long a head";
 /// The text of the refusal of a request for whose body there is no memory.
 const NO_MEMORY: &str = "no memory is left for the request's body";
 /// The text of the refusal of a request whose connection is evicted before its body is complete.
@@ -39,14 +42,8 @@
             Ok(response) => {
                 (response, self.service.get().closes_connections() || self.usage_reaches(LAST_RESPONSE_SHARE))
             }
-            // After a malformed request, the following bytes of the connection cannot be trusted either.
-            Err(response) => {
-                self.request_counters.on_bad_request();
-                if let Some(telemetry) = &self.driver.telemetry {
-                    telemetry.bad_request();
-                }
-                (response, true)
-            }
+            // After a request that is not sound, the following bytes of the connection cannot be trusted either.
+            Err(response) => (response, true),
         };
         if close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -55,7 +52,7 @@
         Ok(response)
     }
 
-    /// Handles a request; the error is the response to a malformed one.
+    /// Handles a request; the error is the response to one that is not sound.
     async fn handle(
         &self,
         request: Request<Incoming>,
@@ -63,10 +60,11 @@
     ) -> Result<Response<ClientResponseBody>, Response<ClientResponseBody>> {
         match client.rejection() {
             None => {}
-            Some(RequestRejection::OutOfMemory) => {
-                return Ok(closing_refusal(RequestRejection::OutOfMemory.text()))
+            Some(RequestRejection::OutOfMemory) => return Ok(closing_refusal(NO_MEMORY_FOR_HEAD)),
+            Some(RequestRejection::Unsound(unsound)) => {
+                self.on_unsound(request_id(request.headers()), unsound);
+                return Err(unsound_response(unsound));
             }
-            Some(malformed) => return Err(plain_response(StatusCode::BAD_REQUEST, malformed.text())),
         }
         if request.uri().path() == "/ready" {
             return Ok(if self.is_ready() {
@@ -79,7 +77,7 @@
             biased;
             incoming = self.read_request(request, client) => match incoming {
                 Ok(incoming) => incoming,
-                Err(ReadError::Malformed(response)) => return Err(*response),
+                Err(ReadError::Unsound(unsound)) => return Err(unsound_response(unsound)),
                 Err(ReadError::OutOfMemory) => return Ok(closing_refusal(NO_MEMORY)),
             },
             () = self.until_incomplete_refused() => {
@@ -88,6 +86,7 @@
             () = client.refused() => return Ok(closing_refusal(INCOMPLETE_REQUEST)),
         };
         let Some(open_id) = self.claim_id(&incoming) else {
+            self.request_counters.on_bad_request();
             return Err(plain_response(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
         let (mut deadline, response_timeout) = (incoming.deadline, incoming.response_timeout);
@@ -159,7 +158,7 @@
     /// Marks a request's id as open; none if it is open already. Clients use a new id for each request, and a second open
     /// request with the same id would interfere with the first.
     fn claim_id(&self, incoming: &IncomingRequest) -> Option<OpenRequestId> {
-        let id: Box<str> = header_text(&incoming.headers, "x-request-id").unwrap_or_default().into();
+        let id: Box<str> = (*incoming.request_id).into();
         let new = self.open_request_ids.borrow_mut().insert(id.clone());
         new.then(|| OpenRequestId(self.open_request_ids.clone(), id))
     }
--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -9,6 +9,7 @@
 use super::connection::{ClientConnection, RequestRejection};
 use super::head::{parse_framing, HeadFraming};
 use super::receive_buffer::ReceiveBuffer;
+use super::sound_request::{may_begin_request, UnsoundRequest};
 use crate::memory::Memory;
 use bellcroft_agent_core::body_limits::{ProgressTimeout, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use bellcroft_agent_core::chunks::{ChunkedBodyScanner, InvalidChunkedBody};
@@ -81,6 +82,8 @@
     readable: usize,
     /// The length of `buffered` when an incomplete head was parsed; it is not parsed again before more bytes have been read.
     parsed_len: usize,
+    /// Whether the last read filled its buffer, so that more bytes may have been there.
+    last_read_was_full: bool,
     /// Whether the end of the stream has been read.
     eof: bool,
     /// The number of bytes after `buffered` that were discarded. Once it is not 0, the stream ends for hyper after
@@ -107,6 +110,7 @@
             unread_since: None,
             readable: 0,
             parsed_len: 0,
+            last_read_was_full: false,
             eof: false,
             discarded: 0,
             passed: 0,
@@ -134,9 +138,11 @@
         let Poll::Ready(read) = self.io.poll_read(cx, &mut chunk[..limit]) else {
             self.reads_queued_bytes &= !self.arrivals.has_recorded();
             self.unread_since = None;
+            self.last_read_was_full = false;
             return Poll::Pending;
         };
         let n = read?;
+        self.last_read_was_full = n == limit;
         self.client.on_bytes_read();
         if discards {
             self.discarded += n as u64;
@@ -151,14 +157,25 @@
         Poll::Ready(Ok(n > 0))
     }
 
+    /// Reads the bytes that may lie behind the buffered ones, if the last read can have left some: they may show that the end of the
+    /// request is in doubt.
+    fn read_following(&mut self, cx: &mut Context<'_>) {
+        if self.last_read_was_full && matches!(self.read_limit(), ReadLimit::Buffer(1..)) {
+            // A broken connection shows again at the next read or write.
+            let _ = self.poll_fill(cx);
+        }
+    }
+
     /// How much may be read now.
     fn read_limit(&mut self) -> ReadLimit {
         if self.discarded > 0 || self.client.lingering_since().is_some() {
             return ReadLimit::Discard;
         }
         let (wanted, memory_use) = match self.stage {
-            Stage::Head | Stage::Chunked(_) | Stage::Closed => (READ_CHUNK_BYTES, MemoryUse::Message),
-            Stage::Body(left) => (left.min(READ_CHUNK_BYTES as u64) as usize, MemoryUse::Message),
+            // Also the bytes behind the end are read, since they may show that the end is in doubt.
+            Stage::Head | Stage::Body(_) | Stage::Chunked(_) | Stage::Closed => {
+                (READ_CHUNK_BYTES, MemoryUse::Message)
+            }
             Stage::Complete => (
                 MAX_BUFFERED_BYTES.saturating_sub(self.buffered.len()).min(READ_CHUNK_BYTES),
                 MemoryUse::ReadAhead,
@@ -236,11 +253,14 @@
             HeadFraming::Partial | HeadFraming::Unreadable => {
                 (self.readable, self.stage) = (self.buffered.len(), Stage::Closed);
             }
-            HeadFraming::Malformed(head) => self.reject_request(head, RequestRejection::Malformed),
-            HeadFraming::Ambiguous(head) => self.reject_request(head, RequestRejection::AmbiguousLength),
+            HeadFraming::Malformed(head) => self.reject_unsound(head, UnsoundRequest::Head),
+            HeadFraming::Ambiguous(head) => self.reject_unsound(head, UnsoundRequest::AmbiguousLength),
             HeadFraming::Sized(head, _) | HeadFraming::Chunked(head) if !self.buffered.reserve_head(head) => {
                 self.reject_request(head, RequestRejection::OutOfMemory);
             }
+            HeadFraming::Sized(head, 0) if !may_begin_request(&self.buffered[head..]) => {
+                self.reject_unsound(head, UnsoundRequest::FollowingBytes);
+            }
             HeadFraming::Sized(head, 0) => {
                 self.readable = head;
                 self.complete_request();
@@ -257,6 +277,22 @@
         true
     }
 
+    fn reject_unsound(&mut self, head: usize, unsound: UnsoundRequest) {
+        self.reject_request(head, RequestRejection::Unsound(unsound));
+    }
+
+    /// Rejects a request whose body ends in the buffer at `end`, if the bytes behind it begin no request. hyper does not get the end
+    /// of the body, so that no server gets the request whole.
+    fn check_following_bytes(&mut self, end: usize) -> io::Result<()> {
+        if may_begin_request(&self.buffered[end..]) {
+            return Ok(());
+        }
+        self.stage = Stage::Closed;
+        self.readable = 0;
+        self.client.reject_request(RequestRejection::Unsound(UnsoundRequest::FollowingBytes));
+        Err(io::ErrorKind::InvalidData.into())
+    }
+
     /// Passes the head of a request to hyper that gets an error as its response; nothing after the head is read.
     fn reject_request(&mut self, head: usize, rejection: RequestRejection) {
         self.client.reject_request(rejection);
@@ -318,6 +354,7 @@
             }
             match this.stage {
                 Stage::Head => {
+                    this.read_following(cx);
                     if this.parse_head() {
                         continue;
                     }
@@ -327,9 +364,15 @@
                     }
                 }
                 Stage::Body(left) if !this.buffered.is_empty() => {
+                    if left == this.buffered.len() as u64 {
+                        this.read_following(cx);
+                    }
                     this.readable = left.min(this.buffered.len() as u64) as usize;
                     this.stage = Stage::Body(left - this.readable as u64);
                     if left == this.readable as u64 {
+                        if let Err(unsound) = this.check_following_bytes(this.readable) {
+                            return Poll::Ready(Err(unsound));
+                        }
                         this.complete_request();
                     }
                     continue;
@@ -340,6 +383,10 @@
                             this.readable = n;
                             this.stage = Stage::Chunked(chunks);
                             if chunks.is_complete() {
+                                this.read_following(cx);
+                                if let Err(unsound) = this.check_following_bytes(n) {
+                                    return Poll::Ready(Err(unsound));
+                                }
                                 this.complete_request();
                             }
                         }
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -10,9 +10,9 @@
 mod head;
 mod receive_buffer;
 mod request;
-mod request_checks;
 mod response;
 mod response_body;
+mod sound_request;
 
 use crate::daemon::status::RequestCounters;
 use crate::driver::Driver;
@@ -28,6 +28,7 @@
 use framing::{RequestFraming, MAX_HEAD_BYTES};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+pub use sound_request::UnsoundRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::future::poll_fn;
--- a/crates/agent/src/downstream/response.rs
+++ b/crates/agent/src/downstream/response.rs
@@ -1,10 +1,11 @@
 //! Builds the responses to a client.
 
 use super::response_body::ClientResponseBody;
+use super::sound_request::UnsoundRequest;
 use crate::driver::FinalResponse;
 use crate::upstream::ResponseBody;
 use bytes::Bytes;
-use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// The HTTP response for the driver's final response.
@@ -30,6 +31,15 @@
     }
 }
 
+/// The response to a request that is not sound.
+pub(super) fn unsound_response(unsound: UnsoundRequest) -> Response<ClientResponseBody> {
+    let mut response = plain_response(unsound.status(), &unsound.to_string());
+    if let UnsoundRequest::Method(allowed) = unsound {
+        response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    }
+    response
+}
+
 /// A plain-text response of the agent itself.
 pub(super) fn plain_response(status: StatusCode, text: &str) -> Response<ClientResponseBody> {
     let mut response = Response::new(ClientResponseBody::complete(Bytes::from(format!("{text}\n")).into()));
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -4,10 +4,11 @@
 //! from the start of a shutdown, which is short and whose pending requests cannot be traced afterwards. A denied attempt
 //! is logged as a warning, unless it was denied because of the shutdown.
 
-use crate::downstream::AcceptDelay;
+use crate::downstream::{AcceptDelay, UnsoundRequest};
 use bellcroft_agent_core::guard::{ConnectionState, LateResponse, SendDenied, Violation};
 use bellcroft_balancer::{ClassId, Outcome, ServerId};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,6 +103,15 @@
     late_responses: ViolationLogLimiter,
     closed_while_pending: ViolationLogLimiter,
     unsafe_repeats: ViolationLogLimiter,
+    /// The requests that were not sound, by reason.
+    unsound_requests: RefCell<HashMap<UnsoundRequest, UnsoundCount>>,
+}
+
+/// The requests that were not sound for one reason.
+#[derive(Debug, Default)]
+struct UnsoundCount {
+    total: u64,
+    logged: ViolationLogLimiter,
 }
 
 impl RequestLog {
@@ -140,6 +150,21 @@
         event!(self, id, attempt, ?outcome, ?elapsed, "attempt finished");
     }
 
+    /// Logs that a request was not sound; `id` is given if it has a sound one. `total` in the line counts those with the same reason
+    /// since the process started, also those between two lines.
+    pub fn on_unsound_request(&self, id: Option<&str>, reason: UnsoundRequest) {
+        let mut counts = self.unsound_requests.borrow_mut();
+        let count = counts.entry(reason).or_default();
+        count.total += 1;
+        let total = count.total;
+        match count.logged.record() {
+            Some(_) => {
+                info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request")
+            }
+            None => event!(self, id, ?reason, total, "unsound request"),
+        }
+    }
+
     /// Logs that the final response to a request was decided.
     pub fn on_response(&self, id: &str, reason: ResponseReason) {
         event!(self, id, ?reason, "response decided");
--- a/crates/agent/tests/malformed_requests.rs
+++ b/crates/agent/tests/malformed_requests.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use testbed::request_forms::{forms, forms_with_body, Effect, Form};
+use testbed::request_forms::{
+    forms, forms_with_body, generate, judge, Effect, Form, GeneratedRequest, Verdict,
+};
 use testbed::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -192,6 +194,69 @@
     assert!(wrong.is_empty(), "{} cases: {wrong:#?}", wrong.len());
 }
 
+/// The number of requests that are drawn.
+const GENERATED_REQUESTS: usize = 4_000;
+/// A client that waits for longer than this is served.
+const SERVED_TIMEOUT_SECONDS: f64 = 0.5;
+
+/// Sends a drawn request alone, and says what is wrong with what the agent made of it by the reference grammar.
+async fn try_generated(
+    agent: &Agent,
+    backend: &mut Backend,
+    generated: &GeneratedRequest,
+) -> Option<(Verdict, Option<u16>)> {
+    let (bytes, verdict) = (generated.bytes(), judge(&generated.bytes()));
+    if verdict == Verdict::Incomplete {
+        return None;
+    }
+    let mut client = agent.client().await;
+    // The agent may have refused it already.
+    let _ = client.stream.write_all(&bytes).await;
+    let status = timeout(ERROR_TIME, final_status(&mut client)).await.unwrap_or(Some(0));
+    let (_, begun) = backend.record();
+    let is_right = match verdict {
+        Verdict::Sound { timeout_seconds } if timeout_seconds > SERVED_TIMEOUT_SECONDS => status == Some(200),
+        Verdict::Sound { .. } => status.is_some(),
+        Verdict::Unsound(_) => begun.is_empty() && is_error(status),
+        Verdict::Incomplete => true,
+    };
+    (!is_right).then_some((verdict, status))
+}
+
+/// Guards against leniencies, and refusals of sound requests, that no row of the table names: sound requests with up to three changes
+/// are answered as the reference grammar says.
+#[tokio::test]
+async fn generated_requests_are_answered_as_the_reference_grammar_says() {
+    let (agent, mut backend, _directory) = echo_agent().await;
+    let mut random = fastrand::Rng::with_seed(71);
+    let mut wrong = Vec::new();
+    for _ in 0..GENERATED_REQUESTS {
+        let mut generated = generate(&mut random);
+        let Some(mut found) = try_generated(&agent, &mut backend, &generated).await else { continue };
+        while let Some((smaller, smaller_found)) =
+            still_wrong(&agent, &mut backend, generated.smaller(&mut random)).await
+        {
+            (generated, found) = (smaller, smaller_found);
+        }
+        wrong.push(format!("{found:?}: {}", generated.bytes().escape_ascii()));
+    }
+    assert!(wrong.is_empty(), "{} cases: {wrong:#?}", wrong.len());
+}
+
+/// The first of these requests for which the agent is still wrong; none if there is no such.
+async fn still_wrong(
+    agent: &Agent,
+    backend: &mut Backend,
+    candidates: Vec<GeneratedRequest>,
+) -> Option<(GeneratedRequest, (Verdict, Option<u16>))> {
+    for smaller in candidates {
+        if let Some(found) = try_generated(agent, backend, &smaller).await {
+            return Some((smaller, found));
+        }
+    }
+    None
+}
+
 /// A server that answers a request once its body is whole, and counts those.
 async fn whole_body_server() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/testbed/src/request_forms/mod.rs
+++ b/crates/testbed/src/request_forms/mod.rs
@@ -1,9 +1,14 @@
-//! Requests in many forms, sound and unsound, for each effect of a class: a table of forms with the sentence that decides each.
+//! Requests in many forms, sound and unsound, for each effect of a class: a table of forms with the sentence that decides each,
+//! and a generator that changes sound requests, for which a reference grammar says whether they still are.
 //!
 //! Nothing here shares code with the agent, so that a leniency of the agent is not one of its test.
 
+mod generator;
+mod reference;
 mod table;
 
+pub use generator::{generate, GeneratedRequest};
+pub use reference::{judge, Verdict};
 pub use table::{forms, forms_with_body, Form};
 
 /// The effect of a class, as the platform's settings give it.
--- a/crates/testbed/src/request_forms/reference.rs
+++ b/crates/testbed/src/request_forms/reference.rs
@@ -10,6 +10,8 @@
 const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The longest id, in bytes.
 const MAX_ID_BYTES: usize = 256;
+/// The methods by which bytes behind a request are known as another request.
+const METHODS: [&[u8]; 8] = [b"GET", b"HEAD", b"POST", b"PUT", b"DELETE", b"OPTIONS", b"TRACE", b"PATCH"];
 /// The longest time-out, in seconds.
 const MAX_TIMEOUT_SECONDS: f64 = 600.0;
 
@@ -58,7 +60,10 @@
     let effect = judge_target(&request_line, host)?;
     let class = fields.one("x-priority-class")?;
     require(class == Some(effect.class().as_bytes()), "protocol: the class is the first part of the path")?;
-    require(request_line.method == effect.method().as_bytes(), "protocol: the method follows from the class")?;
+    require(
+        request_line.method == effect.method().as_bytes(),
+        "protocol: the method follows from the class",
+    )?;
     judge_connection(&fields)?;
     let timeout_seconds = judge_platform_fields(&fields)?;
     judge_key(&fields, effect)?;
@@ -236,7 +241,8 @@
     let mut at = 0;
     while at < bytes.len() {
         let byte = bytes[at];
-        let is_encoded = || bytes.get(at + 1..at + 3).is_some_and(|hex| hex.iter().all(u8::is_ascii_hexdigit));
+        let is_encoded =
+            || bytes.get(at + 1..at + 3).is_some_and(|hex| hex.iter().all(u8::is_ascii_hexdigit));
         if byte == b'%' && is_encoded() {
             at += 3;
         } else if byte.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=".contains(&byte) || more.contains(&byte) {
@@ -255,7 +261,8 @@
         Some((host, port)) if !port.contains(']') => (host, port),
         _ => (text, ""),
     };
-    let is_port = port.bytes().all(|byte| byte.is_ascii_digit()) && (port.is_empty() || port.parse::<u16>().is_ok());
+    let is_port =
+        port.bytes().all(|byte| byte.is_ascii_digit()) && (port.is_empty() || port.parse::<u16>().is_ok());
     let is_host = match host.strip_prefix('[').and_then(|host| host.strip_suffix(']')) {
         Some(address) => address.parse::<std::net::Ipv6Addr>().is_ok(),
         None => !host.is_empty() && is_uri_text(host.as_bytes(), b""),
@@ -281,13 +288,19 @@
     for option in fields.members("connection") {
         let name = String::from_utf8_lossy(option).to_lowercase();
         require(is_token(option), "9110 7.6.1: an option is a token")?;
-        require(!END_TO_END.contains(&name.as_str()), "9110 7.6.1: Connection names no field for all recipients")?;
+        require(
+            !END_TO_END.contains(&name.as_str()),
+            "9110 7.6.1: Connection names no field for all recipients",
+        )?;
     }
     let is_text = |value: &[u8]| value.is_ascii();
     require(fields.all("connection").into_iter().all(is_text), "9110 7.6.1: an option is a token")?;
     let protocols = fields.members("upgrade");
     let is_websocket = |protocol: &&[u8]| split(protocol, b"/")[0].eq_ignore_ascii_case(b"websocket");
-    require(!protocols.iter().any(is_websocket), "6455 4.2.2: a handshake that isn't accepted gets an error")?;
+    require(
+        !protocols.iter().any(is_websocket),
+        "6455 4.2.2: a handshake that isn't accepted gets an error",
+    )?;
     fields.one("content-type").map(drop)
 }
 
@@ -306,12 +319,16 @@
     require(fields.one("x-tenant-id")? == Some(b"acme"), "protocol: a tenant, named as in the settings")?;
     let retried = fields.one("x-retried")?;
     require(retried.is_none_or(|value| value == b"0" || value == b"1"), "protocol: X-Retried: 1")?;
-    require(fields.one("x-cost")?.is_none_or(|cost| decimal(cost).is_some()), "protocol: a cost is a number")?;
+    require(
+        fields.one("x-cost")?.is_none_or(|cost| decimal(cost).is_some()),
+        "protocol: a cost is a number",
+    )?;
     let is_figure = |member: &[u8]| {
         let at = position(member, b"=").unwrap_or(0);
         is_token(&member[..at]) && is_word(&member[(at + 1).min(member.len())..])
     };
-    let is_attributes = |value: &[u8]| value.is_empty() || split(value, b",").into_iter().map(trim).all(is_figure);
+    let is_attributes =
+        |value: &[u8]| value.is_empty() || split(value, b",").into_iter().map(trim).all(is_figure);
     require(fields.all("x-attrs").into_iter().all(is_attributes), "protocol: name=value,name=value")?;
     let timeout = fields.one("x-timeout")?.unwrap_or_default();
     let seconds = match timeout {
@@ -372,7 +389,8 @@
             return Err(Verdict::Incomplete);
         }
         require(end == Some(b"\r\n") && (1..=8).contains(&digits), "9112 7.1: a size is hexadecimal digits")?;
-        let size = usize::from_str_radix(std::str::from_utf8(size).unwrap_or("x"), 16).map_err(|_| INVALID)?;
+        let size =
+            usize::from_str_radix(std::str::from_utf8(size).unwrap_or("x"), 16).map_err(|_| INVALID)?;
         rest = &after[2..];
         let data_end = rest.get(size..).ok_or(Verdict::Incomplete)?;
         match data_end.get(..2) {
@@ -395,13 +413,12 @@
     }
     if let Some(end) = position(bytes, b"\r\n") {
         let Ok(line) = RequestLine::parse(&bytes[..end]) else { return false };
-        return is_target_text(line.target);
+        return METHODS.contains(&line.method) && is_target_text(line.target);
     }
     let bytes = bytes.strip_suffix(b"\r").unwrap_or(bytes);
     let parts = split(bytes, b" ");
     let is_method = |part: &[u8], is_whole: bool| {
-        let mut methods = Effect::ALL.iter().map(|effect| effect.method().as_bytes());
-        methods.any(|method| if is_whole { method == part } else { method.starts_with(part) })
+        METHODS.iter().any(|method| if is_whole { *method == part } else { method.starts_with(part) })
     };
     match parts[..] {
         [method] => is_method(method, false),
@@ -415,7 +432,8 @@
 
 /// A target of origin-form or absolute-form, as far as its characters tell.
 fn is_target_text(target: &[u8]) -> bool {
-    let begins = target.starts_with(b"/") || target.get(..7).is_some_and(|s| s.eq_ignore_ascii_case(b"http://"));
+    let begins =
+        target.starts_with(b"/") || target.get(..7).is_some_and(|s| s.eq_ignore_ascii_case(b"http://"));
     begins && is_uri_text(target, b":@/?[]")
 }
 
