Nothing of a request is forwarded before up to 512 KiB of its body have come whole

A request whose long body turns out not to be sound at its end, or breaks off, had its beginning at a server: begun, never whole, 400 to its client. Cause: a body beyond 64 KiB was submitted when its beginning was buffered. It is read ahead first, to its end or to 512 KiB, as far as the budget for reading ahead allows.

--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -8,7 +8,7 @@
 use super::Server;
 use crate::driver::{class_signature, IncomingRequest, RequestBody, MAX_UPLOAD_TIME};
 use crate::memory::HeldBytes;
-use crate::streaming_body::{ReceivedBody, StreamingBody};
+use crate::streaming_body::{BrokenUpload, ReceivedBody, StreamingBody};
 use crate::upstream::forwarded_headers;
 use bellcroft_agent_core::body_limits::{self, ForwardingMode, MAX_BUFFERED_BODY_BYTES};
 use bellcroft_agent_core::memory_budget::MemoryUse;
@@ -186,10 +186,7 @@
             let mut data = match body.frame().await {
                 None if client.is_request_received() => return Ok(RequestBody::Complete(buffered.into())),
                 None | Some(Err(_)) => {
-                    return Err(match client.rejection() {
-                        Some(RequestRejection::Unsound(unsound)) => unsound.into(),
-                        Some(RequestRejection::OutOfMemory) | None => UnsoundRequest::IncompleteBody.into(),
-                    });
+                    return Err(incomplete_body(client).into());
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
@@ -210,7 +207,21 @@
             self.make_room_in_memory().await?;
         }
         let received = ReceivedBody { length, beginning: buffered.into(), more, incoming: body };
-        Ok(RequestBody::Streaming(StreamingBody::new(received, memory, reservation, self.driver.clock)))
+        let upload = StreamingBody::new(received, memory, reservation, self.driver.clock);
+        upload.receive_beginning(|| client.is_request_received()).await;
+        match upload.broken() {
+            Some(BrokenUpload::Malformed) => Err(incomplete_body(client).into()),
+            Some(BrokenUpload::TooLarge) => Err(UnsoundRequest::BodyTooLarge.into()),
+            None => Ok(RequestBody::Streaming(upload)),
+        }
+    }
+}
+
+/// What is wrong with a request whose body has broken off.
+fn incomplete_body(client: &ClientConnection) -> UnsoundRequest {
+    match client.rejection() {
+        Some(RequestRejection::Unsound(unsound)) => unsound,
+        Some(RequestRejection::OutOfMemory) | None => UnsoundRequest::IncompleteBody,
     }
 }
 
--- a/crates/agent/src/streaming_body.rs
+++ b/crates/agent/src/streaming_body.rs
@@ -1,6 +1,7 @@
 //! Request bodies that are sent to a server, buffered ([`OutgoingBody::Complete`]) or streamed ([`StreamingBody`]).
 //!
-//! A streaming body is read ahead of its server as far as the memory budget allows, so that its end, from which its client's
+//! The first part of a streaming body, mostly all of it, is received before an attempt begins, so that nothing of a body that breaks
+//! off there is forwarded. The rest is read ahead of its server as far as the memory budget allows, so that its end, from which its client's
 //! timeout counts, shows although the server reads slowly. Until bytes after its buffered beginning have been forwarded, another
 //! attempt can send it from the start.
 
@@ -21,6 +22,9 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
+/// The bytes of a body that are received before an attempt begins, if the memory budget allows.
+const MAX_HELD_BYTES: u64 = 512 << 10;
+
 /// Why a body cannot be completed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BrokenUpload {
@@ -113,6 +117,14 @@
         }
     }
 
+    /// Why the body cannot be completed; none if it can be, or if that is not known yet.
+    pub fn broken(&self) -> Option<BrokenUpload> {
+        match self.end.get() {
+            Some(UploadEnd::Broken(broken)) => Some(broken),
+            Some(UploadEnd::Complete(_) | UploadEnd::HeldUp) | None => None,
+        }
+    }
+
     /// Whether the body cannot be completed.
     pub fn is_broken(&self) -> bool {
         matches!(self.end.get(), Some(UploadEnd::Broken(_) | UploadEnd::HeldUp))
@@ -128,29 +140,48 @@
         self.completed_at().is_some() && self.read_ahead.borrow().is_empty()
     }
 
+    /// Reads the body ahead, before any attempt, up to its end or as far as [`MAX_HELD_BYTES`] and the memory budget allow. No byte of a
+    /// body that breaks off so early is forwarded. `is_whole` is that of [`StreamingBody::receive`].
+    pub async fn receive_beginning(&self, is_whole: impl Fn() -> bool) {
+        while self.end.get().is_none() && self.received.get().total() < MAX_HELD_BYTES {
+            if !self.read_ahead.borrow_mut().make_room() {
+                return;
+            }
+            self.receive_next(&is_whole).await;
+        }
+    }
+
     /// Receives the body to its end. `is_whole` tells whether the client's connection has delivered the last byte of the request;
     /// its client waits for `timeout` from then on.
     pub async fn receive(&self, is_whole: impl Fn() -> bool, timeout: Duration) -> UploadEnd {
-        let end = loop {
-            if !self.read_ahead.borrow_mut().make_room() {
-                if self.until_room(timeout).await {
-                    continue;
-                }
-                break UploadEnd::HeldUp;
+        loop {
+            if let Some(end) = self.end.get() {
+                return end;
             }
-            match poll_fn(|cx| self.poll_frame(cx)).await {
-                Some(Ok(data)) => {
-                    self.read_ahead.borrow_mut().push(data);
-                    self.wake_attempt();
-                }
-                Some(Err(broken)) => break UploadEnd::Broken(broken),
-                None if is_whole() => break UploadEnd::Complete(self.may_have_ended_at()),
-                None => break UploadEnd::Broken(BrokenUpload::Malformed),
+            if self.read_ahead.borrow_mut().make_room() {
+                self.receive_next(&is_whole).await;
+            } else if !self.until_room(timeout).await {
+                self.set_end(UploadEnd::HeldUp);
             }
-        };
+        }
+    }
+
+    /// Receives the client's next bytes, or the end of the body; there must be room.
+    async fn receive_next(&self, is_whole: &impl Fn() -> bool) {
+        match poll_fn(|cx| self.poll_frame(cx)).await {
+            Some(Ok(data)) => {
+                self.read_ahead.borrow_mut().push(data);
+                self.wake_attempt();
+            }
+            Some(Err(broken)) => self.set_end(UploadEnd::Broken(broken)),
+            None if is_whole() => self.set_end(UploadEnd::Complete(self.may_have_ended_at())),
+            None => self.set_end(UploadEnd::Broken(BrokenUpload::Malformed)),
+        }
+    }
+
+    fn set_end(&self, end: UploadEnd) {
         self.end.set(Some(end));
         self.wake_attempt();
-        end
     }
 
     /// Waits until there may be room for the bytes that have been received; false if the client's timeout may have expired before.
