An id is executed once by all processes of an upgrade, however many serve at once

Callers saw an id run twice when it came again at the other process of an upgrade. Cause: neighbours told each other ids through a channel with no answer awaited, and not on along the chain; two processes that got an id in one moment both sent it, and the first and third process of two upgrades knew nothing of each other. Beside it, read_line dropped ids that came in one read with the answer to a handover.

Now the processes of an upgrade share a log of claims, a file in memory (memfd_create) whose descriptor goes with the listening socket. A claim is one write with O_APPEND, so the kernel orders all of them: the first of an id holds, nobody waits for another process, and what is written outlives its writer. It needs no chain: any process may end. A process claims before the first attempt; where the log can't be written the request is refused with 429. What is older than the ids are remembered is given back (a hole in the file). With a process of an earlier version ids are exchanged as before.

A claim is released when the last attempt has ended and none can have been executed, also after its client left: such an id is served when it comes again (409 before). Related: a process between two others took the exit of its predecessor for that of its successor, and would have removed the successor's socket file; the two events are apart now.

--- a/crates/agent-core/src/handover.rs
+++ b/crates/agent-core/src/handover.rs
@@ -10,7 +10,7 @@
     /// There is no other process of this agent.
     #[default]
     Standalone,
-    /// A running successor has requested the listening sockets.
+    /// A running successor has requested the listening sockets, whether or not a predecessor is running too.
     Predecessor,
     /// This process has the listening sockets of a predecessor that is still running.
     Successor,
@@ -23,14 +23,17 @@
     ListenerRequested,
     /// The other process has transferred its listening sockets to this one.
     ListenerTransferred,
-    /// The other process has exited, or the connection to it has been closed.
-    OtherProcessExited,
+    /// The process that transferred its listening sockets has exited, or the connection to it has been closed.
+    PredecessorExited,
+    /// A process that requested the listening sockets has exited, or the connection to it has been closed.
+    SuccessorExited,
 }
 
 /// The state of this process in a handover.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Handover {
-    role: HandoverRole,
+    /// Whether the process that transferred its listening sockets is running.
+    has_predecessor: bool,
     /// Number of running processes that have requested the listening sockets. A second one may request them before the exit
     /// of a failed one is noticed.
     successors: usize,
@@ -39,39 +42,35 @@
 impl Handover {
     /// The role of this process.
     pub fn role(&self) -> HandoverRole {
-        self.role
+        if self.successors > 0 {
+            HandoverRole::Predecessor
+        } else if self.has_predecessor {
+            HandoverRole::Successor
+        } else {
+            HandoverRole::Standalone
+        }
     }
 
     /// Handles an event; returns whether the role, and with it the connection limit, has changed.
     pub fn handle_event(&mut self, event: HandoverEvent) -> bool {
-        let former_role = self.role;
+        let former_role = self.role();
         match event {
-            HandoverEvent::ListenerRequested => {
-                self.successors += 1;
-                self.role = HandoverRole::Predecessor;
-            }
-            HandoverEvent::ListenerTransferred => self.role = HandoverRole::Successor,
-            HandoverEvent::OtherProcessExited if self.role == HandoverRole::Successor => {
-                self.role = HandoverRole::Standalone;
-            }
-            HandoverEvent::OtherProcessExited => {
-                self.successors = self.successors.saturating_sub(1);
-                if self.successors == 0 {
-                    self.role = HandoverRole::Standalone;
-                }
-            }
+            HandoverEvent::ListenerRequested => self.successors += 1,
+            HandoverEvent::ListenerTransferred => self.has_predecessor = true,
+            HandoverEvent::PredecessorExited => self.has_predecessor = false,
+            HandoverEvent::SuccessorExited => self.successors = self.successors.saturating_sub(1),
         }
-        self.role != former_role
+        self.role() != former_role
     }
 
     /// Whether a successor accepts new connections. A process that shuts down continues to accept only without a successor.
     pub fn is_replaced(&self) -> bool {
-        self.role == HandoverRole::Predecessor
+        self.role() == HandoverRole::Predecessor
     }
 
     /// The number of processes that share the agent's limits.
     pub fn processes(&self) -> usize {
-        match self.role {
+        match self.role() {
             HandoverRole::Standalone => 1,
             HandoverRole::Predecessor | HandoverRole::Successor => 2,
         }
--- a/crates/agent-core/src/lib.rs
+++ b/crates/agent-core/src/lib.rs
@@ -1,7 +1,6 @@
 //! The agent's state machines without I/O.
 //!
 //! - [`guard`]: what may be sent, retried and closed, and the count of violations.
-//! - [`executed_requests`]: the ids of requests that may have been executed.
 //! - [`shutdown`]: the times of a graceful shutdown.
 //! - [`serving`]: serving, draining and shutting down.
 //! - [`handover`]: the limits of two processes during a rolling restart.
@@ -11,6 +10,7 @@
 //! - [`body_limits`] and [`chunks`]: buffering, timeouts and framing of bodies.
 //! - [`memory_budget`]: the memory that clients and servers can make the process hold.
 //! - [`upload_clock`]: when the client of a request that is being received may have finished it.
+//! - [`request_claims`]: the ids of requests that must not be executed twice.
 //! - [`reconfigure`]: the rules that apply while new settings take effect.
 //! - [`admin`]: commands and statistics of the admin console.
 //!
@@ -21,11 +21,11 @@
 pub mod body_limits;
 pub mod chunks;
 pub mod clock_skew;
-pub mod executed_requests;
 pub mod guard;
 pub mod handover;
 pub mod memory_budget;
 pub mod reconfigure;
+pub mod request_claims;
 pub mod serving;
 pub mod shutdown;
 pub mod stall;
--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -10,7 +10,7 @@
 use std::fs::Permissions;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -25,6 +25,8 @@
 const MAX_REQUEST_BYTES: usize = 4 << 10;
 /// Longest reply line in bytes: the status of a fleet of thousands.
 const MAX_REPLY_BYTES: usize = 16 << 20;
+/// Largest number of descriptors that go with a line.
+const MAX_DESCRIPTORS: usize = 2;
 /// Clients at a time; a further one is disconnected at once.
 pub(crate) const MAX_CLIENTS: usize = 16;
 /// Pause after a failed accept, such as with no descriptor left.
@@ -116,8 +118,8 @@
 async fn serve_client(stream: &UnixStream, own_uid: u32, answer: &dyn Fn(Value) -> Reply) -> io::Result<()> {
     let peer = stream.peer_cred()?;
     let reply = if is_authorized(own_uid, peer.uid()) {
-        let (line, _) = read_line(stream, MAX_REQUEST_BYTES).await?;
-        match serde_json::from_slice(&line) {
+        let line = read_line(stream, MAX_REQUEST_BYTES).await?;
+        match serde_json::from_slice(&line.text) {
             Ok(value) => answer(value),
             Err(e) => error(format!("the line is no JSON: {e}")),
         }
@@ -126,7 +128,7 @@
     };
     let mut text = reply.value.to_string();
     text.push('\n');
-    write(stream, text.as_bytes(), reply.descriptor).await
+    write(stream, text.as_bytes(), reply.descriptor.as_slice()).await
 }
 
 /// Whether a process of user `peer_uid` may command one of user `own_uid`: the same user and root may.
@@ -134,50 +136,56 @@
     peer_uid == own_uid || peer_uid == 0
 }
 
-/// Writes all of `text`; the descriptor goes with its first byte.
-pub(super) async fn write(stream: &UnixStream, text: &[u8], descriptor: Option<OwnedFd>) -> io::Result<()> {
-    let mut descriptor = descriptor;
+/// Writes all of `text`; the descriptors, [`MAX_DESCRIPTORS`] at most, go with its first byte.
+pub(super) async fn write(stream: &UnixStream, text: &[u8], descriptors: &[OwnedFd]) -> io::Result<()> {
+    let mut descriptors: Vec<BorrowedFd> = descriptors.iter().map(AsFd::as_fd).collect();
     let mut rest = text;
     while !rest.is_empty() {
         let sent = stream
             .async_io(Interest::WRITABLE, || {
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
                 let mut ancillary = SendAncillaryBuffer::new(&mut space);
-                let descriptors = descriptor.as_ref().map(|d| [d.as_fd()]);
-                if let Some(descriptors) = &descriptors {
-                    ancillary.push(SendAncillaryMessage::ScmRights(descriptors));
+                if !descriptors.is_empty() {
+                    ancillary.push(SendAncillaryMessage::ScmRights(&descriptors));
                 }
                 let parts = [IoSlice::new(rest)];
                 let send = || rustix::net::sendmsg(stream, &parts, &mut ancillary, SendFlags::NOSIGNAL);
                 Ok(rustix::io::retry_on_intr(send)?)
             })
             .await?;
-        descriptor = None;
+        descriptors.clear();
         rest = &rest[sent..];
     }
     Ok(())
 }
 
-/// Reads up to the end of a line, and the descriptor that came with it.
-pub(super) async fn read_line(
-    stream: &UnixStream,
-    max_bytes: usize,
-) -> io::Result<(Vec<u8>, Option<OwnedFd>)> {
+/// A line that was read.
+pub(super) struct Line {
+    /// Its bytes, without the line feed.
+    pub(super) text: Vec<u8>,
+    /// The descriptors that came with it.
+    pub(super) descriptors: Vec<OwnedFd>,
+    /// The bytes behind it that were read too.
+    pub(super) rest: Vec<u8>,
+}
+
+/// Reads up to the end of a line.
+pub(super) async fn read_line(stream: &UnixStream, max_bytes: usize) -> io::Result<Line> {
     let mut line = Vec::new();
-    let mut descriptor = None;
+    let mut descriptors = Vec::new();
     loop {
         let mut chunk = [0; 4096];
         let read = stream
             .async_io(Interest::READABLE, || {
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS))];
                 let mut ancillary = RecvAncillaryBuffer::new(&mut space);
                 let mut into = [IoSliceMut::new(&mut chunk)];
                 let receive =
                     || rustix::net::recvmsg(stream, &mut into, &mut ancillary, RecvFlags::CMSG_CLOEXEC);
                 let received = rustix::io::retry_on_intr(receive)?;
                 for message in ancillary.drain() {
-                    if let RecvAncillaryMessage::ScmRights(mut descriptors) = message {
-                        descriptor = descriptors.next().or(descriptor.take());
+                    if let RecvAncillaryMessage::ScmRights(received) = message {
+                        descriptors.extend(received);
                     }
                 }
                 Ok(received.bytes)
@@ -185,8 +193,9 @@
             .await?;
         line.extend_from_slice(&chunk[..read]);
         if let Some(end) = line.iter().position(|b| *b == b'\n') {
+            let rest = line.split_off(end + 1);
             line.truncate(end);
-            return Ok((line, descriptor));
+            return Ok(Line { text: line, descriptors, rest });
         }
         if read == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -262,9 +271,10 @@
     let pid = stream.peer_cred()?.pid().and_then(|pid| u32::try_from(pid).ok());
     let mut line = serde_json::to_string(request)?;
     line.push('\n');
-    write(stream, line.as_bytes(), None).await?;
-    let (line, descriptor) = read_line(stream, MAX_REPLY_BYTES).await?;
-    let value: Value = serde_json::from_slice(&line)?;
+    write(stream, line.as_bytes(), &[]).await?;
+    let line = read_line(stream, MAX_REPLY_BYTES).await?;
+    let descriptor = line.descriptors.into_iter().next();
+    let value: Value = serde_json::from_slice(&line.text)?;
     match value.get("error").and_then(Value::as_str) {
         Some(reason) => Err(RequestError::Rejected(reason.to_owned())),
         None => Ok(ControlReply { value, descriptor, pid }),
--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -5,8 +5,8 @@
 //! them stops. The stream between them stays open; its end means that the other process has exited.
 
 use super::control::{is_authorized, read_line, write};
-use bellcroft_agent_core::executed_requests::RequestIdHash;
 use bellcroft_agent_core::handover::HandoverEvent;
+use bellcroft_agent_core::request_claims::RequestIdHash;
 use bellcroft_net::Stream;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -40,7 +40,11 @@
 enum HandoverRequest {
     /// The listening socket.
     #[serde(rename = "succeed")]
-    Listener,
+    Listener {
+        /// Whether the new process uses the log of claims. One of an earlier version does not.
+        #[serde(default)]
+        shares_claims: bool,
+    },
 }
 
 /// Why the old process did not hand over its listening socket.
@@ -74,7 +78,25 @@
 }
 
 /// The stream to the other process, which closes when that process exits.
-pub struct HandoverStream(Stream<UnixStream>);
+pub struct HandoverStream {
+    stream: Stream<UnixStream>,
+    /// Bytes of the stream that have been read already.
+    received: Vec<u8>,
+    /// Whether both processes use the log of claims; otherwise they tell each other the ids.
+    shares_claims: bool,
+    /// The event of the stream's end.
+    on_end: HandoverEvent,
+}
+
+/// What a process receives from its predecessor.
+pub struct TransferredListener {
+    /// The listening socket.
+    pub listener: std::net::TcpListener,
+    /// The log of claims; none if the predecessor is of an earlier version.
+    pub claims: Option<OwnedFd>,
+    /// The stream to the predecessor.
+    pub stream: HandoverStream,
+}
 
 /// What a process is told of the other one of a handover, and tells it.
 pub trait HandoverPeer {
@@ -83,19 +105,22 @@
     /// Called when the other process may execute the request with this id.
     fn on_executed_elsewhere(&self, id: RequestIdHash);
     /// The ids of the requests that this process may execute or have executed.
-    fn executed_here(&self) -> UnboundedReceiver<RequestIdHash>;
+    fn claimed_here(&self) -> UnboundedReceiver<RequestIdHash>;
+    /// The log of claims, for the other process.
+    ///
+    /// # Errors
+    ///
+    /// The kernel has no memory or no descriptor for it.
+    fn share_claims(&self) -> io::Result<OwnedFd>;
 }
 
 impl HandoverStream {
-    /// Exchanges the ids of executed requests until the other process has exited. A process of an earlier version sends none and
-    /// ignores those that it receives.
-    async fn exchange(self, peer: Rc<dyn HandoverPeer>) {
+    /// Follows the other process until it has exited. With one of an earlier version, which does not use the log of claims, the ids of
+    /// executed requests are exchanged meanwhile.
+    async fn follow(self, peer: Rc<dyn HandoverPeer>) {
         let sent = async {
-            let mut executed = peer.executed_here();
-            while let Some(RequestIdHash(id)) = executed.recv().await {
-                if self.0.write_all_bytes(&id.to_be_bytes()).await.is_err() {
-                    break;
-                }
+            if !self.shares_claims {
+                self.send_ids(&*peer).await;
             }
             std::future::pending::<()>().await;
         };
@@ -103,26 +128,39 @@
             () = self.receive_ids(&*peer) => {}
             () = sent => {}
         }
-        peer.on_event(HandoverEvent::OtherProcessExited);
+        peer.on_event(self.on_end);
+    }
+
+    /// Sends ids until the stream ends.
+    async fn send_ids(&self, peer: &dyn HandoverPeer) {
+        let mut claimed = peer.claimed_here();
+        while let Some(RequestIdHash(id)) = claimed.recv().await {
+            if self.stream.write_all_bytes(&id.to_be_bytes()).await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Receives ids until the stream ends.
     async fn receive_ids(&self, peer: &dyn HandoverPeer) {
-        let mut received: Vec<u8> = Vec::new();
+        let mut received = self.received.clone();
         let mut chunk = [0; 64 * ID_BYTES];
-        while let Ok(count @ 1..) = poll_fn(|cx| self.0.poll_read(cx, &mut chunk)).await {
-            received.extend_from_slice(&chunk[..count]);
+        loop {
             let whole = received.len() - received.len() % ID_BYTES;
             for id in received.drain(..whole).collect::<Vec<u8>>().chunks_exact(ID_BYTES) {
                 let bytes = id.try_into().unwrap_or([0; ID_BYTES]);
                 peer.on_executed_elsewhere(RequestIdHash(u64::from_be_bytes(bytes)));
             }
+            match poll_fn(|cx| self.stream.poll_read(cx, &mut chunk)).await {
+                Ok(count @ 1..) => received.extend_from_slice(&chunk[..count]),
+                Ok(_) | Err(_) => return,
+            }
         }
     }
 
     /// Follows the predecessor until it has exited.
     pub fn watch(self, peer: Rc<dyn HandoverPeer>) {
-        tokio::task::spawn_local(self.exchange(peer));
+        tokio::task::spawn_local(self.follow(peer));
     }
 }
 
@@ -131,9 +169,7 @@
 /// # Errors
 ///
 /// There is one, and it did not hand over its socket.
-pub async fn request_listener(
-    path: &Path,
-) -> Result<Option<(std::net::TcpListener, HandoverStream)>, HandoverError> {
+pub async fn request_listener(path: &Path) -> Result<Option<TransferredListener>, HandoverError> {
     let stream = match UnixStream::connect(path).await {
         Ok(stream) => stream,
         // No process, or one that was killed and left its socket's file behind.
@@ -143,21 +179,26 @@
         Err(source) => return Err(HandoverError::Connect { path: path.to_owned(), source }),
     };
     let exchange = async {
-        let request = serde_json::to_string(&HandoverRequest::Listener)?;
-        write(&stream, format!("{request}\n").as_bytes(), None).await?;
+        let request = serde_json::to_string(&HandoverRequest::Listener { shares_claims: true })?;
+        write(&stream, format!("{request}\n").as_bytes(), &[]).await?;
         read_line(&stream, MAX_LINE_BYTES).await
     };
-    let (line, descriptor) = match timeout(EXCHANGE_TIMEOUT, exchange).await {
+    let line = match timeout(EXCHANGE_TIMEOUT, exchange).await {
         Ok(answer) => answer.map_err(HandoverError::Exchange)?,
         Err(_) => return Err(HandoverError::Timeout),
     };
-    match descriptor {
-        Some(descriptor) => {
-            let listener = std::net::TcpListener::from(descriptor);
-            Ok(Some((listener, HandoverStream(Stream::unix(stream)))))
-        }
-        None => Err(HandoverError::NoDescriptor(String::from_utf8_lossy(&line).into_owned())),
-    }
+    let mut descriptors = line.descriptors.into_iter();
+    let Some(listener) = descriptors.next() else {
+        return Err(HandoverError::NoDescriptor(String::from_utf8_lossy(&line.text).into_owned()));
+    };
+    let claims = descriptors.next();
+    let stream = HandoverStream {
+        stream: Stream::unix(stream),
+        received: line.rest,
+        shares_claims: claims.is_some(),
+        on_end: HandoverEvent::PredecessorExited,
+    };
+    Ok(Some(TransferredListener { listener: listener.into(), claims, stream }))
 }
 
 /// Serves the Unix socket over which the next process requests the listening socket. Dropping it removes the socket's
@@ -204,22 +245,45 @@
         };
         let (copy, peer) = (listener.try_clone(), peer.clone());
         tokio::task::spawn_local(async move {
-            if matches!(timeout(EXCHANGE_TIMEOUT, transfer(&stream, copy)).await, Ok(Ok(()))) {
+            if let Ok(Ok(transferred)) = timeout(EXCHANGE_TIMEOUT, transfer(&stream, copy, &*peer)).await {
                 peer.on_event(HandoverEvent::ListenerRequested);
-                HandoverStream(Stream::unix(stream)).exchange(peer).await;
+                let successor = HandoverStream {
+                    stream: Stream::unix(stream),
+                    received: transferred.received,
+                    shares_claims: transferred.shares_claims,
+                    on_end: HandoverEvent::SuccessorExited,
+                };
+                successor.follow(peer).await;
             }
         });
     }
 }
 
-/// Answers one request with the listening socket.
-async fn transfer(stream: &UnixStream, listener: io::Result<OwnedFd>) -> io::Result<()> {
+/// A request that has been answered.
+struct Transfer {
+    /// Whether the log of claims went with the listening socket.
+    shares_claims: bool,
+    /// Bytes behind the request.
+    received: Vec<u8>,
+}
+
+/// Answers one request with the listening socket, and with the log of claims if the new process uses it.
+async fn transfer(
+    stream: &UnixStream,
+    listener: io::Result<OwnedFd>,
+    peer: &dyn HandoverPeer,
+) -> io::Result<Transfer> {
     if !is_authorized(rustix::process::geteuid().as_raw(), stream.peer_cred()?.uid()) {
         return Err(io::ErrorKind::PermissionDenied.into());
     }
-    let (line, _) = read_line(stream, MAX_LINE_BYTES).await?;
-    if serde_json::from_slice::<HandoverRequest>(&line).is_err() {
+    let line = read_line(stream, MAX_LINE_BYTES).await?;
+    let Ok(HandoverRequest::Listener { shares_claims }) = serde_json::from_slice(&line.text) else {
         return Err(io::ErrorKind::InvalidInput.into());
+    };
+    let mut descriptors = vec![listener?];
+    if shares_claims {
+        descriptors.push(peer.share_claims()?);
     }
-    write(stream, b"{}\n", Some(listener?)).await
+    write(stream, b"{}\n", &descriptors).await?;
+    Ok(Transfer { shares_claims, received: line.rest })
 }
--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -15,11 +15,12 @@
 use crate::control_plane::ControlPlane;
 use crate::downstream::Server;
 use crate::driver::Driver;
-use bellcroft_agent_core::executed_requests::RequestIdHash;
 use bellcroft_agent_core::handover::{Handover, HandoverEvent};
+use bellcroft_agent_core::request_claims::RequestIdHash;
 use bellcroft_telemetry::families;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -111,8 +112,12 @@
         self.driver.on_executed_elsewhere(id);
     }
 
-    fn executed_here(&self) -> UnboundedReceiver<RequestIdHash> {
-        self.driver.subscribe_executed()
+    fn claimed_here(&self) -> UnboundedReceiver<RequestIdHash> {
+        self.driver.subscribe_claims()
+    }
+
+    fn share_claims(&self) -> io::Result<OwnedFd> {
+        self.driver.share_claims()
     }
 }
 
--- a/crates/agent/src/daemon/listen.rs
+++ b/crates/agent/src/daemon/listen.rs
@@ -1,9 +1,10 @@
 //! The clients' listening socket: inherited, transferred by a predecessor, or bound by this process.
 
 use super::error::{DaemonError, InheritedListenerError};
-use super::handover::{self, HandoverStream};
+use super::handover::{self, HandoverStream, TransferredListener};
 use bellcroft_net::Listener;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::Path;
 
 /// Where an instance's listening socket comes from.
@@ -12,8 +13,13 @@
     Bound,
     /// A service manager or a supervisor passed it at the start.
     Inherited,
-    /// The process that this one replaces transferred it; the stream closes when that process exits.
-    Predecessor(HandoverStream),
+    /// The process that this one replaces transferred it.
+    Predecessor {
+        /// Closes when that process exits.
+        stream: HandoverStream,
+        /// The log of claims; none if that process is of an earlier version.
+        claims: Option<OwnedFd>,
+    },
 }
 
 /// Takes the inherited socket, else the predecessor's over the Unix socket at `handover_socket`, else binds `address`.
@@ -36,9 +42,9 @@
         None => None,
     };
     let listen_error = |source| DaemonError::Listen { address, source };
-    if let Some((socket, stream)) = predecessor {
-        let listener = Listener::from_std(socket).map_err(listen_error)?;
-        return Ok((listener, ListenerOrigin::Predecessor(stream)));
+    if let Some(TransferredListener { listener, claims, stream }) = predecessor {
+        let listener = Listener::from_std(listener).map_err(listen_error)?;
+        return Ok((listener, ListenerOrigin::Predecessor { stream, claims }));
     }
     let listener = Listener::bind(address).await.map_err(listen_error)?;
     Ok((listener, ListenerOrigin::Bound))
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -125,7 +125,7 @@
     /// predecessor until it is ready.
     async fn build(self, signals: Signals) -> Result<Serving, DaemonError> {
         let Startup { config, options, state, mut problems, started_ms } = self;
-        let socket = ClientSocket::acquire(&config, state.is_some()).await?;
+        let mut socket = ClientSocket::acquire(&config, state.is_some()).await?;
         let connection_limits = DescriptorBudget::new(&config);
         let (notify, problem) = Notify::find(|name| std::env::var_os(name));
         problems.extend(problem);
@@ -134,6 +134,9 @@
         let control = ControlPlane::start(config, options, connection_limits.backends, started_ms).await?;
         let driver = control.driver().clone();
         let driver_task = control.take_driver_task().unwrap_or_else(|| unreachable!("it was just started"));
+        if let ListenerOrigin::Predecessor { claims, .. } = &mut socket.origin {
+            claims.take().into_iter().for_each(|claims| driver.join_claims(claims));
+        }
         let server = Server::new(driver.clone(), connection_limits.clients);
         let files = StateFiles::open(state.as_ref(), &mut problems);
         log_problems(&name, &problems);
@@ -228,7 +231,7 @@
 impl Serving {
     fn open_listener(&mut self, origin: ListenerOrigin) {
         match origin {
-            ListenerOrigin::Predecessor(stream) => {
+            ListenerOrigin::Predecessor { stream, .. } => {
                 self.instance.on_handover_event(HandoverEvent::ListenerTransferred);
                 stream.watch(self.instance.clone());
             }
--- a/crates/agent/src/driver/attempts.rs
+++ b/crates/agent/src/driver/attempts.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// The number of a request's first `attempts` attempts that are in flight.
+    pub(super) fn count(&self, request: RequestId, attempts: u32) -> usize {
+        self.of_request(request, attempts).count()
+    }
+
     fn of_request(&self, request: RequestId, attempts: u32) -> impl Iterator<Item = &Rc<AttemptProgress>> {
         (0..attempts).filter_map(move |attempt| self.progress.get(&AttemptKey { request, attempt }))
     }
@@ -172,6 +177,9 @@
                 state.response_times[class.0].add(elapsed);
             }
             state.attempts.progress.remove(&key);
+            if !state.requests.contains(key.request) {
+                self.on_late_outcome(key.request, key.attempt, outcome);
+            }
             if let Some((content_type, body)) = result.response {
                 let response = FinalResponse::Served(content_type, body);
                 self.respond(&mut state, key.request, response, ResponseReason::Served);
--- a/crates/agent/src/driver/mod.rs
+++ b/crates/agent/src/driver/mod.rs
@@ -8,15 +8,15 @@
 //!
 //! - [`requests`]: requests without a final response.
 //! - [`attempts`]: attempts in flight and health checks.
-//! - [`executed`]: requests that must not be executed again under the same id.
+//! - [`claims`]: requests that must not be executed again under the same id.
 //! - [`endpoints`]: the servers of discovery's list.
 //! - [`timers`]: the balancer's timers and the detection of stalls.
 //! - [`reload`]: new settings and routes.
 //! - [`peers`]: hints and fleet state from other instances.
 
 mod attempts;
+mod claims;
 mod endpoints;
-mod executed;
 mod peers;
 mod reload;
 mod requests;
@@ -36,7 +36,6 @@
 use crate::request_log::{RequestLog, ResponseReason};
 use crate::upstream::Upstream;
 use attempts::{AttemptKey, AttemptsInFlight, ScheduledAttempt};
-use bellcroft_agent_core::executed_requests::{ExecutedRequests, RequestIdHash};
 use bellcroft_agent_core::guard::Guard;
 use bellcroft_agent_core::reconfigure::{AttemptLimitTransition, ClassRegistry};
 use bellcroft_agent_core::shutdown::ShutdownSchedule;
@@ -46,6 +45,7 @@
 use bellcroft_platform_settings::Names;
 use bellcroft_routes::{BudgetIds, LatencyWindow, RouteTable};
 use bellcroft_telemetry::Instance;
+use claims::Claims;
 use endpoints::EndpointTable;
 use reload::watch_policy;
 use requests::PendingRequests;
@@ -54,7 +54,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timers::TimerQueue;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -109,10 +108,8 @@
     pub telemetry: Option<Rc<Instance>>,
     /// Checks sent attempts, responses and closed connections against the limits of requests and of the process.
     pub guard: Rc<RefCell<Guard>>,
-    /// The requests that may have been executed, by this process or by the other one of a handover.
-    executed: RefCell<ExecutedRequests>,
-    /// Receive the ids of requests whose first attempt is sent: the other processes of a handover.
-    executed_subscribers: RefCell<Vec<UnboundedSender<RequestIdHash>>>,
+    /// The claims of this process, and of the others of an upgrade, to the ids of requests.
+    claims: RefCell<Claims>,
     /// Logs the events of each request.
     pub request_log: Rc<RequestLog>,
     state: RefCell<State>,
@@ -163,8 +160,7 @@
             discovery_monitor: RefCell::default(),
             telemetry,
             guard: Rc::default(),
-            executed: RefCell::default(),
-            executed_subscribers: RefCell::default(),
+            claims: RefCell::new(Claims::new()),
             request_log: Rc::default(),
             state: RefCell::new(state),
             wake_delays: RefCell::default(),
--- a/crates/agent/src/driver/requests.rs
+++ b/crates/agent/src/driver/requests.rs
@@ -1,5 +1,6 @@
 //! Client requests: each is accepted from downstream, passed to the balancer, and gets exactly one final response.
 
+use super::claims::Claim;
 use super::{duration, Driver, State};
 use crate::memory::BodyBytes;
 use crate::request_log::ResponseReason;
@@ -130,6 +131,8 @@
     /// The number of attempts that have been scheduled so far.
     pub(super) attempts: u32,
     pub(super) history: AttemptHistory,
+    /// Whether the request has its id, which no other request may have meanwhile.
+    pub(super) holds_claim: bool,
     /// Whether the attempt that finished last timed out.
     pub(super) last_timed_out: bool,
     response: oneshot::Sender<FinalResponse>,
@@ -211,21 +214,25 @@
         let request = state.balancer_request(id, &incoming, time_left, now);
         let timer = self.start_pending_timer(id, &incoming);
         let retry_safety = incoming.guarded_retry_safety(state.retry_safety(incoming.class.id()));
-        let is_repeated = self.may_have_been_executed(&incoming, retry_safety);
+        let claim = self.claim_id(&incoming, retry_safety);
         let history = AttemptHistory::new(retry_safety);
         let pending = PendingRequest {
             request: Rc::new(incoming),
             attempts: 0,
             history,
+            holds_claim: claim == Some(Claim::Granted),
             last_timed_out: false,
             response,
         };
         state.requests.pending.insert(id, pending);
         match rejection.or_else(|| self.rejection_on_arrival(now, time_left)) {
-            _ if is_repeated => {
+            _ if claim == Some(Claim::Taken) => {
                 let conflict = FinalResponse::Failed(StatusCode::CONFLICT);
                 self.respond(&mut state, id, conflict, ResponseReason::AlreadyExecuted);
             }
+            _ if claim == Some(Claim::Unavailable) => {
+                self.respond(&mut state, id, FinalResponse::Shed(None), ResponseReason::ClaimUnavailable);
+            }
             // No attempt of the request has been sent, so the client can safely retry it.
             Some(reason) => self.respond(&mut state, id, FinalResponse::Shed(None), reason),
             None => state.events.push_back(Event::Request(request)),
@@ -281,7 +288,7 @@
             let mut state = self.state.borrow_mut();
             let Some(pending) = state.requests.pending.remove(&id) else { return };
             self.request_log.on_client_disconnected(&pending.request.request_id);
-            self.on_ended(&pending);
+            self.on_ended(&state, id, &pending);
             state.attempts.cancel_unwritten(id, pending.attempts);
             state.events.push_back(Event::ClientDisconnected { request: id });
         }
@@ -369,7 +376,7 @@
     ) {
         let Some(pending) = state.requests.pending.remove(&id) else { return };
         self.request_log.on_response(&pending.request.request_id, reason);
-        self.on_ended(&pending);
+        self.on_ended(state, id, &pending);
         state.attempts.cancel_unwritten(id, pending.attempts);
         // The receiver has been dropped if the client has just disconnected.
         let _ = pending.response.send(response);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `telemetry` collects the metrics and sends them by remote write.
 //! - [`ControlPlane`] combines the parts that need no request path.
 
+mod claim_log;
 pub mod cli;
 mod clock;
 mod control_plane;
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -60,6 +60,8 @@
     ConnectionLimit,
     /// A request with this id may have been executed before.
     AlreadyExecuted,
+    /// The other processes of an upgrade cannot be told of the request's id.
+    ClaimUnavailable,
     /// The request's body ended early, or its framing is invalid.
     MalformedBody,
     /// The request's body exceeds the maximum length.
@@ -159,7 +161,7 @@
         let total = count.total;
         match count.logged.record() {
             Some(_) => {
-                info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request")
+                info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request");
             }
             None => event!(self, id, ?reason, total, "unsound request"),
         }
--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -341,6 +341,29 @@
     assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
 }
 
+/// Guards against a conflict for an id under which nothing can have been executed: its client left while the connect was pending.
+#[tokio::test]
+async fn request_of_which_nothing_was_sent_is_served_when_its_id_comes_again() {
+    let silent = Silent::start().await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", silent.address(), "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let text = request_as("again", "POST", "/pay", "60000m", "b");
+    let mut client = agent.client().await;
+    client.send(&text).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(client);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut stream = silent.wake().await;
+    let mut client = agent.client().await;
+    client.send(&text).await;
+    let message = soon("the request", read_message(&mut stream, 0)).await.expect("a request");
+    assert_eq!(message.header("x-request-id"), Some("again"));
+    stream.write_all(&ok("x")).await.expect("it reads");
+    assert_eq!(client.answer().await.status(), 200);
+}
+
 /// An unanswered connect ends after a part of the request's latency objective, not at the platform's time-out, so that
 /// another server can still respond in time.
 #[tokio::test]
--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -46,6 +46,7 @@
 /// so that the end of their stream lies behind unread bytes. Then a server comes up: no byte of an attempt is sent for them.
 #[tokio::test]
 async fn waiting_request_of_disconnected_client_is_not_forwarded() {
+    const ROUNDS: usize = 6;
     let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
     let hosts = |health: &str| vec![host("s", backend.address, health)];
     let (away, here) = (hosts("draining"), hosts("up"));
@@ -75,7 +76,6 @@
             [(300_000, 100_000), (100_000, 99_999)].map(|(length, sent)| coming("/save/left", length, sent)),
         );
         let (mut left, mut ids) = (Vec::new(), Vec::new());
-        const ROUNDS: usize = 6;
         for text in texts.iter().cycle().take(ROUNDS * texts.len()) {
             // Each request has its own id and otherwise the same bytes.
             let text = text.replacen("X-Request-ID: ", &format!("X-Request-ID: {}-", left.len()), 1);
--- a/crates/agent/tests/repeated_ids.rs
+++ b/crates/agent/tests/repeated_ids.rs
@@ -5,9 +5,13 @@
 
 use console_config::operated;
 use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use testbed::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -148,3 +152,100 @@
     assert_eq!(by_old + by_new, 17, "attempts of either");
     assert!(by_old > 1 && by_new > 0, "both took clients: {by_old} and {by_new}");
 }
+
+/// A way in which the requests of clients that have left come again.
+#[derive(Debug, Clone, Copy)]
+struct Repetition {
+    /// How many come at once.
+    copies: usize,
+    /// How long after the first client has left.
+    after: Duration,
+}
+
+const REPETITIONS: [Repetition; 4] = [
+    Repetition { copies: 1, after: Duration::ZERO },
+    Repetition { copies: 1, after: Duration::from_millis(20) },
+    Repetition { copies: 3, after: Duration::ZERO },
+    Repetition { copies: 3, after: Duration::from_millis(20) },
+];
+/// The ids for each way and each number of processes.
+const IDS: u64 = 60;
+
+/// Sends a request whose client leaves up to 5 ms later, and then copies of it on new connections, whose clients leave too.
+async fn send_repeatedly(address: SocketAddr, text: String, leave_after: Duration, repetition: Repetition) {
+    let first = TcpStream::connect(address).await.expect("a connection");
+    let mut clients = vec![first];
+    clients[0].write_all(text.as_bytes()).await.expect("it reads");
+    sleep(leave_after).await;
+    clients.clear();
+    sleep(repetition.after).await;
+    for _ in 0..repetition.copies {
+        clients.push(TcpStream::connect(address).await.expect("a connection"));
+    }
+    for client in &mut clients {
+        client.write_all(text.as_bytes()).await.expect("it reads");
+    }
+    sleep(Duration::from_millis(100)).await;
+}
+
+/// Guards against a second execution under one id by any of the processes that several upgrades in a row leave serving, also when
+/// copies of a request reach them in one moment.
+#[tokio::test]
+async fn request_is_executed_once_however_many_processes_serve() {
+    let mut twice = Vec::new();
+    for upgrades in 0..=3 {
+        let (mut servers, hosts, word) = holding_servers().await;
+        let directory = Directory::start(Mood::Mute).await;
+        let folder = Folder::new();
+        let mut config = operated(&directory, &hosts);
+        config["listen"] = json!(unshared_address().await.to_string());
+        config["settings"] = patient_config(directory.address, &hosts)["settings"].clone();
+        config["settings"]["parties"][0]["allowancePerS"] = 100_000.0.into();
+        let mut processes = Vec::new();
+        for _ in 0..=upgrades {
+            let process = Agent::with(config.clone(), |command| {
+                command.env("TMPDIR", folder.path());
+            })
+            .await;
+            soon("the process's yes", async {
+                while !process.call("ready").await.starts_with("200 ") {
+                    sleep(Duration::from_millis(1)).await;
+                }
+            })
+            .await;
+            processes.push(process);
+        }
+        let release = tokio::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                word.notify_waiters();
+            }
+        });
+        let address = processes[0].address;
+        for (way, repetition) in REPETITIONS.into_iter().enumerate() {
+            let mut sending = Vec::new();
+            for number in 0..IDS {
+                let text = request_as(&format!("u{upgrades}-w{way}-{number}"), "POST", "/pay", "20000m", "");
+                let leave_after = Duration::from_micros(500 + 4_500 * number / IDS);
+                sending.push(tokio::spawn(send_repeatedly(address, text, leave_after, repetition)));
+                sleep(Duration::from_millis(2)).await;
+            }
+            for sent in sending {
+                sent.await.expect("it does not fail");
+            }
+        }
+        release.abort();
+        let messages =
+            servers.iter_mut().flat_map(|server| std::iter::from_fn(|| server.seen.try_recv().ok()));
+        let mut executed: HashMap<String, usize> = HashMap::new();
+        for message in messages {
+            *executed.entry(message.header("x-request-id").unwrap_or_default().to_owned()).or_default() += 1;
+        }
+        assert!(executed.len() as u64 > 2 * IDS, "{upgrades} upgrades: {} ids at servers", executed.len());
+        let repeated = executed.values().filter(|count| **count > 1).count();
+        if repeated > 0 {
+            twice.push(format!("{upgrades} upgrades: {repeated} of {} ids executed twice", executed.len()));
+        }
+    }
+    assert!(twice.is_empty(), "{twice:#?}");
+}
--- a/crates/agent/tests/unit/daemon_control.rs
+++ b/crates/agent/tests/unit/daemon_control.rs
@@ -41,7 +41,7 @@
             assert_eq!(why, "no such command");
             // Those that say nothing are let go, and their places are free again.
             for stream in &silent {
-                let (line, _) = read_line(stream, 10).await.unwrap_or_default();
+                let line = read_line(stream, 10).await.map(|line| line.text).unwrap_or_default();
                 assert!(line.is_empty());
             }
             drop(control);
