The soak draws its unsound requests from the table of forms

It had six forms, none of which showed the incident's. It draws each unsound form of a GET and a keyed POST now, but for bytes behind a request where reads are cut short.

--- a/crates/testbed/src/request_forms/mod.rs
+++ b/crates/testbed/src/request_forms/mod.rs
@@ -9,7 +9,7 @@
 
 pub use generator::{generate, GeneratedRequest};
 pub use reference::{judge, Verdict};
-pub use table::{forms, forms_with_body, Form};
+pub use table::{forms, forms_with_body, unsound_forms, Form, Template};
 
 /// The effect of a class, as the platform's settings give it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/testbed/src/request_forms/table.rs
+++ b/crates/testbed/src/request_forms/table.rs
@@ -17,6 +17,19 @@
     pub bytes: Vec<u8>,
 }
 
+/// The sound request that the rows change.
+#[derive(Debug, Clone, Copy)]
+pub struct Template<'a> {
+    /// The effect of its class.
+    pub effect: Effect,
+    /// Its class.
+    pub class: &'a str,
+    /// The beginning of its id.
+    pub id: &'a str,
+    /// The length of its body, where its effect has one and a form does not bring its own.
+    pub body_len: usize,
+}
+
 /// A sound request that a row changes.
 struct Draft {
     effect: Effect,
@@ -26,8 +39,9 @@
 }
 
 impl Draft {
-    fn new(effect: Effect, id: &str, body_len: usize) -> Self {
-        let (method, class) = (effect.method(), effect.class());
+    fn new(template: &Template, id: &str) -> Self {
+        let Template { effect, class, body_len, .. } = *template;
+        let method = effect.method();
         let body = if effect == Effect::Safe { String::new() } else { "b".repeat(body_len) };
         let own = match effect {
             Effect::Safe => String::new(),
@@ -165,11 +179,17 @@
 
 /// The same with a body of this length, where a form does not bring its own.
 pub fn forms_with_body(effect: Effect, id: &str, body_len: usize) -> Vec<Form> {
-    let form =
-        |(number, row): (usize, &Row)| row.form(&Draft::new(effect, &format!("{id}-{number}"), body_len));
+    let template = Template { effect, class: effect.class(), id, body_len };
+    let form = |(number, row): (usize, &Row)| row.form(&Draft::new(&template, &format!("{id}-{number}")));
     rows().iter().enumerate().filter_map(form).collect()
 }
 
+/// The unsound forms of a request under its id.
+pub fn unsound_forms(template: &Template) -> Vec<Form> {
+    let forms = rows().into_iter().filter_map(|row| row.form(&Draft::new(template, template.id)));
+    forms.filter(|form| !form.is_sound).collect()
+}
+
 fn rows() -> Vec<Row> {
     [request_line(), targets(), line_grammar(), hosts(), lengths(), chunks(), connection_fields()]
         .into_iter()
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -3,6 +3,7 @@
 use super::slot::{Gate, Slot};
 use super::SoakPlan;
 use crate::http::read_message;
+use crate::request_forms::{unsound_forms, Effect, Template};
 use crate::traffic::CLASSES;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -49,16 +50,6 @@
     Returning,
 }
 
-/// Ways in which a request is not sound: what is replaced, and by what.
-const UNSOUND_CHANGES: [(&str, &str); 6] = [
-    ("Host: service.internal\r\n", ""),
-    ("HTTP/1.1", "HTTP/1.0"),
-    ("\r\nX-Tenant-Id", "\nX-Tenant-Id"),
-    ("X-Tenant-Id", "X-Timeout: 1m\r\nX-Tenant-Id"),
-    ("X-Tenant-Id", "Connection: x-request-id\r\nX-Tenant-Id"),
-    ("?key=", "?key=#"),
-];
-
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakFate {
@@ -192,12 +183,12 @@
     Refused,
 }
 
-/// A request as text.
+/// A request as its bytes.
 struct Outgoing {
     id: String,
     class: usize,
     wait: Duration,
-    text: String,
+    bytes: Vec<u8>,
 }
 
 impl Client {
@@ -264,14 +255,23 @@
              X-Priority-Class: {name}\r\nX-Tenant-Id: acme\r\nX-Timeout: {}m\r\n{own}\r\n{body}",
             wait.as_millis()
         );
-        let text = match behavior {
-            Behavior::Unsound => {
-                let (sound, unsound) = UNSOUND_CHANGES[self.random.usize(..UNSOUND_CHANGES.len())];
-                text.replacen(sound, unsound, 1)
-            }
-            _ => text,
+        let bytes = match behavior {
+            Behavior::Unsound => self.unsound_bytes(class, &id),
+            _ => text.into_bytes(),
+        };
+        Outgoing { id, class, wait, bytes }
+    }
+
+    /// A request in an unsound form of the table.
+    fn unsound_bytes(&mut self, class: usize, id: &str) -> Vec<u8> {
+        let effect = match CLASSES[class].effect {
+            "idempotent" => Effect::Safe,
+            _ => Effect::Keyed,
         };
-        Outgoing { id, class, wait, text }
+        let mut forms = unsound_forms(&Template { effect, class: CLASSES[class].name, id, body_len: 4 });
+        // A read that the kernel cuts short does not show what is behind the request.
+        forms.retain(|form| !(self.plan.failing_calls && form.in_one_write));
+        forms.swap_remove(self.random.usize(..forms.len())).bytes
     }
 
     /// A connection, and whether it was kept.
@@ -319,7 +319,7 @@
         let request = self.outgoing(behavior);
         let client = stream.local_addr().ok();
         let written = self.write(&mut stream, &request, behavior).await;
-        let text = request.text.clone();
+        let bytes = request.bytes.clone();
         let mut record = self.record(request, behavior, began, client);
         if !written {
             // It was never complete.
@@ -347,7 +347,7 @@
                 record.fate = SoakFate::Left;
                 record.ended = Instant::now();
                 sleep(Duration::from_millis(self.random.u64(..300))).await;
-                record = self.send_again(record, &text).await;
+                record = self.send_again(record, &bytes).await;
             }
             _ => self.read(&mut record, stream, reused).await,
         }
@@ -355,10 +355,10 @@
     }
 
     /// Sends a request again that its client has left; the record stays as it is if no connection takes it.
-    async fn send_again(&mut self, left: SoakRecord, text: &str) -> SoakRecord {
+    async fn send_again(&mut self, left: SoakRecord, bytes: &[u8]) -> SoakRecord {
         self.kept = None;
         let Ok((mut stream, _)) = self.connection(Behavior::KeepAlive).await else { return left };
-        if stream.write_all(text.as_bytes()).await.is_err() {
+        if stream.write_all(bytes).await.is_err() {
             return left;
         }
         let client = stream.local_addr().ok();
@@ -403,7 +403,7 @@
 
     /// Writes a request; false if its connection ended before it was complete.
     async fn write(&mut self, stream: &mut TcpStream, request: &Outgoing, behavior: Behavior) -> bool {
-        let bytes = request.text.as_bytes();
+        let bytes = request.bytes.as_slice();
         match behavior {
             Behavior::SlowWriter => {
                 let pieces = self.random.usize(2..6);
