An attempt does not hold the connection of its client open

attempt_of_disconnected_client_keeps_its_connection failed 4 of 4 since attempts know their clients: a client that had left saw its connection close only when the attempt had ended, here by its time-out, so the server's connection could not be used again. The reference is weak now; the test passed.

--- a/crates/agent/src/client_presence.rs
+++ b/crates/agent/src/client_presence.rs
@@ -6,7 +6,7 @@
 
 use bellcroft_net::Stream;
 use std::cell::Cell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
@@ -20,7 +20,8 @@
 /// What is known of the client of a connection.
 #[derive(Debug)]
 pub struct ClientPresence {
-    stream: Rc<Stream<TcpStream>>,
+    /// An attempt may go on after the connection has been closed.
+    stream: Weak<Stream<TcpStream>>,
     /// The latest time at which the client had not closed the connection for certain.
     seen_at: Cell<Instant>,
     /// Whether the socket was empty at the last read.
@@ -29,14 +30,15 @@
 
 impl ClientPresence {
     /// The client of a connection that was established at `connected_at` at the earliest.
-    pub fn new(stream: Rc<Stream<TcpStream>>, connected_at: Instant) -> Rc<Self> {
+    pub fn new(stream: &Rc<Stream<TcpStream>>, connected_at: Instant) -> Rc<Self> {
+        let stream = Rc::downgrade(stream);
         Rc::new(ClientPresence { stream, seen_at: Cell::new(connected_at), was_empty: Cell::new(false) })
     }
 
     /// Called when a read found no more bytes, nor the end of the stream.
     pub fn on_read_blocked(&self) {
         // Bytes may have arrived of which the runtime does not know yet.
-        if self.stream.unread_bytes() == 0 {
+        if !self.has_unread_bytes() {
             self.seen_at.set(Instant::now());
             self.was_empty.set(true);
         }
@@ -60,6 +62,11 @@
 
     /// Whether the client may have closed the connection for longer than an attempt may begin after that.
     pub fn may_have_left(&self) -> bool {
-        self.seen_at.get().elapsed() > MAX_AGE && self.stream.unread_bytes() > 0
+        self.seen_at.get().elapsed() > MAX_AGE && self.has_unread_bytes()
+    }
+
+    /// Whether bytes have arrived that have not been read; false once the connection has been closed, which ends the request by itself.
+    fn has_unread_bytes(&self) -> bool {
+        self.stream.upgrade().is_some_and(|stream| stream.unread_bytes() > 0)
     }
 }
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -78,6 +78,8 @@
     out_of_memory: Notify,
     /// Whether the client may have closed the connection; none before the connection is served.
     presence: OnceCell<Rc<ClientPresence>>,
+    /// Whether the last head could not be parsed, so that hyper has responded to it.
+    has_unreadable_head: Cell<bool>,
 }
 
 impl ClientConnection {
@@ -109,11 +111,12 @@
             lingering: Notify::new(),
             out_of_memory: Notify::new(),
             presence: OnceCell::new(),
+            has_unreadable_head: Cell::new(false),
         })
     }
 
     /// Observes from now on whether the client may have closed the connection.
-    pub(super) fn observe_presence(&self, stream: Rc<Stream<TcpStream>>) {
+    pub(super) fn observe_presence(&self, stream: &Rc<Stream<TcpStream>>) {
         let connected_at = self.created_at.checked_sub(self.accept_delay.longest).unwrap_or(self.created_at);
         self.presence.get_or_init(|| ClientPresence::new(stream, connected_at));
     }
@@ -225,6 +228,16 @@
         self.rejection.set(Some(rejection));
     }
 
+    /// Called when a head cannot be parsed, to which hyper responds.
+    pub(super) fn on_unreadable_head(&self) {
+        self.has_unreadable_head.set(true);
+    }
+
+    /// Whether the last head could not be parsed.
+    pub(super) fn has_unreadable_head(&self) -> bool {
+        self.has_unreadable_head.get()
+    }
+
     /// Called when there is no memory for the rest of the current head.
     pub(super) fn on_memory_exhausted(&self) {
         self.out_of_memory.notify_one();
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -230,7 +230,7 @@
         eviction: Rc<EvictionSignal>,
     ) -> CloseReason {
         let (stream, accepted_at) = (Rc::new(stream), Instant::now());
-        client.observe_presence(stream.clone());
+        client.observe_presence(&stream);
         let mut service_changed = self.service_changed.subscribe();
         let (server, service_client) = (self.clone(), client.clone());
         let service = service_fn(move |request| server.clone().respond(request, service_client.clone()));
