Trailers that belong into the head are unsound; heads that can't be parsed are logged

RFC 9110 6.5.1 allows no such trailers. A head that the parser refuses was answered by the HTTP library with no line in the log; it is logged and counted as the others.

--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -257,6 +257,7 @@
             HeadFraming::Partial if self.buffered.len() < MAX_HEAD_BYTES => return false,
             // hyper responds to an invalid or too long head itself, and closes the connection.
             HeadFraming::Partial | HeadFraming::Unreadable => {
+                self.client.on_unreadable_head();
                 (self.readable, self.stage) = (self.buffered.len(), Stage::Closed);
             }
             HeadFraming::Malformed(head) => self.reject_unsound(head, UnsoundRequest::Head),
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -28,6 +28,7 @@
 use framing::{RequestFraming, MAX_HEAD_BYTES};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+pub(crate) use sound_request::is_trailer_sound;
 pub use sound_request::UnsoundRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -138,6 +139,9 @@
     /// Logs and counts a client's connection that has closed or is about to close.
     fn on_closed(&self, client: &ClientConnection, reason: CloseReason) {
         let (state, _) = client.state();
+        if client.has_unreadable_head() {
+            self.on_unsound(None, UnsoundRequest::Head);
+        }
         let log = &self.driver.request_log;
         log.on_connection_closed(client.number(), client.peer(), state, reason);
         let by_this_process = !matches!(reason, CloseReason::ClientDisconnected | CloseReason::Finished);
--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -2,8 +2,8 @@
 
 use super::connection::{ClientConnection, RequestRejection};
 use super::sound_request::{
-    affinity_key, check_head, class_name, has_idempotency_key, header_text, request_id, PlatformFields,
-    UnsoundRequest,
+    affinity_key, check_head, class_name, has_idempotency_key, header_text, is_trailer_sound, request_id,
+    PlatformFields, UnsoundRequest,
 };
 use super::Server;
 use crate::driver::{class_signature, IncomingRequest, RequestBody, MAX_UPLOAD_TIME};
@@ -15,8 +15,9 @@
 use bellcroft_agent_core::reconfigure::{ClassHandle, ClassSignature, IncompatibleClass};
 use bellcroft_balancer::{Micros, RetrySafety, TenantId};
 use bellcroft_routes::Route;
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -189,7 +190,11 @@
                 None | Some(Err(_)) => {
                     return Err(incomplete_body(client).into());
                 }
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(frame) if has_sound_trailers(&frame) => Bytes::new(),
+                    Err(_) => return Err(UnsoundRequest::Trailer.into()),
+                },
             };
             let mut is_buffered = buffered.take_from(&mut data, MAX_BUFFERED_BODY_BYTES);
             while !is_buffered && mode == ForwardingMode::Buffered && buffered.len() < MAX_BUFFERED_BODY_BYTES
@@ -218,6 +223,11 @@
     }
 }
 
+/// Whether a frame has no trailers that belong into the head.
+fn has_sound_trailers(frame: &Frame<Bytes>) -> bool {
+    frame.trailers_ref().is_none_or(is_trailer_sound)
+}
+
 /// What is wrong with a request whose body has broken off.
 fn incomplete_body(client: &ClientConnection) -> UnsoundRequest {
     match client.rejection() {
--- a/crates/agent/src/downstream/sound_request/mod.rs
+++ b/crates/agent/src/downstream/sound_request/mod.rs
@@ -37,6 +37,9 @@
 ];
 /// Fields that all recipients of a request need, which the `Connection` field therefore cannot name, beside [`SINGLE_FIELDS`].
 const END_TO_END_FIELDS: [&str; 2] = ["content-length", "x-attrs"];
+/// Fields that must not come in a trailer section (RFC 9110, section 6.5.1), beside [`SINGLE_FIELDS`] and [`END_TO_END_FIELDS`].
+const HEADER_SECTION_FIELDS: [&str; 6] =
+    ["connection", "expect", "te", "trailer", "transfer-encoding", "upgrade"];
 /// The field by which a keyed request may be repeated.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -55,6 +58,9 @@
     /// Its body ends early, or has an invalid chunk.
     #[error("the body did not come whole (RFC 9112, sections 6.3 and 7.1)")]
     IncompleteBody,
+    /// Its trailer section has a field that belongs into its head.
+    #[error("a trailer must not have fields of the head (RFC 9110, section 6.5.1)")]
+    Trailer,
     /// The bytes that came with it cannot begin the next request.
     #[error("the bytes behind the request begin no request (RFC 9112, section 6.3)")]
     FollowingBytes,
@@ -177,6 +183,12 @@
     Ok(())
 }
 
+/// Whether a trailer section has no field by which recipients frame, route or handle a request.
+pub(crate) fn is_trailer_sound(trailers: &HeaderMap) -> bool {
+    let header_fields = SINGLE_FIELDS.iter().chain(&END_TO_END_FIELDS).chain(&HEADER_SECTION_FIELDS);
+    !header_fields.into_iter().any(|name| trailers.contains_key(*name))
+}
+
 /// Whether a request has an idempotency key.
 pub(super) fn has_idempotency_key(headers: &HeaderMap) -> bool {
     headers.contains_key(IDEMPOTENCY_KEY)
--- a/crates/testbed/src/request_forms/table.rs
+++ b/crates/testbed/src/request_forms/table.rs
@@ -418,6 +418,9 @@
         ("9112 7.1.2: a trailer line has a colon", "4\r\nbody\r\n0\r\ntrailer\r\n\r\n"),
         ("9112 7.1.2: a trailer's name is a token", "4\r\nbody\r\n0\r\na(b: 1\r\n\r\n"),
         ("9110 5.5: no control character in a trailer", "4\r\nbody\r\n0\r\na: \u{1}\r\n\r\n"),
+        ("9110 6.5.1: no id in a trailer", "4\r\nbody\r\n0\r\nX-Request-ID: other\r\n\r\n"),
+        ("9110 6.5.1: no length in a trailer", "4\r\nbody\r\n0\r\nx: 1\r\nContent-Length: 4\r\n\r\n"),
+        ("9110 6.5.1: no host in a trailer", "4\r\nbody\r\n0\r\nHost: other\r\n\r\n"),
         ("9112 7.1.3: bytes behind the last chunk begin the next request", "4\r\nbody\r\n0\r\n\r\nmore"),
     ];
     let valid = [
