A request under an open id counts in the telemetry of bad requests again

bellcroft_bad_requests_total had counted the 409 of an id that is open; since only status did, as the counting had moved to where a request is found unsound. Both go through one function now. Found by reading the change; no test looks at that series.

--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -86,7 +86,7 @@
             () = client.refused() => return Ok(closing_refusal(INCOMPLETE_REQUEST)),
         };
         let Some(open_id) = self.claim_id(&incoming) else {
-            self.request_counters.on_bad_request();
+            self.count_bad_request();
             return Err(plain_response(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
         let (mut deadline, response_timeout) = (incoming.deadline, incoming.response_timeout);
--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -158,11 +158,16 @@
 
     /// Counts and logs a request that is not sound; its id is given if it has a sound one.
     pub(super) fn on_unsound(&self, request_id: Option<&str>, unsound: UnsoundRequest) {
+        self.count_bad_request();
+        self.driver.request_log.on_unsound_request(request_id, unsound);
+    }
+
+    /// Counts a request that is answered for what is wrong with it.
+    pub(super) fn count_bad_request(&self) {
         self.request_counters.on_bad_request();
         if let Some(telemetry) = &self.driver.telemetry {
             telemetry.bad_request();
         }
-        self.driver.request_log.on_unsound_request(request_id, unsound);
     }
 
     /// Makes room in the memory budget by refusing the request of a client that has stopped within its body. The error means that
