--- a/crates/agent-core/src/chunks.rs
+++ b/crates/agent-core/src/chunks.rs
@@ -161,6 +161,6 @@
 }
 
 /// Whether a byte may be part of a token (RFC 9110, section 5.6.2).
-fn is_token(byte: u8) -> bool {
+pub fn is_token(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -135,7 +135,9 @@
         let driver = control.driver().clone();
         let driver_task = control.take_driver_task().unwrap_or_else(|| unreachable!("it was just started"));
         if let ListenerOrigin::Predecessor { claims, .. } = &mut socket.origin {
-            claims.take().into_iter().for_each(|claims| driver.join_claims(claims));
+            if let Some(claims) = claims.take() {
+                driver.join_claims(claims);
+            }
         }
         let server = Server::new(driver.clone(), connection_limits.clients);
         let files = StateFiles::open(state.as_ref(), &mut problems);
--- a/crates/agent/src/downstream/sound_request/platform_fields.rs
+++ b/crates/agent/src/downstream/sound_request/platform_fields.rs
@@ -1,6 +1,7 @@
 //! The platform's fields of a request, each in the form that the platform's protocol gives.
 
 use super::UnsoundRequest;
+use bellcroft_agent_core::chunks::is_token;
 use bellcroft_balancer::{Micros, TenantId};
 use hyper::header::{HeaderMap, HeaderValue};
 use std::time::Duration;
@@ -65,12 +66,6 @@
     !bytes.is_empty() && bytes.iter().all(|byte| byte.is_ascii_graphic() && *byte != b',')
 }
 
-/// Whether these bytes are a token (RFC 9110, section 5.6.2).
-fn is_token(bytes: &[u8]) -> bool {
-    let is_token_character = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
-    !bytes.is_empty() && bytes.iter().all(is_token_character)
-}
-
 fn parse_tenant(headers: &HeaderMap, tenants: &[String]) -> Result<Option<TenantId>, UnsoundRequest> {
     if tenants.is_empty() {
         return Ok(None);
@@ -91,9 +86,10 @@
 
 /// Whether a line of attributes is empty, or a list such as `name=value,name=value`.
 fn is_attribute_list(value: &HeaderValue) -> bool {
+    let is_name = |name: &str| !name.is_empty() && name.bytes().all(is_token);
     let is_attribute = |attribute: &str| {
         let pair = attribute.trim().split_once('=');
-        pair.is_some_and(|(name, value)| is_token(name.as_bytes()) && is_word(value.as_bytes()))
+        pair.is_some_and(|(name, value)| is_name(name) && is_word(value.as_bytes()))
     };
     value.is_empty() || value.to_str().is_ok_and(|text| text.split(',').all(is_attribute))
 }
