The end of a body and its trailers are each judged in one place

framing.rs read on, checked and completed a body of a declared length and a chunked one in two copies; the check of trailers stood in request.rs and streaming_body.rs; two tests of a pending connect had one setup written twice. Assertions are as they were.

--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -288,10 +288,12 @@
         self.reject_request(head, RequestRejection::Unsound(unsound));
     }
 
-    /// Rejects a request whose body ends in the buffer at `end`, if the bytes behind it begin no request. hyper does not get the end
-    /// of the body, so that no server gets the request whole.
-    fn check_following_bytes(&mut self, end: usize) -> io::Result<()> {
-        if may_begin_request(&self.buffered[end..]) {
+    /// Handles a body that ends with the readable bytes. If the bytes behind it begin no request, hyper does not get its end, so that
+    /// no server gets the request whole.
+    fn complete_body(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        self.read_following(cx);
+        if may_begin_request(&self.buffered[self.readable..]) {
+            self.complete_request();
             return Ok(());
         }
         self.stage = Stage::Closed;
@@ -371,16 +373,10 @@
                     }
                 }
                 Stage::Body(left) if !this.buffered.is_empty() => {
-                    if left == this.buffered.len() as u64 {
-                        this.read_following(cx);
-                    }
                     this.readable = left.min(this.buffered.len() as u64) as usize;
                     this.stage = Stage::Body(left - this.readable as u64);
                     if left == this.readable as u64 {
-                        if let Err(unsound) = this.check_following_bytes(this.readable) {
-                            return Poll::Ready(Err(unsound));
-                        }
-                        this.complete_request();
+                        this.complete_body(cx)?;
                     }
                     continue;
                 }
@@ -390,11 +386,7 @@
                             this.readable = n;
                             this.stage = Stage::Chunked(chunks);
                             if chunks.is_complete() {
-                                this.read_following(cx);
-                                if let Err(unsound) = this.check_following_bytes(n) {
-                                    return Poll::Ready(Err(unsound));
-                                }
-                                this.complete_request();
+                                this.complete_body(cx)?;
                             }
                         }
                         // hyper might interpret the bytes differently, so it does not get them.
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -28,7 +28,7 @@
 use framing::{RequestFraming, MAX_HEAD_BYTES};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-pub(crate) use sound_request::is_trailer_sound;
+pub(crate) use sound_request::has_sound_trailers;
 pub use sound_request::UnsoundRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{ClientConnection, RequestRejection};
 use super::sound_request::{
-    affinity_key, check_head, class_name, has_idempotency_key, header_text, is_trailer_sound, request_id,
+    affinity_key, check_head, class_name, has_idempotency_key, has_sound_trailers, header_text, request_id,
     PlatformFields, UnsoundRequest,
 };
 use super::Server;
@@ -17,7 +17,7 @@
 use bellcroft_routes::Route;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -192,9 +192,7 @@
         let more = loop {
             let mut data = match body.frame().await {
                 None if client.is_request_received() => return Ok(RequestBody::Complete(buffered.into())),
-                None | Some(Err(_)) => {
-                    return Err(incomplete_body(client).into());
-                }
+                None | Some(Err(_)) => return Err(incomplete_body(client).into()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(frame) if has_sound_trailers(&frame) => Bytes::new(),
@@ -228,11 +226,6 @@
     }
 }
 
-/// Whether a frame has no trailers that belong into the head.
-fn has_sound_trailers(frame: &Frame<Bytes>) -> bool {
-    frame.trailers_ref().is_none_or(is_trailer_sound)
-}
-
 /// What is wrong with a request whose body has broken off.
 fn incomplete_body(client: &ClientConnection) -> UnsoundRequest {
     match client.rejection() {
--- a/crates/agent/src/downstream/sound_request/mod.rs
+++ b/crates/agent/src/downstream/sound_request/mod.rs
@@ -19,6 +19,8 @@
 pub(super) use platform_fields::{header_text, request_id, PlatformFields};
 pub(super) use target::{affinity_key, class_name, is_target};
 
+use bytes::Bytes;
+use hyper::body::Frame;
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, EXPECT, HOST, UPGRADE};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Version};
@@ -182,10 +184,10 @@
     Ok(())
 }
 
-/// Whether a trailer section has no field by which recipients frame, route or handle a request.
-pub(crate) fn is_trailer_sound(trailers: &HeaderMap) -> bool {
-    let header_fields = SINGLE_FIELDS.iter().chain(&END_TO_END_FIELDS).chain(&HEADER_SECTION_FIELDS);
-    !header_fields.into_iter().any(|name| trailers.contains_key(*name))
+/// Whether a frame of a body has no trailer by which recipients frame, route or handle a request.
+pub(crate) fn has_sound_trailers(frame: &Frame<Bytes>) -> bool {
+    let mut header_fields = SINGLE_FIELDS.iter().chain(&END_TO_END_FIELDS).chain(&HEADER_SECTION_FIELDS);
+    frame.trailers_ref().is_none_or(|trailers| !header_fields.any(|name| trailers.contains_key(*name)))
 }
 
 /// Whether a request has an idempotency key.
--- a/crates/agent/src/streaming_body.rs
+++ b/crates/agent/src/streaming_body.rs
@@ -6,7 +6,7 @@
 //! attempt can send it from the start.
 
 use crate::clock::Clock;
-use crate::downstream::is_trailer_sound;
+use crate::downstream::has_sound_trailers;
 use crate::memory::{BodyBytes, Memory, Reservation};
 use crate::read_ahead::ReadAhead;
 use bellcroft_agent_core::body_limits::{BodyTooLarge, ForwardedBytes};
@@ -232,7 +232,7 @@
                         Poll::Ready(Some(fits.map(|()| data).map_err(|BodyTooLarge| BrokenUpload::TooLarge)))
                     }
                     // Trailers are not forwarded, because they may apply only to the client's connection.
-                    Err(frame) if frame.trailers_ref().is_none_or(is_trailer_sound) => continue,
+                    Err(frame) if has_sound_trailers(&frame) => continue,
                     Err(_) => Poll::Ready(Some(Err(BrokenUpload::Malformed))),
                 },
             };
--- a/crates/agent/tests/attempts.rs
+++ b/crates/agent/tests/attempts.rs
@@ -319,19 +319,26 @@
     }
 }
 
-/// Nothing is sent for a request whose client disconnected while the connect was pending.
-#[tokio::test]
-async fn disconnect_while_connecting_sends_nothing() {
+/// An agent whose only server accepts no connection yet, and of which a client has left while the connect for this request was
+/// pending.
+async fn left_while_connecting(text: &str) -> (Silent, Directory, Agent) {
     let silent = Silent::start().await;
     let directory = Directory::start(Mood::Mute).await;
     let mut config = config(directory.address, &[host("s", silent.address(), "up")]);
     config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
     let agent = Agent::with(config, |_| {}).await;
     let mut client = agent.client().await;
-    client.send(&request("POST", "/pay", "60000m", "b")).await;
+    client.send(text).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     drop(client);
     tokio::time::sleep(Duration::from_millis(100)).await;
+    (silent, directory, agent)
+}
+
+/// Nothing is sent for a request whose client disconnected while the connect was pending.
+#[tokio::test]
+async fn disconnect_while_connecting_sends_nothing() {
+    let (silent, _directory, agent) = left_while_connecting(&request("POST", "/pay", "60000m", "b")).await;
     // The backlog is free: the connection is established (the kernel retries within a second or so) and stays unused.
     let mut stream = silent.wake().await;
     // It serves the next request, so bytes of the first would have arrived before these.
@@ -344,17 +351,8 @@
 /// Guards against a conflict for an id under which nothing can have been executed: its client left while the connect was pending.
 #[tokio::test]
 async fn request_of_which_nothing_was_sent_is_served_when_its_id_comes_again() {
-    let silent = Silent::start().await;
-    let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", silent.address(), "up")]);
-    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
-    let agent = Agent::with(config, |_| {}).await;
     let text = request_as("again", "POST", "/pay", "60000m", "b");
-    let mut client = agent.client().await;
-    client.send(&text).await;
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    drop(client);
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (silent, _directory, agent) = left_while_connecting(&text).await;
     let mut stream = silent.wake().await;
     let mut client = agent.client().await;
     client.send(&text).await;
