--- a/review/stand_ins_2/backend.rs
+++ b/review/stand_ins_2/backend.rs
@@ -33,8 +33,6 @@
     Reset(u64),
     /// Runs it and begins an answer of chunks of so many bytes, one each so many milliseconds, so many in all; it has no end.
     Endless(usize, u64, usize),
-    /// Runs it, answers 200 after the first time, and answers a second time so many milliseconds later.
-    Twice(u64, u64),
     /// Turns it away, unseen.
     TurnAway,
 }
@@ -137,12 +135,6 @@
             let _ = conn.head();
             None
         }
-        Act::Twice(after, second) => {
-            sleep(after);
-            conn.stream.write_all(answer.as_bytes()).ok()?;
-            sleep(second);
-            conn.stream.write_all(answer.as_bytes()).ok()
-        }
         Act::TurnAway => {
             let away = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
             conn.stream.write_all(away).ok()
--- a/review/stand_ins_2/cases.rs
+++ b/review/stand_ins_2/cases.rs
@@ -338,24 +338,3 @@
     }
     Ok(broken)
 }
-
-/// Spoilt answers: a second one comes some milliseconds late.
-pub fn second(run: &Run) -> Verdict {
-    let world = world(run);
-    let trouble = run.trouble;
-    let backends = backends(&world, 3, move |got| match trouble && got.number % 10 == 7 {
-        true => Act::Twice(15, 10),
-        false => Act::Serve(15),
-    });
-    let discovery = discovery(run, &backends, |_| ZONES[0]);
-    let alone = alone(run, &discovery, &settings(&CLASSES, 0.02))?;
-    let traffic = Traffic::start(run, alone.listen, 10, 40, &[0, 2]);
-    sleep(ms(15_000));
-    let foreign = |a: &Answer| match &a.end {
-        End::Whole(200, body) if !body.starts_with(&format!("{} by", a.id)) => {
-            Some(format!("request {} got the answer {body:?}", a.id))
-        }
-        _ => None,
-    };
-    Ok(traffic.finish().iter().filter_map(foreign).collect())
-}
--- a/review/stand_ins_2/client.rs
+++ b/review/stand_ins_2/client.rs
@@ -105,16 +105,16 @@
         }
         *sent_ms = self.record.now();
         let until = Instant::now() + Duration::from_millis(call.timeout_ms + call.look_ms);
-        let end = read_answer(&mut conn, until);
-        if let End::Whole(_, _) = end {
+        let (end, closes) = read_answer(&mut conn, until);
+        if let (End::Whole(_, _), false) = (&end, closes) {
             self.conn = Some(conn);
         }
         end
     }
 }
 
-/// Reads an answer until this time.
-fn read_answer(conn: &mut Conn, until: Instant) -> End {
+/// Reads an answer until this time; also whether the agent closes the connection after it.
+fn read_answer(conn: &mut Conn, until: Instant) -> (End, bool) {
     let is_timeout = |e: &io::Error| matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
     let limit = |conn: &Conn| {
         let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
@@ -123,9 +123,10 @@
     limit(conn);
     let head = match conn.head() {
         Ok(head) => head,
-        Err(e) if is_timeout(&e) => return End::Open(None),
-        Err(_) => return End::Closed,
+        Err(e) if is_timeout(&e) => return (End::Open(None), true),
+        Err(_) => return (End::Closed, true),
     };
+    let closes = head.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
     let status = head.line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
     // Each read is limited by itself, so the whole is watched by a second handle that ends the reading.
     let watched = conn.stream.try_clone();
@@ -141,10 +142,11 @@
     let body = conn.body(&head);
     drop(done);
     let timed_out = watcher.join().unwrap_or(false);
-    match body {
+    let end = match body {
         _ if timed_out => End::Open(Some(status)),
         Ok(body) => End::Whole(status, String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned()),
         Err(e) if is_timeout(&e) => End::Open(Some(status)),
         Err(_) => End::Cut(status),
-    }
+    };
+    (end, closes)
 }
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -73,7 +73,6 @@
         "handover" => cases::handover(run),
         "roll" => cases::roll(run),
         "transition" => cases::transition(run),
-        "second" => cases::second(run),
         _ => Err(format!("there is no case {case}")),
     }
 }
