Review, case 8: an outage of discovery of a minute ends a fleet's instance for good

Cause: the supervisor ends an instance that has no list as if it were broken, gives it up after seven starts, and keeps its socket open. Change: the case with its script takes the place of the one on a takeover, which needed two disruptions and is told in the report; the rolling restart becomes case 9, the drain case 10.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The process in the old one's place starts while discovery is down, and the old one is killed.
+# New configurations in quick succession while discovery is slow, and a backend begins to drain.
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$here/../.." && pwd)
@@ -8,4 +8,4 @@
     echo "build first: cargo build --release; review/build-2.sh"
     exit 2
 }
-exec "$ROOT/target/review-2/stand_ins" handover "$here/record.txt"
+exec "$ROOT/target/review-2/stand_ins" reloads "$here/record.txt"
--- a/review/stand_ins_2/cases.rs
+++ b/review/stand_ins_2/cases.rs
@@ -186,39 +186,59 @@
     Ok(lost(&traffic.finish()))
 }
 
-/// The process in the old one's place starts while discovery is down; the old one is killed.
-pub fn handover(run: &Run) -> Verdict {
-    let world = world(run);
-    let backends = backends(&world, 5, |_| Act::Serve(15));
-    let discovery = discovery(run, &backends, |_| ZONES[0]);
-    let (listen, path) = (free_address(), run.folder.join("config.json"));
-    write_whole(&path, &config("n1", listen, discovery.addr, "null", &settings(&CLASSES, 0.02)));
-    let old = Agent::start(&run.record, "n1", &run.folder, &path, listen, discovery.addr, "old.log");
-    if !wait_ready(listen, Duration::from_secs(10)) {
-        return Err("the old process is not ready".into());
+/// A fleet of one instance, by the command of the deploy file.
+struct Fleet {
+    folder: std::path::PathBuf,
+    listen: SocketAddr,
+    supervisor: std::process::Child,
+}
+
+impl Fleet {
+    fn start(run: &Run, discovery: &Discovery, known: &str, policy: &str) -> Result<Fleet, String> {
+        let (listen, path) = (free_address(), run.folder.join("config.json"));
+        write_whole(&path, &config("n1", listen, discovery.addr, known, &settings(&CLASSES, 0.02)));
+        let text = format!(
+            "[fleet]\nstate = \"{}\"\n{policy}\n\n[[instance]]\nname = \"n1\"\nlisten = \"{listen}\"\nconfig = \"{}\"\n",
+            run.folder.join("state").display(),
+            path.display()
+        );
+        write_whole(&run.folder.join("fleet.toml"), &text);
+        let log = std::fs::File::create(run.folder.join("fleet.log")).unwrap();
+        let mut command = Fleet::command(&run.folder, "run");
+        let supervisor = command.stdout(log.try_clone().unwrap()).stderr(log).spawn().unwrap();
+        let fleet = Fleet { folder: run.folder.clone(), listen, supervisor };
+        match wait_ready(listen, Duration::from_secs(10)) {
+            true => Ok(fleet),
+            false => Err("the fleet is not ready".into()),
+        }
     }
-    let traffic = Traffic::start(run, listen, 6, 150, &[0, 1, 2]);
-    sleep(ms(2000));
-    if run.trouble {
-        discovery.go_down();
+
+    fn command(folder: &std::path::Path, command: &str) -> std::process::Command {
+        let mut started = std::process::Command::new("/bin/sh");
+        started.arg("-c").arg(format!("{} fleet {command} \"$0\"", run_command()));
+        started.arg(folder.join("fleet.toml")).current_dir(root()).env("TMPDIR", folder);
+        started
     }
-    sleep(ms(500));
-    let new = Agent::start(&run.record, "n1", &run.folder, &path, listen, discovery.addr, "new.log");
-    sleep(ms(1500));
-    let killed_at = run.record.now();
-    old.signal(SIGKILL);
-    sleep(ms(5000));
-    let up_at = run.record.now();
-    if run.trouble {
-        discovery.go_up();
+
+    fn ask(&self, run: &Run, command: &str) {
+        run.record.line("fleet", command);
+        let output = Fleet::command(&self.folder, command).output();
+        run.record.line("fleet", &format!("{command}: {output:?}"));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = Fleet::command(&self.folder, "stop").output();
+        let _ = self.supervisor.kill();
+        let _ = self.supervisor.wait();
+        // An instance is a process of its own, which would outlive a supervisor that was killed.
+        let lock = std::fs::read_to_string(self.folder.join("state/instances/n1/lock")).unwrap_or_default();
+        let name = |pid: u32| std::fs::read_to_string(format!("/proc/{pid}/comm")).unwrap_or_default();
+        if let Some(pid) = lock.trim().parse::<u32>().ok().filter(|pid| name(*pid).starts_with("bellcroft")) {
+            kill_process(pid);
+        }
     }
-    sleep(ms(4000));
-    let answers = traffic.finish();
-    drop((old, new));
-    // What the killed process held is the client's to retry.
-    let after: Vec<Answer> =
-        answers.into_iter().filter(|a| a.sent_ms > killed_at + 100.0 && a.sent_ms < up_at + 1000.0).collect();
-    Ok(lost(&after))
 }
 
 /// A rolling restart while a backend hangs.
@@ -226,60 +246,50 @@
     let world = world(run);
     let hang: Arc<AtomicBool> = Arc::default();
     let hangs = hang.clone();
-    let backends = backends(&world, 5, move |got| {
-        match hangs.load(Ordering::SeqCst) && got.backend <= "s-1".to_owned() {
+    let backends =
+        backends(&world, 5, move |got| match hangs.load(Ordering::SeqCst) && got.backend.as_str() <= "s-1" {
             true => Act::Hang,
             false => Act::Serve(15),
-        }
-    });
+        });
     let discovery = discovery(run, &backends, |_| ZONES[0]);
-    let (listen, path) = (free_address(), run.folder.join("config.json"));
-    write_whole(
-        &path,
-        &config("n1", listen, discovery.addr, &discovery.list(None), &settings(&CLASSES, 0.02)),
-    );
-    let fleet = run.folder.join("fleet.toml");
-    let text = format!(
-        "[fleet]\nstate = \"{}\"\n\n[[instance]]\nname = \"n1\"\nlisten = \"{listen}\"\nconfig = \"{}\"\n",
-        run.folder.join("state").display(),
-        path.display()
-    );
-    write_whole(&fleet, &text);
-    let fleet_command = |command: &str| {
-        let mut started = std::process::Command::new("/bin/sh");
-        started
-            .arg("-c")
-            .arg(format!("{} fleet {command} \"$0\"", run_command()))
-            .arg(&fleet)
-            .current_dir(root())
-            .env("TMPDIR", &run.folder);
-        started
-    };
-    let log = std::fs::File::create(run.folder.join("fleet.log")).unwrap();
-    let mut supervisor = fleet_command("run").stdout(log.try_clone().unwrap()).stderr(log).spawn().unwrap();
-    let verdict = if wait_ready(listen, Duration::from_secs(10)) {
-        let traffic = Traffic::start(run, listen, 12, 150, &[0, 1, 2]);
-        sleep(ms(3000));
-        hang.store(run.trouble, Ordering::SeqCst);
-        sleep(ms(100));
-        run.record.line("fleet", "restart");
-        let rolled = fleet_command("restart").output();
-        run.record.line("fleet", &format!("restarted: {rolled:?}"));
-        sleep(ms(3000));
-        Ok(lost(&traffic.finish()))
-    } else {
-        Err("the fleet is not ready".into())
-    };
-    let _ = fleet_command("stop").output();
-    let _ = supervisor.kill();
-    let _ = supervisor.wait();
-    // An instance is a process of its own, which would outlive a supervisor that was killed.
-    let lock = std::fs::read_to_string(run.folder.join("state/instances/n1/lock")).unwrap_or_default();
-    let name = |pid: u32| std::fs::read_to_string(format!("/proc/{pid}/comm")).unwrap_or_default();
-    if let Some(pid) = lock.trim().parse::<u32>().ok().filter(|pid| name(*pid).starts_with("bellcroft")) {
-        kill_process(pid);
+    let fleet = Fleet::start(run, &discovery, &discovery.list(None), "")?;
+    let traffic = Traffic::start(run, fleet.listen, 12, 150, &[0, 1, 2]);
+    sleep(ms(3000));
+    hang.store(run.trouble, Ordering::SeqCst);
+    sleep(ms(100));
+    fleet.ask(run, "restart");
+    sleep(ms(3000));
+    Ok(lost(&traffic.finish()))
+}
+
+/// An outage of discovery of a minute, into a rolling restart.
+pub fn outage(run: &Run) -> Verdict {
+    let world = world(run);
+    let backends = backends(&world, 5, |_| Act::Serve(15));
+    let discovery = discovery(run, &backends, |_| ZONES[0]);
+    let fleet = Fleet::start(run, &discovery, "null", "ready_within = \"5s\"")?;
+    let traffic = Traffic::start(run, fleet.listen, 4, 500, &[0, 1, 2]);
+    sleep(ms(2000));
+    if run.trouble {
+        discovery.go_down();
+    }
+    sleep(ms(1000));
+    let restarted_at = Instant::now();
+    fleet.ask(run, "restart");
+    sleep(ms(63_000).saturating_sub(restarted_at.elapsed()));
+    if run.trouble {
+        discovery.go_up();
+    }
+    let up_at = run.record.now();
+    sleep(ms(14_000));
+    let answers = traffic.finish();
+    fleet.ask(run, "status");
+    // What discovery has counts as told 6 s after it can be reached.
+    let after: Vec<Answer> = answers.into_iter().filter(|a| a.sent_ms > up_at + 6000.0).collect();
+    if after.is_empty() {
+        return Err("no request was sent after the outage".into());
     }
-    verdict
+    Ok(lost(&after))
 }
 
 /// Two new configurations within 2 s: the first makes a class's group wider, the second leaves the class as it is.
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -70,8 +70,8 @@
     match case {
         "reloads" => cases::reloads(run),
         "endless" => cases::endless(run),
-        "handover" => cases::handover(run),
         "roll" => cases::roll(run),
+        "outage" => cases::outage(run),
         "transition" => cases::transition(run),
         _ => Err(format!("there is no case {case}")),
     }
