A request's time covers its whole response, whatever it has brought

Callers saw: an answer that begins and stops kept its client for a second more for each 4 KiB that had come (24 KiB: 5.3 s past a time of 400 ms), a steady one for as long as it went on, and one of a declared length over 64 KiB for 30 s of silence.

Cause: OverdueResponse was a budget of waiting that bytes extended, before and after the deadline, and was set only without a length.

Change: the end of a response is one instant, the request's deadline and half a second less the 0.15 s of a hold-up, for all lengths and framings; up to 64 KiB that have come by then still reach a slow client. It counts from the request's deadline, not from an attempt's own limit.

--- a/crates/agent-core/src/body_limits.rs
+++ b/crates/agent-core/src/body_limits.rs
@@ -1,5 +1,6 @@
 //! Limits of request and response bodies: which ones are buffered and which are streamed, and timeouts without progress.
 
+use crate::shutdown::MAX_STALL;
 use bellcroft_balancer::{Micros, Time};
 
 /// Maximum size of a buffered body. A request whose body is buffered can be retried; longer bodies are streamed.
@@ -124,55 +125,29 @@
     }
 }
 
-/// Time after the deadline of its request for which a response without a declared length may keep its client waiting, whatever it
-/// has brought: no longer than a client is owed its final answer.
-const OVERDUE_WAIT: Micros = Micros(300_000);
-/// Bytes of a response that extend this time by nothing: a server may stop within a short response, and a client cannot tell such
-/// a one from a slow one.
-const SHORT_RESPONSE_BYTES: u64 = 4 << 10;
+/// Time after its deadline for which a request is still owed its final response.
+const OVERDUE_RESPONSE_LIMIT: Micros = Micros(500_000);
 
-/// Limit of a response without a declared length after its request's deadline. As long as its server makes progress it is
-/// forwarded, since its client can see the progress too; the bytes that it has brought extend the total time of waiting for more.
-#[derive(Debug, Clone, Copy)]
-pub struct OverdueResponse {
-    deadline: Time,
-    received_bytes: u64,
-    /// Total time spent waiting after the deadline, before `waiting_since`.
-    waited: Micros,
-    /// Start of the present wait; `None` while the reader is not waiting.
-    waiting_since: Option<Time>,
-}
-
-impl OverdueResponse {
-    /// A response to a request with this deadline, of which so many bytes have been received.
-    pub fn new(deadline: Time, received_bytes: usize) -> Self {
-        OverdueResponse {
-            deadline,
-            received_bytes: received_bytes as u64,
-            waited: Micros::ZERO,
-            waiting_since: None,
-        }
-    }
+/// The end of a response that is forwarded while its server sends it, with and without a declared length. What the server has not
+/// sent by then is not forwarded, however much it has sent before and whether it still makes progress: the response is cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseEnd(Time);
 
-    /// Records that the reader waits for more bytes.
-    pub fn on_wait(&mut self, now: Time) {
-        self.waiting_since.get_or_insert(now);
+impl ResponseEnd {
+    /// The end of a response to a request with this deadline. A process that is held up for [`MAX_STALL`] still cuts it off in time.
+    pub fn after_deadline(deadline: Time) -> Self {
+        ResponseEnd(deadline + OVERDUE_RESPONSE_LIMIT.saturating_sub(MAX_STALL))
     }
 
-    /// Records that more bytes have been received.
-    pub fn on_bytes(&mut self, received: usize, now: Time) {
-        self.received_bytes += received as u64;
-        if let Some(since) = self.waiting_since.take() {
-            self.waited = Micros(self.waited.0 + now.since(since.max(self.deadline)).0);
-        }
+    /// The time from which the response no longer waits for its server.
+    pub fn at(self) -> Time {
+        self.0
     }
 
-    /// The time at which the response ends, although it is incomplete; `None` while its reader is not waiting.
-    pub fn expires_at(&self) -> Option<Time> {
-        let earned =
-            self.received_bytes.saturating_sub(SHORT_RESPONSE_BYTES) * 1_000_000 / MIN_BYTES_PER_SECOND;
-        let allowance = Micros(OVERDUE_WAIT.0 + earned).saturating_sub(self.waited);
-        self.waiting_since.map(|since| since.max(self.deadline) + allowance)
+    /// Whether bytes that are available now are still forwarded, after which the response has this length. A slow client reads a
+    /// short response late although its server has sent it in time; a longer response ends like one that has not arrived.
+    pub fn may_forward(self, response_bytes: u64, now: Time) -> bool {
+        now < self.0 || response_bytes <= MAX_BUFFERED_BODY_BYTES as u64
     }
 }
 
--- a/crates/agent/src/driver/attempts.rs
+++ b/crates/agent/src/driver/attempts.rs
@@ -136,6 +136,7 @@
                 start_by: self.clock.instant(window.start_by),
                 end_by: self.clock.instant(window.end_by),
             },
+            respond_by: self.clock.instant(self.response_due_at(request.deadline)),
             max_timeout: request.body.upload().map(|_| request.response_timeout),
             connect_timeout: route.and_then(|route| route.connect_timeout).map(duration),
             first_byte_timeout: route.and_then(|route| route.first_byte_timeout).map(duration),
--- a/crates/agent/src/driver/requests.rs
+++ b/crates/agent/src/driver/requests.rs
@@ -360,7 +360,7 @@
 
     /// The time at which the response to a request with this deadline is due. A shutdown of the process may make it
     /// earlier.
-    fn response_due_at(&self, deadline: Instant) -> Time {
+    pub(super) fn response_due_at(&self, deadline: Instant) -> Time {
         self.guard.borrow().respond_by(self.clock.at(deadline))
     }
 
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -27,6 +27,8 @@
 pub struct AttemptLimits {
     /// The latest start of the attempt, and its end.
     pub window: AttemptWindow<Instant>,
+    /// The time by which the request's response is due; later than the window's end if the attempt has a limit of its own.
+    pub respond_by: Instant,
     /// The maximum of the timeout that the server receives, for a request whose body is still being received.
     pub max_timeout: Option<Duration>,
     /// The maximum time from the start of the attempt to the open connection, if the route has a limit of its own.
@@ -122,6 +124,14 @@
         self.deadline_changed.notify_one();
     }
 
+    /// The time by which the response is due whose first bytes have just arrived. The client of a request that is still being
+    /// received has its whole timeout left.
+    fn response_deadline(&self, limits: &AttemptLimits) -> Instant {
+        let whole_timeout = limits.max_timeout.map(|timeout| Instant::now() + timeout);
+        let initial = whole_timeout.map_or(limits.respond_by, |latest| limits.respond_by.min(latest));
+        self.deadline.get().unwrap_or(initial)
+    }
+
     /// Cancels the attempt. No further byte of it is written.
     pub fn cancel(&self) {
         self.cancelled.set(true);
@@ -234,10 +244,8 @@
         let end = progress.prepare_connection(&connection, &request, limits.window);
         // The timeout does not apply to a body that is still being received: it would include the time that the client takes.
         let first_byte_timeout = limits.first_byte_timeout.filter(|_| progress.upload.is_none());
-        let mut result = self.exchange(connection, request, first_byte_timeout).await;
-        if let Some(AttemptResult { response: Some((_, ResponseBody::Streaming(relay))), .. }) = &mut result {
-            relay.set_deadline(progress.deadline.get().unwrap_or(limits.window.end_by));
-        }
+        let respond_by = || progress.response_deadline(limits);
+        let result = self.exchange(connection, request, first_byte_timeout, respond_by).await;
         if end == u64::MAX && progress.may_have_run() {
             self.pool.count_written_attempt();
         }
--- a/crates/agent/src/upstream/health_check.rs
+++ b/crates/agent/src/upstream/health_check.rs
@@ -38,7 +38,7 @@
         connection.progress.start_window.set(None);
         connection.progress.first_byte.set(None);
         connection.progress.request_end.set(u64::MAX);
-        let result = self.exchange(connection, request, None).await;
+        let result = self.exchange(connection, request, None, || deadline).await;
         let mut result = result.unwrap_or(AttemptResult::without_response(Outcome::ConnectionReset));
         if let (None, Some((_, ResponseBody::Complete(body)))) = (&result.report, &mut result.response) {
             let bytes = body.pop().unwrap_or_default();
--- a/crates/agent/src/upstream/relay.rs
+++ b/crates/agent/src/upstream/relay.rs
@@ -4,7 +4,7 @@
 use super::pool::ConnectionPool;
 use super::response::{BodyStart, MAX_RELAYED_BYTES};
 use crate::memory::BodyBytes;
-use bellcroft_agent_core::body_limits::{ForwardedBytes, OverdueResponse, ProgressTimeout};
+use bellcroft_agent_core::body_limits::{ForwardedBytes, ProgressTimeout, ResponseEnd};
 use bellcroft_balancer::{Micros, Time};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -29,9 +29,9 @@
     rest: Incoming,
     length: Option<u64>,
     forwarded: ForwardedBytes,
-    /// The limit after the request's deadline; none for a body of declared length, of which the client can tell when it is whole.
-    overdue: Option<OverdueResponse>,
-    /// The time at which the relay was created; the times of `overdue` and `stall_timeout` count from it.
+    /// When the response ends, complete or not.
+    end: ResponseEnd,
+    /// The time at which the relay was created; the times of `end` and `stall_timeout` count from it.
     created_at: Instant,
     stall_timeout: ProgressTimeout,
     timer: Pin<Box<Sleep>>,
@@ -40,38 +40,33 @@
 }
 
 impl Relay {
-    /// A response with this beginning of its body; `None` if the beginning exceeds the maximum length of a body.
+    /// A response with this beginning of its body to a request with this deadline; `None` if the beginning exceeds the maximum
+    /// length of a body.
     pub fn new(
         start: BodyStart,
         rest: Incoming,
         length: Option<u64>,
+        deadline: Instant,
         connection: (Rc<ConnectionPool>, Connection),
     ) -> Option<Self> {
         let mut forwarded = ForwardedBytes::default();
         forwarded.add(start.bytes.len() + start.more.len()).ok()?;
         connection.1.progress.read_budget.set(MAX_RELAYED_BYTES);
+        let created_at = Instant::now();
         Some(Relay {
             beginning: start.bytes,
             more: start.more,
             rest,
             length,
             forwarded,
-            overdue: None,
-            created_at: Instant::now(),
+            end: ResponseEnd::after_deadline(time_since(created_at, deadline)),
+            created_at,
             stall_timeout: ProgressTimeout::new(STALL_TIMEOUT),
             timer: Box::pin(sleep_until(Instant::now())),
             connection: Some(connection),
         })
     }
 
-    /// Sets the request's deadline.
-    pub fn set_deadline(&mut self, deadline: Instant) {
-        if self.length.is_none() {
-            let received = self.forwarded.total() as usize;
-            self.overdue = Some(OverdueResponse::new(self.at(deadline), received));
-        }
-    }
-
     /// The declared length of the body.
     pub fn length(&self) -> Option<u64> {
         self.length
@@ -83,11 +78,7 @@
     }
 
     fn now(&self) -> Time {
-        self.at(Instant::now())
-    }
-
-    fn at(&self, instant: Instant) -> Time {
-        Time(instant.saturating_duration_since(self.created_at).as_micros() as u64)
+        time_since(self.created_at, Instant::now())
     }
 
     fn finish(&mut self) {
@@ -136,14 +127,14 @@
 
     fn on_data(&mut self, data: Bytes) -> io::Result<Bytes> {
         self.forwarded.add(data.len()).map_err(|_| io::ErrorKind::InvalidData)?;
+        let now = self.now();
+        if !self.end.may_forward(self.forwarded.total(), now) {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         if self.length == Some(self.forwarded.total()) {
             self.finish();
         }
-        let now = self.now();
         self.stall_timeout.on_bytes(data.len(), now);
-        if let Some(overdue) = &mut self.overdue {
-            overdue.on_bytes(data.len(), now);
-        }
         Ok(data)
     }
 
@@ -160,11 +151,10 @@
     fn wait(&mut self) -> Time {
         let now = self.now();
         self.stall_timeout.on_wait(now);
-        let overdue_at = self.overdue.as_mut().and_then(|overdue| {
-            overdue.on_wait(now);
-            overdue.expires_at()
-        });
-        let times = [self.stall_timeout.deadline(), overdue_at];
-        times.into_iter().flatten().min().unwrap_or(now)
+        self.stall_timeout.deadline().map_or(self.end.at(), |stalled| stalled.min(self.end.at()))
     }
 }
+
+fn time_since(origin: Instant, instant: Instant) -> Time {
+    Time(instant.saturating_duration_since(origin).as_micros() as u64)
+}
--- a/crates/agent/src/upstream/response.rs
+++ b/crates/agent/src/upstream/response.rs
@@ -47,12 +47,13 @@
 
 impl Upstream {
     /// Sends a request over a connection and reads the response, completely or up to the point from which it is streamed.
-    /// `None` if the connection broke, or the response is invalid.
+    /// `respond_by` tells the deadline of a response that is streamed. `None` if the connection broke, or the response is invalid.
     pub(super) async fn exchange(
         &self,
         mut connection: Connection,
         request: Request<OutgoingBody>,
         first_byte_timeout: Option<Duration>,
+        respond_by: impl FnOnce() -> Instant,
     ) -> Option<AttemptResult> {
         connection.progress.read_budget.set(MAX_RESPONSE_BYTES);
         let response = connection.sender.send_request(request);
@@ -80,7 +81,7 @@
             ResponseBody::Complete(start.bytes)
         } else if is_served {
             let connection = (self.pool.clone(), connection);
-            ResponseBody::Streaming(Box::new(Relay::new(start, rest, length, connection)?))
+            ResponseBody::Streaming(Box::new(Relay::new(start, rest, length, respond_by(), connection)?))
         } else {
             return None;
         };
