A call to discovery is left alone by whatever starts one anew

Callers saw: with a discovery that takes 1.5 s and six configurations 1.4 s apart, a server that had begun to drain got requests until 8 to 9.5 s after the change.

Cause: restart_discovery cancelled the call in flight on each reload, however old, also where the address was the same; so did a changed address, a change between asked and pushed lists, and the balancer's retry after a failure.

Change: a watch that is replaced while it waits for an immediate response sends nothing further and is left alone until that call has ended or timed out, one at a time, beside the call to the present address. Its list is dropped once a later call has returned one, and never counts for the version that the present watch starts from. A retry no longer replaces a watch that is running.

The scripted discovery of watches.rs moves to testbed.

--- a/crates/agent/src/discovery/schedule.rs
+++ b/crates/agent/src/discovery/schedule.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Whether a call for an immediate response is open.
+    pub fn awaits_response(&self) -> bool {
+        self.calls.iter().any(|call| !matches!(call.query, Query::Watch { .. }))
+    }
+
     /// The next time at which [`WatchSchedule::on_timer`] has something to do.
     pub fn next_due(&self) -> Option<Duration> {
         let deadlines = self.calls.iter().map(|call| call.deadline);
--- a/crates/agent/src/discovery/watch.rs
+++ b/crates/agent/src/discovery/watch.rs
@@ -1,10 +1,14 @@
 //! Runs a [`WatchSchedule`]: sends its calls over sockets and reports their results to it.
+//!
+//! A watch that is replaced while it waits for an immediate response is superseded: it sends no further call, and ends with that
+//! response, its failure or its timeout. Of several watches, a list of an earlier one is dropped once a later one has returned a list.
 
 use super::client::{call, AbortOnDrop, Connection};
 use super::codec::EndpointList;
 use super::error::CallError;
 use super::schedule::{CallId, Query, ResponseVersion, Step, WatchSchedule};
-use super::EndpointSink;
+use super::{EndpointSink, ListOrigin};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,8 +22,41 @@
     connection: Option<Connection>,
 }
 
+/// The state of a watch that its owner sees while the watch runs.
+#[derive(Debug, Default)]
+pub(crate) struct WatchState {
+    awaits_response: Cell<bool>,
+    is_superseded: Cell<bool>,
+    has_ended: Cell<bool>,
+}
+
+impl WatchState {
+    /// Whether a call for an immediate response is in flight.
+    pub(crate) fn awaits_response(&self) -> bool {
+        self.awaits_response.get() && !self.has_ended.get()
+    }
+
+    /// Whether the watch has ended and sends no further call.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
+    /// Lets the calls in flight be the watch's last.
+    pub(crate) fn supersede(&self) {
+        self.is_superseded.set(true);
+    }
+}
+
+/// The number of a watch; a later one has a higher number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WatchNumber(pub(crate) u64);
+
 /// A watch that runs until it fails, or without end where the schedule restarts by itself.
 pub(crate) struct Watch {
+    number: WatchNumber,
+    /// The latest watch that has returned a list.
+    latest_source: Rc<Cell<WatchNumber>>,
+    state: Rc<WatchState>,
     address: SocketAddr,
     sink: Rc<dyn EndpointSink>,
     schedule: WatchSchedule,
@@ -34,9 +71,18 @@
 
 impl Watch {
     /// A watch that has not sent a call yet.
-    pub(crate) fn new(address: SocketAddr, sink: Rc<dyn EndpointSink>, schedule: WatchSchedule) -> Self {
+    pub(crate) fn new(
+        number: WatchNumber,
+        latest_source: Rc<Cell<WatchNumber>>,
+        address: SocketAddr,
+        sink: Rc<dyn EndpointSink>,
+        schedule: WatchSchedule,
+    ) -> Self {
         let (finished_sender, finished_calls) = unbounded_channel();
         Watch {
+            number,
+            latest_source,
+            state: Rc::default(),
             address,
             sink,
             schedule,
@@ -48,7 +94,13 @@
         }
     }
 
-    /// Runs the watch; returns after a failure if the balancer decides when the next watch starts.
+    /// The state of the watch, for its owner.
+    pub(crate) fn state(&self) -> Rc<WatchState> {
+        self.state.clone()
+    }
+
+    /// Runs the watch; returns after a failure if the balancer decides when the next watch starts, and after the last call of a
+    /// superseded watch.
     pub(crate) async fn run(mut self) {
         let mut steps = Vec::new();
         self.schedule.start(self.started_at.elapsed(), &mut steps);
@@ -63,8 +115,14 @@
                 }
             };
             self.carry_out(steps, list);
+            if self.state.is_superseded.get() && self.tasks.is_empty() {
+                break;
+            }
+        }
+        self.state.has_ended.set(true);
+        if !self.state.is_superseded.get() {
+            self.sink.on_watch_failed();
         }
-        self.sink.on_watch_failed();
     }
 
     /// Passes the result of a call to the schedule, and returns the list of a successful one.
@@ -88,11 +146,12 @@
     fn carry_out(&mut self, steps: Vec<Step>, mut list: Option<EndpointList>) {
         for step in steps {
             match step {
+                Step::Call { .. } if self.state.is_superseded.get() => {}
                 Step::Call { id, query } => self.call(id, query),
                 Step::Cancel(id) => drop(self.tasks.remove(&id)),
                 Step::Deliver(_) => {
                     if let Some(list) = list.take() {
-                        self.sink.clone().on_endpoints(list);
+                        self.deliver(list);
                     }
                 }
                 Step::WatchSilent { version, elapsed } => self.sink.on_silent_watch(version, elapsed),
@@ -100,6 +159,18 @@
                 Step::Idle => {}
             }
         }
+        self.state.awaits_response.set(self.schedule.awaits_response());
+    }
+
+    /// Delivers a list, unless a later watch has returned one, which may be newer.
+    fn deliver(&self, list: EndpointList) {
+        if self.number < self.latest_source.get() {
+            return;
+        }
+        self.latest_source.set(self.number);
+        let origin =
+            if self.state.is_superseded.get() { ListOrigin::SupersededWatch } else { ListOrigin::Watch };
+        self.sink.clone().on_endpoints(list, origin);
     }
 
     fn call(&mut self, id: CallId, query: Query) {
--- a/crates/agent/src/driver/endpoints.rs
+++ b/crates/agent/src/driver/endpoints.rs
@@ -6,7 +6,7 @@
 use crate::discovery::codec::{EndpointList, EndpointRecord, Health};
 use crate::discovery::error::CallError;
 use crate::discovery::monitor::DiscoveryStatus;
-use crate::discovery::EndpointSink;
+use crate::discovery::{EndpointSink, ListOrigin};
 use bellcroft_agent_core::clock_skew::{ClockSkew, StartRecency};
 use bellcroft_agent_core::guard::ServerGroups;
 use bellcroft_balancer::{
@@ -277,14 +277,13 @@
         self.restart_discovery(&mut self.state.borrow_mut(), address);
     }
 
-    /// Cancels the calls in flight and starts a watch that first requests a snapshot.
+    /// Replaces the present watch by one that first requests a snapshot.
     pub(super) fn restart_discovery(self: &Rc<Self>, state: &mut State, address: SocketAddr) {
         state.endpoints.version = None;
-        state.discovery.set_address(address);
-        state.discovery.watch(self.clone(), true, None);
+        state.discovery.restart(self.clone(), address);
     }
 
-    /// Starts a watch from the cached version if `active`, or ends the present watch.
+    /// If `active`, starts a watch from the cached version unless one is running; otherwise ends the present watch.
     pub(super) fn watch_discovery(self: &Rc<Self>, state: &mut State, active: bool) {
         let version = state.endpoints.watch_version();
         state.discovery.watch(self.clone(), active, version);
@@ -334,7 +333,7 @@
 }
 
 impl EndpointSink for Driver {
-    fn on_endpoints(self: Rc<Self>, list: EndpointList) {
+    fn on_endpoints(self: Rc<Self>, list: EndpointList, origin: ListOrigin) {
         self.discovery_monitor.borrow_mut().on_success(list.version);
         if let Some(telemetry) = &self.telemetry {
             telemetry.list_call_succeeded(self.clock.now());
@@ -346,6 +345,10 @@
                 true => EndpointUpdate::Snapshot(self.apply_list(state, list)),
                 false => EndpointUpdate::Delta(self.apply_list(state, list)),
             };
+            if origin == ListOrigin::SupersededWatch {
+                // The present watch may be at another service, which counts its own versions.
+                state.endpoints.version = None;
+            }
             state.endpoints.set_recent_from(self.clock.now());
             update
         };
--- a/crates/agent/src/driver/reload.rs
+++ b/crates/agent/src/driver/reload.rs
@@ -64,13 +64,14 @@
         (settings, Names { tenants, zones, machine_types, ..new_config.names.clone() })
     }
 
-    /// Applies the watch policy of the present settings. Starts a new watch if the policy changes whether watches
-    /// restart by themselves.
+    /// Applies the watch policy of the present settings. Replaces the watch if the policy changes whether watches restart by
+    /// themselves.
     fn reconfigure_discovery(self: &Rc<Self>, state: &mut State) {
         let restarted_watches = state.discovery.restarts_watches();
         state.discovery.reconfigure(watch_policy(state.balancer.settings()));
         if restarted_watches != state.discovery.restarts_watches() {
-            self.watch_discovery(state, true);
+            let address = state.discovery.address();
+            self.restart_discovery(state, address);
         }
     }
 
--- a/crates/agent/src/driver/timers.rs
+++ b/crates/agent/src/driver/timers.rs
@@ -113,7 +113,7 @@
         if detector.heartbeat(now) {
             let max_wait = duration(LIST_TIMEOUT);
             warn!(?max_wait, "process stood still: decisions deferred until a new endpoint list");
-            // Calls in flight are cancelled, since their responses may be as old as the cached list.
+            state.discovery.cancel();
             let address = state.discovery.address();
             self.restart_discovery(state, address);
             self.wake.notify_one();
--- a/crates/agent/tests/watches.rs
+++ b/crates/agent/tests/watches.rs
@@ -2,127 +2,8 @@
 //! entries that make no sense, changes of what nobody knows, and drains that begin the moment it is back.
 
 use serde_json::{json, Value};
-use std::net::SocketAddr;
 use std::time::Duration;
 use testbed::*;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
-
-/// What becomes of a call.
-enum CallReply {
-    /// It is answered with these bytes.
-    Answer(Vec<u8>),
-    /// Its connection is reset.
-    Reset,
-}
-
-/// A call to discovery that the test answers, byte for byte.
-struct Call {
-    path: String,
-    answer: oneshot::Sender<CallReply>,
-}
-
-impl Call {
-    /// Answers it with a list, indented and in pieces of a few bytes.
-    fn tell(self, list: &Value) {
-        let body = serde_json::to_string_pretty(list).expect("JSON").replace('\n', "\r\n\t ");
-        self.reply(CallReply::Answer(ok(&body)));
-    }
-
-    /// Answers it with the head and the first half of the body of a list; the connection stays open.
-    fn tell_half(self, list: &Value) {
-        let mut bytes = ok(&list.to_string());
-        bytes.truncate(bytes.len() - list.to_string().len() / 2);
-        self.reply(CallReply::Answer(bytes));
-    }
-
-    /// Answers it with this status.
-    fn refuse(self, status: &str) {
-        self.reply(CallReply::Answer(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").into_bytes()));
-    }
-
-    fn reply(self, reply: CallReply) {
-        assert!(self.answer.send(reply).is_ok(), "{}: it waits", self.path);
-    }
-
-    /// Whether the agent still waits for it.
-    fn is_open(&self) -> bool {
-        !self.answer.is_closed()
-    }
-
-    /// How long it may wait; none if it asks for an answer at once.
-    fn wait(&self) -> Duration {
-        let wait = self.path.split("wait_ms=").nth(1).map_or(0, |wait| wait.parse().expect("a number"));
-        Duration::from_millis(wait)
-    }
-
-    /// Resets its connection.
-    fn reset(self) {
-        self.reply(CallReply::Reset);
-    }
-}
-
-/// Discovery whose every word is the test's.
-struct Discovery {
-    address: SocketAddr,
-    calls: mpsc::Receiver<Call>,
-}
-
-impl Discovery {
-    async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let (tell, calls) = mpsc::channel(64);
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                stream.set_nodelay(true).expect("an option");
-                let tell = tell.clone();
-                tokio::spawn(async move {
-                    while let Some(message) = read_message(&mut stream, 0).await {
-                        let (answer, answered) = oneshot::channel();
-                        let call = Call { path: message.target().to_owned(), answer };
-                        if tell.send(call).await.is_err() {
-                            return;
-                        }
-                        let reply = tokio::select! {
-                            reply = answered => reply,
-                            // The agent sends nothing before it has its answer: this is the connection's end.
-                            _ = stream.readable() => return,
-                        };
-                        let Ok(CallReply::Answer(bytes)) = reply else {
-                            stream.set_zero_linger().expect("an option");
-                            return;
-                        };
-                        for piece in bytes.chunks(7) {
-                            if stream.write_all(piece).await.is_err() {
-                                return;
-                            }
-                            tokio::task::yield_now().await;
-                        }
-                    }
-                });
-            }
-        });
-        Discovery { address, calls }
-    }
-
-    async fn next(&mut self) -> Call {
-        soon("a call to discovery", self.calls.recv()).await.expect("a call")
-    }
-
-    /// The next watch of what is newer than this version; calls for the whole list beside it get `whole`.
-    async fn watch(&mut self, after: u64, whole: &Value) -> Call {
-        loop {
-            let call = self.next().await;
-            if call.path.contains(&format!("after={after}&")) {
-                return call;
-            }
-            assert_eq!(call.path, "/v1/endpoints", "a watch of another version");
-            call.tell(whole);
-        }
-    }
-}
 
 /// All watches are reset just before drains begin: the first calls to the discovery that is back meet a reset, a change of
 /// a list that nobody has, and then a whole list of a lower version than before, with an entry that makes no sense. A drain
@@ -134,7 +15,7 @@
         Backend::start(|_| Reply::Bytes(ok("two"))).await,
     ];
     let [one, two] = [servers[0].address, servers[1].address];
-    let mut discovery = Discovery::start().await;
+    let mut discovery = ScriptedDiscovery::start().await;
     let both = [host("one", one, "up"), host("two", two, "up")];
     let mut config = config(discovery.address, &both);
     config["known"]["seq"] = 50.into();
@@ -182,7 +63,7 @@
 struct Pair {
     one: Backend,
     two: Backend,
-    discovery: Discovery,
+    discovery: ScriptedDiscovery,
     agent: Agent,
 }
 
@@ -190,7 +71,7 @@
     async fn start() -> Self {
         let one = Backend::start(|_| Reply::Bytes(ok("one"))).await;
         let two = Backend::start(|_| Reply::Bytes(ok("two"))).await;
-        let discovery = Discovery::start().await;
+        let discovery = ScriptedDiscovery::start().await;
         let both = [host("one", one.address, "up"), host("two", two.address, "up")];
         let agent = Agent::start(discovery.address, &both).await;
         Pair { one, two, discovery, agent }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -18,6 +18,7 @@
 mod process;
 pub mod request_forms;
 pub mod scale;
+mod scripted_discovery;
 mod server;
 pub mod soak;
 mod traffic;
@@ -36,6 +37,7 @@
     command, config, kill, log_field, on_own_runtime, patient_config, program, settings, write_config, Agent,
     Client, Leaving,
 };
+pub use scripted_discovery::{DiscoveryCall, ScriptedDiscovery};
 pub use server::{Plan, Seen, Server, Work};
 pub use traffic::{fates, p99, wanted_share, Class, Fate, Load, Record, Traffic, CLASSES};
 pub use world::World;
