--- a/crates/agent-core/src/handover.rs
+++ b/crates/agent-core/src/handover.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether the process that transferred its listening sockets is running.
+    pub fn has_predecessor(&self) -> bool {
+        self.has_predecessor
+    }
+
     /// Handles an event; returns whether the role, and with it the connection limit, has changed.
     pub fn handle_event(&mut self, event: HandoverEvent) -> bool {
         let former_role = self.role();
--- a/crates/agent/src/cli/mod.rs
+++ b/crates/agent/src/cli/mod.rs
@@ -141,7 +141,9 @@
     }
     match cli.command {
         None => daemon::run(StartOptions::default()),
-        Some(Command::Run { files, state }) => daemon::run(StartOptions { sources: files.into(), state }),
+        Some(Command::Run { files, state }) => {
+            daemon::run(StartOptions { sources: files.into(), state, is_successor: false })
+        }
         Some(Command::Check { files, explain }) => check::run(&files.into(), explain),
         Some(Command::Status { state, operator, json }) => status::run(state, operator, json),
         Some(Command::Members { state, operator, json }) => members::run(state, operator, json),
--- a/crates/agent/src/control_plane.rs
+++ b/crates/agent/src/control_plane.rs
@@ -29,6 +29,9 @@
     pub sources: ConfigSources,
     /// State directory; takes precedence over the one in the operator's file.
     pub state: Option<PathBuf>,
+    /// Whether the process replaces another one that holds the state directory, and has the addresses of membership and of the
+    /// console until it exits.
+    pub is_successor: bool,
 }
 
 /// The value of an environment variable; none if it is unset or not UTF-8.
@@ -98,7 +101,7 @@
         let sources = ConfigSources { operator: Some(operator.to_owned()), config: Some(config.to_owned()) };
         let config = Config::load(&sources, variable)?;
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let start_options = StartOptions { sources, state: None };
+        let start_options = StartOptions { sources, ..StartOptions::default() };
         let plane =
             Self::start(config, start_options, HEALTH_CHECK_CONNECTIONS, started.as_millis() as u64).await?;
         let weak_plane = Rc::downgrade(&plane);
@@ -120,26 +123,40 @@
     ) -> Result<Rc<Self>, ControlPlaneError> {
         let metrics = telemetry::start(&config, started_ms);
         let driver = Driver::start(config.clone(), server_connections, metrics.clone())?;
-        if let Some((listen, membership)) = config.peering.clone() {
-            let handler = Rc::downgrade(&driver) as Weak<dyn PeerEventHandler>;
-            let instance = config.name.clone();
-            let peers_config = PeersConfig { instance, listen, membership, seed: config.seed };
-            let peers = Peers::start(peers_config, driver.clock, handler).await;
-            let peers =
-                peers.map_err(|source| ControlPlaneError::MembershipListen { address: listen, source })?;
-            let address = peers.address().unwrap_or(listen);
-            info!(instance = %config.name, %address, "membership listening");
-            driver.set_peers(peers);
-        }
         let driver_task = tokio::task::spawn_local(driver.clone().run());
-        Ok(Rc::new(ControlPlane {
+        let plane = Rc::new(ControlPlane {
             config: RefCell::new(config),
             start_options,
             driver,
             metrics,
             remote: RefCell::default(),
             driver_task: RefCell::new(Some(driver_task)),
-        }))
+        });
+        if !plane.start_options.is_successor {
+            plane.start_peering().await?;
+        }
+        Ok(plane)
+    }
+
+    /// Starts membership if it is configured. A successor, which has its predecessor's place in the cluster, calls this once the
+    /// predecessor has exited.
+    ///
+    /// # Errors
+    ///
+    /// The socket of membership cannot be bound.
+    pub(crate) async fn start_peering(&self) -> Result<(), ControlPlaneError> {
+        let config = self.config().clone();
+        let Some((listen, membership)) = config.peering else { return Ok(()) };
+        let handler = Rc::downgrade(&self.driver) as Weak<dyn PeerEventHandler>;
+        let peers_config =
+            PeersConfig { instance: config.name.clone(), listen, membership, seed: config.seed };
+        let peers = Peers::start(peers_config, self.driver.clock, handler).await;
+        let peers =
+            peers.map_err(|source| ControlPlaneError::MembershipListen { address: listen, source })?;
+        let address = peers.address().unwrap_or(listen);
+        info!(instance = %config.name, %address, "membership listening");
+        self.driver.set_peers(peers);
+        Ok(())
     }
 
     /// The driver, which is shared with the request path.
--- a/crates/agent/src/daemon/commands.rs
+++ b/crates/agent/src/daemon/commands.rs
@@ -56,9 +56,20 @@
     draining: bool,
 }
 
+/// The reply to [`InstanceRequest::Listener`], which goes with a copy of the listening socket.
 #[derive(Serialize)]
-struct ListenerReply<'a> {
+pub(crate) struct ListenerReply<'a> {
     listen: &'a str,
+    /// The process that this one has replaced, while that is still running.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    predecessor: Option<u32>,
+}
+
+impl ListenerReply<'_> {
+    /// The predecessor's process id in such a reply.
+    pub(crate) fn predecessor(reply: &Value) -> Option<u32> {
+        reply["predecessor"].as_u64().and_then(|pid| u32::try_from(pid).ok())
+    }
 }
 
 impl Instance {
@@ -90,7 +101,8 @@
     fn reply_with_listener(&self) -> Reply {
         match self.listener_copy.borrow().as_ref().map(OwnedFd::try_clone) {
             Some(Ok(copy)) => {
-                Reply { descriptor: Some(copy), ..Reply::message(&ListenerReply { listen: &self.listen }) }
+                let reply = ListenerReply { listen: &self.listen, predecessor: self.predecessor() };
+                Reply { descriptor: Some(copy), ..Reply::message(&reply) }
             }
             _ => control::error("the listening socket is not at hand"),
         }
--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -11,7 +11,7 @@
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 /// Longest reply line in bytes: the status of a fleet of thousands.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 /// Largest number of descriptors that go with a line.
-const MAX_DESCRIPTORS: usize = 2;
+const MAX_DESCRIPTORS: usize = 3;
 /// Clients at a time; a further one is disconnected at once.
 pub(crate) const MAX_CLIENTS: usize = 16;
 /// Pause after a failed accept, such as with no descriptor left.
@@ -62,16 +62,38 @@
     Reply::message(&ErrorReply { error: reason.to_string() })
 }
 
-/// A control socket that is being served; dropping it removes the socket's file.
+/// The file of a Unix socket that this process has made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SocketFile {
+    path: PathBuf,
+    device: u64,
+    inode: u64,
+}
+
+impl SocketFile {
+    fn at(path: PathBuf) -> io::Result<Self> {
+        let metadata = std::fs::symlink_metadata(&path)?;
+        Ok(SocketFile { path, device: metadata.dev(), inode: metadata.ino() })
+    }
+
+    /// Whether the file is still there and no other process has replaced it.
+    pub fn is_current(&self) -> bool {
+        SocketFile::at(self.path.clone()).is_ok_and(|present| present == *self)
+    }
+}
+
+/// A control socket that is being served; dropping it removes the socket's file, unless another process has replaced that.
 pub struct Control {
-    file: PathBuf,
+    file: SocketFile,
     task: tokio::task::JoinHandle<()>,
 }
 
 impl Drop for Control {
     fn drop(&mut self) {
         self.task.abort();
-        let _ = std::fs::remove_file(&self.file);
+        if self.file.is_current() {
+            let _ = std::fs::remove_file(&self.file.path);
+        }
     }
 }
 
@@ -82,16 +104,22 @@
     ///
     /// The socket cannot be made.
     pub fn serve(dir: &Path, answer: impl Fn(Value) -> Reply + 'static) -> io::Result<Self> {
-        let file = dir.join(super::state::CONTROL_SOCKET);
+        let path = dir.join(super::state::CONTROL_SOCKET);
         let temporary = dir.join(format!("{}.new", super::state::CONTROL_SOCKET));
         let _ = std::fs::remove_file(&temporary);
         let listener = UnixListener::bind(&temporary)?;
         std::fs::set_permissions(&temporary, Permissions::from_mode(0o600))?;
         // The socket gets its final name only with its final mode.
-        std::fs::rename(&temporary, &file)?;
+        let file = SocketFile { path, ..SocketFile::at(temporary.clone())? };
+        std::fs::rename(&temporary, &file.path)?;
         let task = tokio::task::spawn_local(accept(listener, Rc::new(answer)));
         Ok(Control { file, task })
     }
+
+    /// The socket's file.
+    pub fn file(&self) -> SocketFile {
+        self.file.clone()
+    }
 }
 
 async fn accept(listener: UnixListener, answer: Rc<dyn Fn(Value) -> Reply>) {
--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -44,6 +44,9 @@
         /// Whether the new process uses the log of claims. One of an earlier version does not.
         #[serde(default)]
         shares_claims: bool,
+        /// Whether the new process takes over the state directory, with its lock.
+        #[serde(default)]
+        takes_state: bool,
     },
 }
 
@@ -64,6 +67,12 @@
     /// No answer came in time.
     #[error("the process that serves did not answer within {:?}", EXCHANGE_TIMEOUT)]
     Timeout,
+    /// There is no such process any more.
+    #[error("the process that serves has ended meanwhile")]
+    NoPredecessor,
+    /// The answer came without the lock of the state directory.
+    #[error("the process that serves did not pass on its lock")]
+    NoLock,
     /// The answer came without a descriptor.
     #[error("the process that serves said {0}")]
     NoDescriptor(String),
@@ -86,6 +95,8 @@
     shares_claims: bool,
     /// The event of the stream's end.
     on_end: HandoverEvent,
+    /// The id of the other process, by the kernel.
+    peer: Option<u32>,
 }
 
 /// What a process receives from its predecessor.
@@ -94,6 +105,8 @@
     pub listener: std::net::TcpListener,
     /// The log of claims; none if the predecessor is of an earlier version.
     pub claims: Option<OwnedFd>,
+    /// The lock of the state directory, if this process takes that over.
+    pub lock: Option<OwnedFd>,
     /// The stream to the predecessor.
     pub stream: HandoverStream,
 }
@@ -112,6 +125,12 @@
     ///
     /// The kernel has no memory or no descriptor for it.
     fn share_claims(&self) -> io::Result<OwnedFd>;
+    /// The lock of the state directory, for the other process.
+    ///
+    /// # Errors
+    ///
+    /// This process has none, or no descriptor is left.
+    fn share_lock(&self) -> io::Result<OwnedFd>;
 }
 
 impl HandoverStream {
@@ -158,18 +177,27 @@
         }
     }
 
+    /// The id of the other process, by the kernel.
+    pub fn peer(&self) -> Option<u32> {
+        self.peer
+    }
+
     /// Follows the predecessor until it has exited.
     pub fn watch(self, peer: Rc<dyn HandoverPeer>) {
         tokio::task::spawn_local(self.follow(peer));
     }
 }
 
-/// Requests the listening socket from the old process; none if there is no such process.
+/// Requests the listening socket from the old process, and the lock of its state directory if `takes_state`; none if there is no
+/// such process.
 ///
 /// # Errors
 ///
 /// There is one, and it did not hand over its socket.
-pub async fn request_listener(path: &Path) -> Result<Option<TransferredListener>, HandoverError> {
+pub async fn request_listener(
+    path: &Path,
+    takes_state: bool,
+) -> Result<Option<TransferredListener>, HandoverError> {
     let stream = match UnixStream::connect(path).await {
         Ok(stream) => stream,
         // No process, or one that was killed and left its socket's file behind.
@@ -179,7 +207,7 @@
         Err(source) => return Err(HandoverError::Connect { path: path.to_owned(), source }),
     };
     let exchange = async {
-        let request = serde_json::to_string(&HandoverRequest::Listener { shares_claims: true })?;
+        let request = serde_json::to_string(&HandoverRequest::Listener { shares_claims: true, takes_state })?;
         write(&stream, format!("{request}\n").as_bytes(), &[]).await?;
         read_line(&stream, MAX_LINE_BYTES).await
     };
@@ -192,13 +220,19 @@
         return Err(HandoverError::NoDescriptor(String::from_utf8_lossy(&line.text).into_owned()));
     };
     let claims = descriptors.next();
+    let lock = descriptors.next();
     let stream = HandoverStream {
+        peer: process_id(&stream),
         stream: Stream::unix(stream),
         received: line.rest,
         shares_claims: claims.is_some(),
         on_end: HandoverEvent::PredecessorExited,
     };
-    Ok(Some(TransferredListener { listener: listener.into(), claims, stream }))
+    Ok(Some(TransferredListener { listener: listener.into(), claims, lock, stream }))
+}
+
+fn process_id(stream: &UnixStream) -> Option<u32> {
+    stream.peer_cred().ok()?.pid().and_then(|pid| u32::try_from(pid).ok())
 }
 
 /// Serves the Unix socket over which the next process requests the listening socket. Dropping it removes the socket's
@@ -248,6 +282,7 @@
             if let Ok(Ok(transferred)) = timeout(EXCHANGE_TIMEOUT, transfer(&stream, copy, &*peer)).await {
                 peer.on_event(HandoverEvent::ListenerRequested);
                 let successor = HandoverStream {
+                    peer: process_id(&stream),
                     stream: Stream::unix(stream),
                     received: transferred.received,
                     shares_claims: transferred.shares_claims,
@@ -277,13 +312,17 @@
         return Err(io::ErrorKind::PermissionDenied.into());
     }
     let line = read_line(stream, MAX_LINE_BYTES).await?;
-    let Ok(HandoverRequest::Listener { shares_claims }) = serde_json::from_slice(&line.text) else {
+    let Ok(HandoverRequest::Listener { shares_claims, takes_state }) = serde_json::from_slice(&line.text)
+    else {
         return Err(io::ErrorKind::InvalidInput.into());
     };
     let mut descriptors = vec![listener?];
     if shares_claims {
         descriptors.push(peer.share_claims()?);
     }
+    if takes_state {
+        descriptors.push(peer.share_lock()?);
+    }
     write(stream, b"{}\n", &descriptors).await?;
     Ok(Transfer { shares_claims, received: line.rest })
 }
--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -5,8 +5,9 @@
 //! each part with mutable state stands in a cell of its own. No borrow is held across an `await` or a call into
 //! another part.
 
+use super::control::SocketFile;
 use super::descriptors::DescriptorBudget;
-use super::handover::HandoverPeer;
+use super::handover::{HandoverListener, HandoverPeer};
 use super::notify::Notify;
 use super::reload::ReloadHistory;
 use super::state::StatusWriter;
@@ -46,6 +47,32 @@
     pub(super) shutdown_request: ShutdownRequest,
     /// Role in the replacement of a process by another.
     pub(super) handover: RefCell<Handover>,
+    /// Notified when that role has changed.
+    pub(super) handover_changed: tokio::sync::Notify,
+    /// Serves the Unix socket over which a process that replaces this one asks for the listening socket.
+    pub(super) handover_listener: RefCell<Option<HandoverListener>>,
+    /// The process that transferred its listening socket.
+    pub(super) predecessor: Cell<Option<u32>>,
+    /// This process's place in its state directory; none without one.
+    pub(super) state_place: RefCell<Option<StatePlace>>,
+}
+
+/// A process's place in its state directory, which two processes share while one replaces the other. The one that serves the control
+/// socket writes the status file.
+pub(super) struct StatePlace {
+    /// A copy of the lock, for a successor.
+    pub(super) lock: io::Result<OwnedFd>,
+    /// Whether the process is to replace another one, which serves the control socket until this one is ready.
+    pub(super) awaits_takeover: bool,
+    /// The control socket's file; none before it is served, and if it cannot be made.
+    pub(super) control_file: Option<SocketFile>,
+}
+
+impl StatePlace {
+    /// Whether this process serves the directory's control socket.
+    fn is_taken(&self) -> bool {
+        !self.awaits_takeover && self.control_file.as_ref().is_none_or(SocketFile::is_current)
+    }
 }
 
 /// The phase of an instance and its times, in Unix milliseconds.
@@ -119,6 +146,14 @@
     fn share_claims(&self) -> io::Result<OwnedFd> {
         self.driver.share_claims()
     }
+
+    fn share_lock(&self) -> io::Result<OwnedFd> {
+        match self.state_place.borrow().as_ref().map(|place| &place.lock) {
+            Some(Ok(lock)) => lock.try_clone(),
+            Some(Err(error)) => Err(error.kind().into()),
+            None => Err(io::ErrorKind::NotFound.into()),
+        }
+    }
 }
 
 impl Instance {
@@ -197,17 +232,43 @@
         text
     }
 
+    /// Writes the status file, unless another process serves the state directory's control socket.
     pub(super) fn write_status(&self) {
-        if let Some(writer) = &*self.status_writer.borrow() {
+        if let Some(writer) = self.status_writer.borrow().as_ref().filter(|_| self.serves_state()) {
             writer.write(self.status_json());
         }
     }
 
+    /// Closes the copies of the listening socket: while one is open, the kernel accepts connections that no process serves. A process
+    /// without a state directory may still be replaced by one that an operator starts, which asks for the socket.
+    pub(super) fn close_listener_copies(&self) {
+        drop(self.listener_copy.borrow_mut().take());
+        if self.state_place.borrow().is_some() {
+            drop(self.handover_listener.borrow_mut().take());
+        }
+    }
+
+    /// Whether this process serves the control socket of its state directory; false without one.
+    pub(super) fn serves_state(&self) -> bool {
+        self.state_place.borrow().as_ref().is_some_and(StatePlace::is_taken)
+    }
+
+    /// Whether a successor accepts connections. One with a state directory has taken over the control socket then.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.handover.borrow().is_replaced() && !self.serves_state()
+    }
+
+    /// The process that this one has replaced, while that is still running.
+    pub(super) fn predecessor(&self) -> Option<u32> {
+        self.predecessor.get().filter(|_| self.handover.borrow().has_predecessor())
+    }
+
     /// Follows the other process of a replacement; both together hold no more connections and memory than one.
     pub(super) fn on_handover_event(&self, event: HandoverEvent) {
         if !self.handover.borrow_mut().handle_event(event) {
             return;
         }
+        self.handover_changed.notify_one();
         let handover = *self.handover.borrow();
         let clients = handover.connection_limit(self.connection_limits.clients);
         let servers = handover.connection_limit(self.connection_limits.backends);
@@ -219,6 +280,7 @@
             "handover: connection limits changed"
         );
         self.driver.memory.share_among(handover.processes());
+        self.driver.share_quotas_among(handover.processes() as u32);
         self.server.set_max_connections(clients);
         self.driver.set_max_connections(servers);
     }
--- a/crates/agent/src/daemon/listen.rs
+++ b/crates/agent/src/daemon/listen.rs
@@ -1,7 +1,8 @@
 //! The clients' listening socket: inherited, transferred by a predecessor, or bound by this process.
 
 use super::error::{DaemonError, InheritedListenerError};
-use super::handover::{self, HandoverStream, TransferredListener};
+use super::handover::{self, HandoverError, HandoverStream, TransferredListener};
+use super::state::{StateDir, HANDOVER_SOCKET};
 use bellcroft_net::Listener;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -36,13 +37,13 @@
         return Ok((listener, ListenerOrigin::Inherited));
     }
     let predecessor = match handover_socket {
-        Some(path) => handover::request_listener(path)
+        Some(path) => handover::request_listener(path, false)
             .await
             .map_err(|source| DaemonError::Handover { address, source })?,
         None => None,
     };
     let listen_error = |source| DaemonError::Listen { address, source };
-    if let Some(TransferredListener { listener, claims, stream }) = predecessor {
+    if let Some(TransferredListener { listener, claims, stream, .. }) = predecessor {
         let listener = Listener::from_std(listener).map_err(listen_error)?;
         return Ok((listener, ListenerOrigin::Predecessor { stream, claims }));
     }
@@ -50,6 +51,27 @@
     Ok((listener, ListenerOrigin::Bound))
 }
 
+/// Takes the listening socket, and the lock of the state directory, from the process that this one replaces.
+///
+/// # Errors
+///
+/// That process does not transfer them.
+pub(super) async fn take_over_listener(
+    address: SocketAddr,
+    state: &mut StateDir,
+) -> Result<(Listener, ListenerOrigin), DaemonError> {
+    // The supervisor has passed the same socket: a copy that is not closed would outlive the end of accepting.
+    drop(inherited_listener()?);
+    let handover_error = |source| DaemonError::Handover { address, source };
+    let transferred = handover::request_listener(&state.path().join(HANDOVER_SOCKET), true).await;
+    let transferred = transferred.map_err(handover_error)?;
+    let TransferredListener { listener, claims, lock, stream } =
+        transferred.ok_or(handover_error(HandoverError::NoPredecessor))?;
+    state.set_lock(lock.ok_or(handover_error(HandoverError::NoLock))?);
+    let listener = Listener::from_std(listener).map_err(|source| DaemonError::Listen { address, source })?;
+    Ok((listener, ListenerOrigin::Predecessor { stream, claims }))
+}
+
 /// The socket that a service manager or a supervisor passed (sd_listen_fds(3)), if any.
 fn inherited_listener() -> Result<Option<std::net::TcpListener>, InheritedListenerError> {
     let mut descriptors = listenfd::ListenFd::from_env();
--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 pub(crate) mod state;
 pub(crate) mod status;
+mod takeover;
 
 pub(crate) use crate::control_plane::{variable, StartOptions};
 use crate::exit;
@@ -28,11 +29,16 @@
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// The environment variable by which a supervisor tells a process that it is to replace the one that holds its state directory.
+/// Earlier versions do not know it, and exit since the directory is held.
+pub(crate) const SUCCESSOR_VARIABLE: &str = "BELLCROFT_SUCCESSOR";
+
 /// What a start has before the runtime exists.
 struct Startup {
     config: Config,
     options: StartOptions,
-    /// The locked state directory; none if none is configured or it cannot be used.
+    /// The state directory; none if none is configured or it cannot be used. It is locked, but for a successor, which gets the lock
+    /// from its predecessor.
     state: Option<StateDir>,
     /// Faults that do not keep the instance from serving.
     problems: Vec<String>,
@@ -40,7 +46,7 @@
 }
 
 /// Runs one instance until it is asked to shut down.
-pub(crate) fn run(options: StartOptions) -> ExitCode {
+pub(crate) fn run(mut options: StartOptions) -> ExitCode {
     let started_ms = unix_ms();
     let mut config = match Config::load(&options.sources, variable) {
         Ok(config) => config,
@@ -53,8 +59,11 @@
     let mut problems = Vec::new();
     let mut state = None;
     if let Some(path) = &config.daemon.state {
+        options.is_successor = variable(SUCCESSOR_VARIABLE).is_some();
         // The lock comes first: a second instance must not touch the first one's files or its address.
-        match StateDir::acquire(path) {
+        let acquired =
+            if options.is_successor { StateDir::of_predecessor(path) } else { StateDir::acquire(path) };
+        match acquired {
             Ok(locked) => state = Some(locked),
             Err(held @ StateDirError::Held(_)) => {
                 print_error(format_args!("bellcroft: {}: {held}", path.display()));
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -6,12 +6,12 @@
 use super::descriptors::DescriptorBudget;
 use super::error::DaemonError;
 use super::handover::{self, HandoverListener};
-use super::instance::{Instance, Lifecycle, ShutdownRequest};
-use super::listen::{acquire_listener, ListenerOrigin};
+use super::instance::{Instance, Lifecycle, ShutdownRequest, StatePlace};
+use super::listen::{acquire_listener, take_over_listener, ListenerOrigin};
 use super::notify::Notify;
 use super::reload::ReloadHistory;
 use super::shutdown::{self, Successor};
-use super::state::{StateDir, StatusWriter};
+use super::state::{StateDir, StatusWriter, HANDOVER_SOCKET};
 use super::status::Phase;
 use super::Startup;
 use crate::control_plane::ControlPlane;
@@ -21,7 +21,7 @@
 use bellcroft_agent_core::shutdown::ShutdownSignal;
 use bellcroft_net::Listener;
 use serde_json::Value;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
@@ -48,7 +48,7 @@
     Ok(())
 }
 
-struct Signals {
+pub(super) struct Signals {
     terminate: Signal,
     hangup: Signal,
 }
@@ -76,11 +76,23 @@
 }
 
 impl ClientSocket {
-    async fn acquire(config: &Config, has_state: bool) -> Result<Self, DaemonError> {
-        // With a state directory, its lock and the supervisor replace processes instead.
-        let folder = std::env::var_os("TMPDIR").map(PathBuf::from).filter(|_| !has_state);
-        let handover_socket = handover::socket_path(folder, &config.name, config.listen);
-        let (listener, origin) = acquire_listener(config.listen, handover_socket.as_deref()).await?;
+    async fn acquire(config: &Config, state: Option<&mut StateDir>) -> Result<Self, DaemonError> {
+        let has_state = state.is_some();
+        let (handover_socket, (listener, origin)) = match state {
+            // With a state directory, a supervisor replaces processes: only a successor asks for the socket.
+            Some(state) if !state.is_locked() => {
+                (Some(state.path().join(HANDOVER_SOCKET)), take_over_listener(config.listen, state).await?)
+            }
+            Some(state) => {
+                (Some(state.path().join(HANDOVER_SOCKET)), acquire_listener(config.listen, None).await?)
+            }
+            None => {
+                let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+                let path = handover::socket_path(folder, &config.name, config.listen);
+                let acquired = acquire_listener(config.listen, path.as_deref()).await?;
+                (path, acquired)
+            }
+        };
         let address =
             listener.local_addr().map_err(|source| DaemonError::Listen { address: config.listen, source })?;
         let copy = || listener.as_fd().try_clone_to_owned().ok();
@@ -101,14 +113,17 @@
 }
 
 impl StateFiles {
-    /// Starts the status writer and the control socket; what fails is added to `problems`.
-    fn open(state: Option<&StateDir>, problems: &mut Vec<String>) -> Self {
+    /// Starts the status writer and, unless the process replaces another one, the control socket; what fails is added to `problems`.
+    fn open(state: Option<&StateDir>, is_successor: bool, problems: &mut Vec<String>) -> Self {
         let instance = InstanceSlot::default();
         let Some(state) = state else {
             return StateFiles { writer: None, control_socket: None, instance };
         };
         let writer = StatusWriter::start(state.path());
         let writer = writer.map_err(|e| problems.push(format!("no thread writes the status: {e}"))).ok();
+        if is_successor {
+            return StateFiles { writer, control_socket: None, instance };
+        }
         let answering = instance.clone();
         let answer = move |request: Value| match &*answering.borrow() {
             Some(instance) => instance.on_control_request(&request),
@@ -118,30 +133,41 @@
         let control_socket = control_socket.map_err(|e| problems.push(format!("control socket: {e}"))).ok();
         StateFiles { writer, control_socket, instance }
     }
+
+    fn place(&self, state: &StateDir, is_successor: bool) -> StatePlace {
+        StatePlace {
+            lock: state.share_lock(),
+            awaits_takeover: is_successor,
+            control_file: self.control_socket.as_ref().map(Control::file),
+        }
+    }
 }
 
 impl Startup {
     /// Starts every part of the instance. Clients are accepted from here on, but by a successor, which leaves them to its
     /// predecessor until it is ready.
     async fn build(self, signals: Signals) -> Result<Serving, DaemonError> {
-        let Startup { config, options, state, mut problems, started_ms } = self;
-        let mut socket = ClientSocket::acquire(&config, state.is_some()).await?;
+        let Startup { config, options, mut state, mut problems, started_ms } = self;
+        let is_successor = options.is_successor;
+        let mut socket = ClientSocket::acquire(&config, state.as_mut()).await?;
         let connection_limits = DescriptorBudget::new(&config);
         let (notify, problem) = Notify::find(|name| std::env::var_os(name));
         problems.extend(problem);
-        let console_address = config.console;
         let name = config.name.clone();
         let control = ControlPlane::start(config, options, connection_limits.backends, started_ms).await?;
         let driver = control.driver().clone();
         let driver_task = control.take_driver_task().unwrap_or_else(|| unreachable!("it was just started"));
-        if let ListenerOrigin::Predecessor { claims, .. } = &mut socket.origin {
+        let mut predecessor = None;
+        if let ListenerOrigin::Predecessor { claims, stream } = &mut socket.origin {
+            predecessor = stream.peer();
             if let Some(claims) = claims.take() {
                 driver.join_claims(claims);
             }
         }
         let server = Server::new(driver.clone(), connection_limits.clients);
-        let files = StateFiles::open(state.as_ref(), &mut problems);
+        let files = StateFiles::open(state.as_ref(), is_successor, &mut problems);
         log_problems(&name, &problems);
+        let state_place = state.as_ref().map(|state| files.place(state, is_successor));
         let instance = Rc::new(Instance {
             control,
             driver,
@@ -156,25 +182,33 @@
             status_writer: RefCell::new(files.writer),
             shutdown_request: ShutdownRequest::default(),
             handover: RefCell::default(),
+            handover_changed: tokio::sync::Notify::new(),
+            predecessor: Cell::new(predecessor),
+            state_place: RefCell::new(state_place),
+            handover_listener: RefCell::default(),
         });
-        let handover_listener = serve_handover(&instance, socket.handover_copy);
-        let console = serve_console(&instance, console_address).await?;
-        let gauges = instance.clone();
-        instance.control.send_telemetry(move || gauges.refresh_gauges());
-        *files.instance.borrow_mut() = Some(instance.clone());
-        instance.write_status();
         let mut serving = Serving {
-            instance,
+            instance: instance.clone(),
             signals,
             driver_task,
-            socket_inherited: matches!(socket.origin, ListenerOrigin::Inherited),
+            socket_inherited: is_successor || matches!(socket.origin, ListenerOrigin::Inherited),
             listener: Some(socket.listener),
             accept_task: None,
             control_socket: files.control_socket,
-            console,
-            handover_listener,
+            console: None,
+            handover_copy: socket.handover_copy,
+            awaits_predecessors_exit: is_successor,
+            supervisor: rustix::process::getppid(),
             state,
         };
+        if !is_successor {
+            serving.serve_handover();
+            serving.serve_console().await?;
+        }
+        let gauges = instance.clone();
+        instance.control.send_telemetry(move || gauges.refresh_gauges());
+        *files.instance.borrow_mut() = Some(instance.clone());
+        instance.write_status();
         serving.open_listener(socket.origin);
         info!(instance = %name, address = %socket.address, "listening for clients");
         Ok(serving)
@@ -187,50 +221,60 @@
     }
 }
 
-/// Offers the listening socket to a process that is to replace this one.
-fn serve_handover(instance: &Rc<Instance>, copy: Option<(PathBuf, OwnedFd)>) -> Option<HandoverListener> {
-    let (path, listener) = copy?;
-    match HandoverListener::serve(path, listener, instance.clone()) {
-        Ok(handover_listener) => Some(handover_listener),
-        Err(error) => {
-            warn!(instance = %instance.name(), %error, "handover: socket not available, no process can replace this one");
-            None
-        }
-    }
-}
-
-async fn serve_console(
-    instance: &Rc<Instance>,
-    address: Option<SocketAddr>,
-) -> Result<Option<Console>, DaemonError> {
-    let Some(address) = address else { return Ok(None) };
-    let answering = instance.clone();
-    let on_request = move |request| answering.on_admin_request(request);
-    let (console, address) = Console::serve(address, instance.driver.clock, on_request)
-        .await
-        .map_err(|source| DaemonError::Console { address, source })?;
-    info!(instance = %instance.name(), %address, "admin console listening");
-    Ok(Some(console))
-}
-
 /// An instance that serves, and what ends with it.
-struct Serving {
-    instance: Rc<Instance>,
-    signals: Signals,
-    driver_task: JoinHandle<()>,
+pub(super) struct Serving {
+    pub(super) instance: Rc<Instance>,
+    pub(super) signals: Signals,
+    pub(super) driver_task: JoinHandle<()>,
     /// A supervisor holds the listening socket too.
-    socket_inherited: bool,
+    pub(super) socket_inherited: bool,
     /// The listening socket while clients are not accepted yet.
-    listener: Option<Listener>,
-    accept_task: Option<JoinHandle<()>>,
-    control_socket: Option<Control>,
-    console: Option<Console>,
-    handover_listener: Option<HandoverListener>,
+    pub(super) listener: Option<Listener>,
+    pub(super) accept_task: Option<JoinHandle<()>>,
+    pub(super) control_socket: Option<Control>,
+    pub(super) console: Option<Console>,
+    /// A copy of the listening socket for a process that replaces this one, with the path of the Unix socket where it asks.
+    pub(super) handover_copy: Option<(PathBuf, OwnedFd)>,
+    /// Whether the addresses of membership and of the console are the predecessor's until it exits.
+    pub(super) awaits_predecessors_exit: bool,
+    /// The parent at the start.
+    pub(super) supervisor: Option<rustix::process::Pid>,
     /// The lock, which is released last.
-    state: Option<StateDir>,
+    pub(super) state: Option<StateDir>,
 }
 
 impl Serving {
+    /// Offers the listening socket to a process that is to replace this one.
+    pub(super) fn serve_handover(&mut self) {
+        let Some((path, listener)) = &self.handover_copy else { return };
+        let served = listener
+            .try_clone()
+            .and_then(|listener| HandoverListener::serve(path.clone(), listener, self.instance.clone()));
+        match served {
+            Ok(handover_listener) => {
+                if let Some(former) = self.instance.handover_listener.replace(Some(handover_listener)) {
+                    former.successor_owns_socket.set(true);
+                }
+            }
+            Err(error) => {
+                let name = self.instance.name();
+                warn!(instance = %name, %error, "handover: socket not available, no process can replace this one");
+            }
+        }
+    }
+
+    pub(super) async fn serve_console(&mut self) -> Result<(), DaemonError> {
+        let Some(address) = self.instance.control.config().console else { return Ok(()) };
+        let answering = self.instance.clone();
+        let on_request = move |request| answering.on_admin_request(request);
+        let (console, address) = Console::serve(address, self.instance.driver.clock, on_request)
+            .await
+            .map_err(|source| DaemonError::Console { address, source })?;
+        info!(instance = %self.instance.name(), %address, "admin console listening");
+        self.console = Some(console);
+        Ok(())
+    }
+
     fn open_listener(&mut self, origin: ListenerOrigin) {
         match origin {
             ListenerOrigin::Predecessor { stream, .. } => {
@@ -251,11 +295,17 @@
     async fn run(&mut self) -> Result<(), DaemonError> {
         let mut timers = Timers::start(&self.instance);
         loop {
+            if self.is_abandoned() {
+                info!(instance = %self.instance.name(), "handover: supervisor has exited, not taking over");
+                return Ok(());
+            }
             self.check_readiness();
+            self.open_predecessors_addresses().await;
             let wake = timers.run_due(&self.instance);
             tokio::select! {
                 _ = self.signals.terminate.recv() => return Ok(()),
                 () = self.instance.shutdown_request.requested() => return Ok(()),
+                () = self.instance.handover_changed.notified() => self.on_handover_change(),
                 // The result stands in the log and in the status.
                 _ = self.signals.hangup.recv() => drop(self.instance.reload()),
                 // Without the driver's timers, requests would be accepted and never answered: a restart is better.
@@ -267,6 +317,9 @@
 
     fn check_readiness(&mut self) {
         if self.instance.phase() == Phase::Starting && self.instance.driver.is_ready() {
+            if self.awaits_takeover() {
+                self.take_over_state();
+            }
             self.accept_clients();
             self.instance.enter(Phase::Ready);
             self.instance.notify.ready("serving");
@@ -275,11 +328,15 @@
 
     /// Shuts down gracefully; the state directory's lock is released last.
     async fn shut_down(mut self) {
+        // A socket that was never read here must not stay open meanwhile.
+        drop(self.listener.take());
         let instance = &self.instance;
         let signalled = instance.driver.clock.now();
         let signal = ShutdownSignal { read_at: signalled, paused: instance.driver.latest_pause() };
-        let replaced = instance.handover.borrow().is_replaced();
-        if let Some(handover_listener) = &self.handover_listener {
+        let replaced = instance.is_replaced();
+        // With a state directory, a process that is not replaced offers nothing further.
+        drop(self.handover_copy.take());
+        if let Some(handover_listener) = &*instance.handover_listener.borrow() {
             handover_listener.successor_owns_socket.set(replaced);
         }
         let handed_over = self.socket_inherited && instance.shutdown_request.hands_over_socket();
@@ -296,11 +353,11 @@
         // After the last response, so that the last samples count it.
         instance.control.stop_telemetry().await;
         instance.set_phase(Phase::Stopped);
-        let writer = instance.status_writer.borrow_mut().take();
+        let writer = instance.status_writer.borrow_mut().take().filter(|_| instance.serves_state());
         if let Some(writer) = writer {
             writer.finish(instance.status_json()).await;
         }
-        drop((self.control_socket.take(), self.console.take(), self.handover_listener.take()));
+        drop((self.control_socket.take(), self.console.take(), instance.handover_listener.take()));
         if self.state.is_some() {
             // The next process counts from zero, and its status replaces this one's.
             let requests = serde_json::to_string(&instance.status().requests).unwrap_or_default();
--- a/crates/agent/src/daemon/shutdown.rs
+++ b/crates/agent/src/daemon/shutdown.rs
@@ -93,8 +93,7 @@
                 sleep_until(at).await;
             }
         }
-        // While a copy is open, the kernel accepts connections that no process serves.
-        Successor::None => drop(instance.listener_copy.borrow_mut().take()),
+        Successor::None => instance.close_listener_copies(),
     }
 }
 
--- a/crates/agent/src/daemon/state.rs
+++ b/crates/agent/src/daemon/state.rs
@@ -5,7 +5,8 @@
 //! written by a thread of its own, and a failed write is a problem in the status, not a reason to stop serving.
 
 use std::fs::{DirBuilder, File, OpenOptions, Permissions, TryLockError};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, Write};
+use std::os::fd::OwnedFd;
 use std::os::unix::fs::{DirBuilderExt, MetadataExt, OpenOptionsExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -14,6 +15,8 @@
 
 /// The name of the status file in a state directory.
 pub const STATUS_FILE: &str = "status.json";
+/// The name of the socket over which a successor takes over.
+pub const HANDOVER_SOCKET: &str = "handover.sock";
 /// The name of the control socket.
 pub const CONTROL_SOCKET: &str = "control.sock";
 /// The name of the lock file.
@@ -53,11 +56,12 @@
     },
 }
 
-/// A state directory that this process holds until it exits.
+/// A state directory that this process holds until it exits, or will hold once it has its predecessor's lock.
 #[derive(Debug)]
 pub struct StateDir {
     path: PathBuf,
-    _lock: File,
+    /// The lock, which a predecessor and its successor share: it is held until both have exited. None before the successor has it.
+    lock: Option<File>,
 }
 
 impl StateDir {
@@ -89,10 +93,48 @@
             std::fs::set_permissions(path, Permissions::from_mode(0o700))
                 .map_err(|e| unusable("others may enter it, and that cannot be changed", e))?;
         }
-        // For people only: a process id can be reused, so nothing is decided by it.
-        let mut text = &lock;
-        let _ = lock.set_len(0).and_then(|()| writeln!(text, "{}", std::process::id()));
-        Ok(StateDir { path: path.to_owned(), _lock: lock })
+        let state = StateDir { path: path.to_owned(), lock: Some(lock) };
+        state.write_process_id();
+        Ok(state)
+    }
+
+    /// The directory of a running process, which will pass its lock on to this one.
+    ///
+    /// # Errors
+    ///
+    /// [`StateDirError::Held`] if that process serves no handover socket: it is of an earlier version, or shutting down.
+    pub fn of_predecessor(path: &Path) -> Result<Self, StateDirError> {
+        let served = std::os::unix::net::UnixStream::connect(path.join(HANDOVER_SOCKET));
+        served.map_err(|_| StateDirError::Held(lock_holder(path)))?;
+        Ok(StateDir { path: path.to_owned(), lock: None })
+    }
+
+    /// Whether this process has the lock.
+    pub fn is_locked(&self) -> bool {
+        self.lock.is_some()
+    }
+
+    /// Takes the lock that the predecessor has passed on.
+    pub fn set_lock(&mut self, lock: OwnedFd) {
+        self.lock = Some(File::from(lock));
+    }
+
+    /// A descriptor of the lock for a successor.
+    ///
+    /// # Errors
+    ///
+    /// This process does not have it, or no descriptor is left.
+    pub fn share_lock(&self) -> io::Result<OwnedFd> {
+        let lock = self.lock.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        Ok(lock.try_clone()?.into())
+    }
+
+    /// Writes the id of this process into the lock file, for people only: an id can be reused, so nothing is decided by it.
+    pub fn write_process_id(&self) {
+        if let Some(mut lock) = self.lock.as_ref() {
+            let _ = lock.set_len(0).and_then(|()| lock.rewind());
+            let _ = writeln!(lock, "{}", std::process::id());
+        }
     }
 
     /// Its path.
--- a/crates/agent/src/driver/mod.rs
+++ b/crates/agent/src/driver/mod.rs
@@ -121,6 +121,10 @@
     peers: RefCell<Option<Rc<Peers>>>,
     /// The number of instances that share the fleet's quotas, as counted by membership; 0 before the first count.
     fleet_size: Cell<u32>,
+    /// The number of instances that share the fleet's quotas, as configured or counted.
+    instances: Cell<u32>,
+    /// The number of processes that share this instance's quotas.
+    processes: Cell<u32>,
     /// Detects stalls of this process; none without peers.
     stall_detector: Cell<Option<StallDetector>>,
 }
@@ -148,6 +152,7 @@
         ));
         let names = Rc::new(config.names.clone());
         let known = config.known.clone();
+        let instances = config.settings.balancers;
         let mut state = State::new(config)?;
         let mut actions = Vec::new();
         state.balancer.start(clock.now(), &mut actions);
@@ -167,6 +172,8 @@
             wake: Notify::new(),
             peers: RefCell::default(),
             fleet_size: Cell::new(0),
+            instances: Cell::new(instances),
+            processes: Cell::new(1),
             stall_detector: Cell::new(None),
         });
         driver.start_endpoints(known, actions);
--- a/crates/agent/src/driver/peers.rs
+++ b/crates/agent/src/driver/peers.rs
@@ -2,7 +2,7 @@
 
 use super::Driver;
 use crate::peers::{name_hash, PeerEventHandler, Peers};
-use bellcroft_balancer::{Event, FleetState, PeerId, UNCONFIRMED_HINT};
+use bellcroft_balancer::{Event, FleetState, PeerId, Settings, UNCONFIRMED_HINT};
 use std::rc::Rc;
 use tracing::warn;
 
@@ -43,16 +43,32 @@
 
     fn on_fleet_size(&self, instances: u32) {
         self.fleet_size.set(instances);
+        self.instances.set(instances);
+        self.update_quotas();
+    }
+}
+
+impl Driver {
+    /// Shares this instance's quotas among so many processes, each of which decides for itself.
+    pub fn share_quotas_among(&self, processes: u32) {
+        self.processes.set(processes);
+        self.update_quotas();
+    }
+
+    /// The number of processes that share the quotas of the fleet, if each instance had as many as this one.
+    pub(super) fn balancers(&self) -> u32 {
+        self.instances.get().saturating_mul(self.processes.get())
+    }
+
+    fn update_quotas(&self) {
+        let balancers = self.balancers();
         let mut state = self.state.borrow_mut();
-        let mut settings = state.balancer.settings().clone();
-        settings.balancers = instances;
+        let settings = Settings { balancers, ..state.balancer.settings().clone() };
         if let Err(error) = state.balancer.reconfigure(settings, &[]) {
-            warn!(instances, %error, "cannot update the quotas for the number of instances");
+            warn!(balancers, %error, "cannot update the quotas for the number of instances");
         }
     }
-}
 
-impl Driver {
     /// Sends a peer the balancer's hint about a server. The hint is discarded if there are no peers or the server is
     /// unknown.
     pub(super) fn send_hint(&self, server_name: Option<&str>, to: Option<PeerId>) {
--- a/crates/agent/src/driver/reload.rs
+++ b/crates/agent/src/driver/reload.rs
@@ -59,7 +59,8 @@
         if let Some(index) = indexes.get(settings.zone.0 as usize) {
             settings.zone = ZoneId(*index as u32);
         }
-        settings.balancers = settings.balancers.max(self.fleet_size.get());
+        self.instances.set(settings.balancers.max(self.fleet_size.get()));
+        settings.balancers = self.balancers();
         let (machine_types, _) = merge_names(&former_names.machine_types, &new_config.names.machine_types);
         (settings, Names { tenants, zones, machine_types, ..new_config.names.clone() })
     }
--- a/crates/agent/src/fleet/commands.rs
+++ b/crates/agent/src/fleet/commands.rs
@@ -1,8 +1,9 @@
 //! Requests and replies of the fleet's control socket, and the fleet's status.
 
+use super::slot::ProcessEvent;
 use super::Fleet;
 use crate::daemon::control::{self, ControlError, Reply};
-use bellcroft_supervisor::{Command, Event, InstanceId, Phase};
+use bellcroft_supervisor::{Command, InstanceId, Phase};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::VecDeque;
@@ -53,9 +54,9 @@
     /// An event of a process, which may have been replaced since.
     Process {
         id: InstanceId,
-        /// Number of the process among those of its instance (`InstanceSlot::process_number`).
+        /// Number of the process among those of its instance (`RunningProcess::number`).
         process_number: u64,
-        event: Event,
+        event: ProcessEvent,
     },
     /// A command of an operator.
     Command(Command),
@@ -225,7 +226,7 @@
         InstanceStatus {
             name: instance.member.name.clone(),
             phase: phase.as_str().to_owned(),
-            pid: instance.process.as_ref().map(|process| process.pid),
+            pid: instance.process.as_ref().map(|running| running.process.pid),
             listen: instance.address.to_string(),
             starts: self.supervisor.starts(id),
             adopted: instance.adopted,
--- a/crates/agent/src/fleet/instances.rs
+++ b/crates/agent/src/fleet/instances.rs
@@ -1,67 +1,22 @@
 //! Performs the supervisor's actions: starts, checks, reloads and stops the instances' processes.
 
 use super::commands::{FleetEvent, ReloadProgress, ReloadRejection, RollResult};
-use super::process::{self, Process};
+use super::process;
+use super::slot::{ProcessEvent, ProcessEvents, ProcessRole};
 use super::{prove, Fleet};
 use crate::daemon::commands::InstanceRequest;
 use crate::daemon::control;
-use bellcroft_operator_config::FleetInstance;
-use bellcroft_supervisor::{Action, Command, Event, InstanceId, ReleaseId, Report, RollError};
+use crate::exit;
+use bellcroft_supervisor::{
+    Action, Command, Event, InstanceId, ReleaseId, Report, RollError, SuccessorEvent,
+};
 use rustix::process::Signal;
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::task::JoinHandle;
 use tracing::{info, warn};
 
 /// Exit status reported for an adopted process, because only the parent of a process can read its status.
 const UNKNOWN_EXIT: &str = "it ended; how is not known, for an earlier supervisor had started it";
 
-/// One instance of the fleet: its listening socket, which stays open across restarts, and its present process.
-pub(super) struct InstanceSlot {
-    pub(super) member: FleetInstance,
-    pub(super) dir: PathBuf,
-    pub(super) listener: TcpListener,
-    pub(super) address: SocketAddr,
-    pub(super) process: Option<Process>,
-    /// Whether an earlier supervisor started the process.
-    pub(super) adopted: bool,
-    /// Number of processes that this supervisor has started for the instance. It identifies the present process: events
-    /// of earlier ones are discarded.
-    pub(super) process_number: u64,
-    /// Pending check of the present process: whether it is ready, or whether it serves requests. Aborted when the
-    /// process exits or is terminated.
-    pub(super) check: Option<JoinHandle<()>>,
-}
-
-impl InstanceSlot {
-    fn abort_check(&mut self) {
-        if let Some(check) = self.check.take() {
-            check.abort();
-        }
-    }
-
-    /// Returns a sender for events of the present process.
-    fn process_events(&self, id: InstanceId, events: &UnboundedSender<FleetEvent>) -> ProcessEvents {
-        ProcessEvents { id, process_number: self.process_number, events: events.clone() }
-    }
-}
-
-/// Sends the events of one process to the event loop.
-struct ProcessEvents {
-    id: InstanceId,
-    process_number: u64,
-    events: UnboundedSender<FleetEvent>,
-}
-
-impl ProcessEvents {
-    fn send(&self, event: Event) {
-        let (id, process_number) = (self.id, self.process_number);
-        let _ = self.events.send(FleetEvent::Process { id, process_number, event });
-    }
-}
-
 impl Fleet {
     pub(super) fn handle_event(&mut self, event: FleetEvent) {
         match event {
@@ -90,16 +45,15 @@
         }
     }
 
-    fn on_process_event(&mut self, id: InstanceId, process_number: u64, event: Event) {
+    fn on_process_event(&mut self, id: InstanceId, process_number: u64, event: ProcessEvent) {
         let instance = self.instance_mut(id);
-        if instance.process_number != process_number {
-            return;
+        let Some(role) = instance.role(process_number) else { return };
+        if matches!(event, ProcessEvent::Exited { .. }) {
+            *instance.running(role) = None;
         }
-        if matches!(event, Event::Exited(..)) {
-            instance.process = None;
-            instance.abort_check();
+        if let Some(event) = supervisor_event(id, role, event) {
+            self.supervise(event);
         }
-        self.supervise(event);
     }
 
     /// Passes an event to the state machine and performs the resulting actions.
@@ -117,15 +71,19 @@
 
     fn perform(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Start(id, release) => return self.start(id, release),
-            Action::Terminate(id) => self.terminate(id),
-            Action::Kill(id) => {
-                if let Some(process) = &self.instance(id).process {
-                    process.signal(Signal::KILL);
-                }
-            }
+            Action::Start(id, release) => return self.start(id, release, ProcessRole::Present),
+            Action::StartSuccessor(id, release) => return self.start(id, release, ProcessRole::Successor),
+            Action::Terminate(id) => self.terminate(id, ProcessRole::Present),
+            Action::TerminateSuccessor(id) => self.terminate(id, ProcessRole::Successor),
+            Action::TerminatePredecessor(id) => self.terminate(id, ProcessRole::Predecessor),
+            Action::Kill(id) => self.signal(id, ProcessRole::Present, Signal::KILL),
+            Action::KillSuccessor(id) => self.signal(id, ProcessRole::Successor, Signal::KILL),
+            Action::KillPredecessor(id) => self.signal(id, ProcessRole::Predecessor, Signal::KILL),
+            Action::Promote(id) => self.promote(id),
+            Action::CloseListener(id) => self.instance_mut(id).listener = None,
             Action::Reload(id) => self.reload(id),
-            Action::Prove(id) => self.prove(id),
+            Action::Prove(id) => self.prove(id, ProcessRole::Present),
+            Action::ProveSuccessor(id) => self.prove(id, ProcessRole::Successor),
             Action::RollEnded(result) => self.on_roll_ended(result),
             Action::Refused(refusal) => {
                 warn!(%refusal, "command refused");
@@ -146,6 +104,10 @@
             Report::Failed { failures } => {
                 warn!(instance = %name, deaths = failures, "instance failed, not restarting it");
             }
+            Report::EndedFirst => {
+                info!(instance = %name, "instance cannot be replaced while it runs, ending it first");
+            }
+            Report::NotReplaced(reason) => warn!(instance = %name, reason, "new process does not take over"),
             Report::Killed => warn!(instance = %name, "instance did not stop in time, killing it"),
         }
         let line = format!("{name} {report}");
@@ -176,93 +138,105 @@
         }
     }
 
-    fn start(&mut self, id: InstanceId, release: ReleaseId) -> Option<Event> {
-        let (program, instance) = (&self.programs[release.0], &mut self.instances[id.0]);
-        let started = process::start(&instance.member, program, &instance.dir, &instance.listener);
+    fn start(&mut self, id: InstanceId, release: ReleaseId, role: ProcessRole) -> Option<Event> {
+        let (program, instance) = (self.programs[release.0].clone(), &mut self.instances[id.0]);
+        let (member, dir) = (instance.member.clone(), instance.dir.clone());
+        let started = instance
+            .open_listener()
+            .and_then(|listener| process::start(&member, &program, &dir, listener, role));
         let (process, mut child) = match started {
             Ok(started) => started,
+            Err(e) if role == ProcessRole::Successor => {
+                return Some(Event::Successor(id, SuccessorEvent::StartFailed(e.to_string())));
+            }
             Err(e) => return Some(Event::StartFailed(id, e.to_string())),
         };
-        instance.process_number += 1;
-        instance.adopted = false;
-        instance.process = Some(process);
-        let events = instance.process_events(id, &self.events);
+        if role == ProcessRole::Present {
+            instance.adopted = false;
+        }
+        let process_number = instance.add_process(role, process);
+        let events = ProcessEvents { id, process_number, events: self.events.clone() };
         tokio::task::spawn_local(async move {
-            let exit = match child.wait().await {
-                Ok(status) => status.to_string(),
-                Err(e) => e.to_string(),
-            };
-            events.send(Event::Exited(id, exit));
+            events.send(match child.wait().await {
+                Ok(status) => ProcessEvent::Exited { status: status.to_string(), code: status.code() },
+                Err(e) => ProcessEvent::Exited { status: e.to_string(), code: None },
+            });
         });
-        self.watch_readiness(id);
+        self.watch_readiness(id, role);
         None
     }
 
-    /// Watches a process that an earlier supervisor has started.
+    /// Watches processes that an earlier supervisor has started.
     pub(super) fn watch_adopted(&mut self, id: InstanceId) {
-        let instance = self.instance(id);
-        let events = instance.process_events(id, &self.events);
-        if let Some(Ok(process)) = instance.process.as_ref().map(Process::try_clone) {
-            tokio::task::spawn_local(async move {
-                process.exited().await;
-                events.send(Event::Exited(id, UNKNOWN_EXIT.into()));
-            });
+        self.watch_exit_of_adopted(id, ProcessRole::Present);
+        self.watch_readiness(id, ProcessRole::Present);
+        if self.instance(id).predecessor.is_some() {
+            self.watch_exit_of_adopted(id, ProcessRole::Predecessor);
         }
-        self.watch_readiness(id);
     }
 
-    fn watch_readiness(&mut self, id: InstanceId) {
+    fn watch_exit_of_adopted(&mut self, id: InstanceId, role: ProcessRole) {
+        let events = self.events.clone();
+        let Some(running) = self.instance_mut(id).running(role) else { return };
+        let events = ProcessEvents { id, process_number: running.number, events };
+        let Ok(process) = running.process.try_clone() else { return };
+        tokio::task::spawn_local(async move {
+            process.exited().await;
+            events.send(ProcessEvent::Exited { status: UNKNOWN_EXIT.into(), code: None });
+        });
+    }
+
+    fn watch_readiness(&mut self, id: InstanceId, role: ProcessRole) {
         let dir = self.instance(id).dir.clone();
-        self.start_check(id, move |pid| async move {
+        self.start_check(id, role, move |pid| async move {
             prove::wait_until_ready(&dir, pid).await;
-            Event::Ready(id)
+            ProcessEvent::Ready
         });
     }
 
-    fn prove(&mut self, id: InstanceId) {
+    fn prove(&mut self, id: InstanceId, role: ProcessRole) {
         let instance = self.instance(id);
         let (dir, address) = (instance.dir.clone(), instance.address);
-        self.start_check(id, move |pid| async move {
+        self.start_check(id, role, move |pid| async move {
             match prove::verify_serving(&dir, pid, address).await {
-                Ok(()) => Event::Proved(id),
-                Err(error) => Event::ProofFailed(id, error.to_string()),
+                Ok(()) => ProcessEvent::Proved,
+                Err(error) => ProcessEvent::ProofFailed(error.to_string()),
             }
         });
     }
 
-    /// Runs a check of an instance's present process, identified by its process id, and aborts an earlier check.
-    fn start_check<F>(&mut self, id: InstanceId, check: impl FnOnce(u32) -> F)
+    /// Runs a check of a process, identified by its process id, and aborts an earlier check.
+    fn start_check<F>(&mut self, id: InstanceId, role: ProcessRole, check: impl FnOnce(u32) -> F)
     where
-        F: std::future::Future<Output = Event> + 'static,
+        F: std::future::Future<Output = ProcessEvent> + 'static,
     {
-        let instance = &mut self.instances[id.0];
-        let Some(process) = &instance.process else { return };
-        let result = check(process.pid);
-        let events = instance.process_events(id, &self.events);
-        let task = tokio::task::spawn_local(async move { events.send(result.await) });
-        if let Some(earlier) = instance.check.replace(task) {
-            earlier.abort();
-        }
+        let events = self.events.clone();
+        let Some(running) = self.instance_mut(id).running(role) else { return };
+        let result = check(running.process.pid);
+        let events = ProcessEvents { id, process_number: running.number, events };
+        running.set_check(Some(tokio::task::spawn_local(async move { events.send(result.await) })));
     }
 
-    /// Makes a process shut down. Unless the fleet stops, the next process accepts on the same socket, so the process is
-    /// requested to drain without waiting for late clients. A process that does not respond to the request, or any
-    /// process when the fleet stops, gets SIGTERM.
-    fn terminate(&mut self, id: InstanceId) {
-        let handover = !self.supervisor.stopping();
+    /// Makes the successor the instance's present process.
+    fn promote(&mut self, id: InstanceId) {
         let instance = self.instance_mut(id);
-        instance.abort_check();
-        let Some(process) = &instance.process else { return };
-        if !handover {
-            return process.signal(Signal::TERM);
+        instance.predecessor = std::mem::replace(&mut instance.process, instance.successor.take());
+        instance.adopted = false;
+    }
+
+    /// Makes a process shut down gracefully. One that has been replaced stops accepting at once; any other one accepts late clients
+    /// for a while, since no process does after it.
+    fn terminate(&mut self, id: InstanceId, role: ProcessRole) {
+        if let Some(running) = self.instance_mut(id).running(role) {
+            running.set_check(None);
+        }
+        self.signal(id, role, Signal::TERM);
+    }
+
+    fn signal(&mut self, id: InstanceId, role: ProcessRole, signal: Signal) {
+        if let Some(running) = self.instance_mut(id).running(role) {
+            running.process.signal(signal);
         }
-        let Ok(process) = process.try_clone() else { return process.signal(Signal::TERM) };
-        let dir = instance.dir.clone();
-        tokio::task::spawn_local(async move {
-            if control::request(&dir, &InstanceRequest::Drain { handover: true }).await.is_err() {
-                process.signal(Signal::TERM);
-            }
-        });
     }
 
     fn reload(&mut self, id: InstanceId) {
@@ -274,3 +248,29 @@
         });
     }
 }
+
+/// The state machine's event for an event of a process in this role; none if it does not matter.
+fn supervisor_event(id: InstanceId, role: ProcessRole, event: ProcessEvent) -> Option<Event> {
+    let successor = |event| Some(Event::Successor(id, event));
+    match (role, event) {
+        (ProcessRole::Present, ProcessEvent::Exited { status, .. }) => Some(Event::Exited(id, status)),
+        (ProcessRole::Present, ProcessEvent::Ready) => Some(Event::Ready(id)),
+        (ProcessRole::Present, ProcessEvent::Proved) => Some(Event::Proved(id)),
+        (ProcessRole::Present, ProcessEvent::ProofFailed(reason)) => Some(Event::ProofFailed(id, reason)),
+        (ProcessRole::Successor, ProcessEvent::Exited { code: Some(code), .. })
+            if code == i32::from(exit::ALREADY_RUNNING) =>
+        {
+            successor(SuccessorEvent::Unsupported)
+        }
+        (ProcessRole::Successor, ProcessEvent::Exited { status, .. }) => {
+            successor(SuccessorEvent::Exited(status))
+        }
+        (ProcessRole::Successor, ProcessEvent::Ready) => successor(SuccessorEvent::Ready),
+        (ProcessRole::Successor, ProcessEvent::Proved) => successor(SuccessorEvent::Proved),
+        (ProcessRole::Successor, ProcessEvent::ProofFailed(reason)) => {
+            successor(SuccessorEvent::ProofFailed(reason))
+        }
+        (ProcessRole::Predecessor, ProcessEvent::Exited { .. }) => Some(Event::PredecessorExited(id)),
+        (ProcessRole::Predecessor, _) => None,
+    }
+}
--- a/crates/agent/src/fleet/mod.rs
+++ b/crates/agent/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod instances;
 mod process;
 mod prove;
+mod slot;
 mod supervisor_loop;
 
 use crate::daemon::state::{StateDir, StateDirError};
@@ -17,7 +18,7 @@
 use bellcroft_operator_config::{FleetFile, FleetInstance};
 use bellcroft_supervisor::{InstanceId, Supervisor};
 use commands::{FleetEvent, ReloadProgress, RollResult};
-use instances::InstanceSlot;
+use slot::InstanceSlot;
 use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/agent/src/fleet/process.rs
+++ b/crates/agent/src/fleet/process.rs
@@ -3,8 +3,9 @@
 //! A process is identified by a pidfd (pidfd_open(2)), so that a signal never reaches another process that has reused
 //! the process id.
 
-use crate::daemon::commands::InstanceRequest;
-use crate::daemon::{control, state};
+use super::slot::ProcessRole;
+use crate::daemon::commands::{InstanceRequest, ListenerReply};
+use crate::daemon::{control, state, SUCCESSOR_VARIABLE};
 use bellcroft_operator_config::FleetInstance;
 use command_fds::{CommandFdExt, FdMapping};
 use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
@@ -70,6 +71,7 @@
     program: &Path,
     dir: &Path,
     listener: &TcpListener,
+    role: ProcessRole,
 ) -> io::Result<(Process, tokio::process::Child)> {
     std::fs::create_dir_all(dir)?;
     let log = dir.join("log");
@@ -78,6 +80,9 @@
     }
     let log = OpenOptions::new().create(true).append(true).mode(0o600).open(&log)?;
     let mut command = instance_command(member, program, dir);
+    if role == ProcessRole::Successor {
+        command.env(SUCCESSOR_VARIABLE, "1");
+    }
     command
         .env("PROXY_NAME", &member.name)
         .env("PROXY_LISTEN", listener.local_addr()?.to_string())
@@ -114,18 +119,29 @@
         "LISTEN_FDNAMES",
         "PROXY_CONFIG",
         "PROXY_DISCOVERY",
+        SUCCESSOR_VARIABLE,
     ] {
         command.env_remove(variable);
     }
     command
 }
 
+/// A process that an earlier supervisor started.
+pub struct AdoptedProcess {
+    /// The process that holds the instance's state directory.
+    pub process: Process,
+    /// The process that it has replaced, if that is still running.
+    pub predecessor: Option<Process>,
+    /// The listening socket, if the process passed it.
+    pub listener: Option<TcpListener>,
+}
+
 /// Result of the search for a process that an earlier supervisor started.
 pub enum Adoption {
     /// No process runs.
     NotRunning,
-    /// A process runs; its listening socket is present if the process passed it.
-    Running(Process, Option<TcpListener>),
+    /// A process runs.
+    Running(AdoptedProcess),
     /// A process holds the instance's lock and does not respond.
     Unresponsive,
 }
@@ -138,20 +154,36 @@
         if !state::is_locked(dir) {
             return Adoption::NotRunning;
         }
-        if let Some((process, listener)) = find_process(dir).await {
-            return Adoption::Running(process, listener);
+        if let Some(adopted) = find_process(dir).await {
+            return Adoption::Running(adopted);
         }
         tokio::time::sleep(ADOPTION_RETRY_INTERVAL).await;
     }
     Adoption::Unresponsive
 }
 
-async fn find_process(dir: &Path) -> Option<(Process, Option<TcpListener>)> {
+async fn find_process(dir: &Path) -> Option<AdoptedProcess> {
     let pid = control::request(dir, &InstanceRequest::Status).await.ok()?.pid?;
     let pidfd = open_pidfd(pid).ok()?;
     let reply = control::request(dir, &InstanceRequest::Listener).await.ok()?;
     if reply.pid != Some(pid) {
         return None;
     }
-    Some((Process { pid, pidfd }, reply.descriptor.map(TcpListener::from)))
+    let predecessor = match ListenerReply::predecessor(&reply.value) {
+        Some(predecessor) => find_predecessor(dir, pid, predecessor).await,
+        None => None,
+    };
+    Some(AdoptedProcess {
+        process: Process { pid, pidfd },
+        predecessor,
+        listener: reply.descriptor.map(TcpListener::from),
+    })
+}
+
+/// Opens the process that `pid` has replaced. If `pid` still names it afterwards, the pidfd refers to that process.
+async fn find_predecessor(dir: &Path, pid: u32, predecessor: u32) -> Option<Process> {
+    let pidfd = open_pidfd(predecessor).ok()?;
+    let reply = control::request(dir, &InstanceRequest::Listener).await.ok()?;
+    let is_same = reply.pid == Some(pid) && ListenerReply::predecessor(&reply.value) == Some(predecessor);
+    is_same.then_some(Process { pid: predecessor, pidfd })
 }
--- a/crates/agent/src/fleet/supervisor_loop.rs
+++ b/crates/agent/src/fleet/supervisor_loop.rs
@@ -1,8 +1,8 @@
 //! Start, event loop and end of the supervisor process.
 
 use super::commands::FleetEvent;
-use super::instances::InstanceSlot;
 use super::process::{self, Adoption};
+use super::slot::{InstanceSlot, ProcessRole};
 use super::{instance_dir, Fleet, RecentLog};
 use crate::daemon::control::Control;
 use crate::daemon::notify::Notify;
@@ -114,11 +114,15 @@
     let mut instances = Vec::with_capacity(file.instances.len());
     for (member, adoption) in file.instances.iter().zip(adoptions) {
         let dir = instance_dir(file, member);
-        let (process, listener) = match adoption.await? {
-            Adoption::NotRunning => (None, None),
-            Adoption::Running(process, listener) => (Some(process), listener),
+        let adopted = match adoption.await? {
+            Adoption::NotRunning => None,
+            Adoption::Running(adopted) => Some(adopted),
             Adoption::Unresponsive => return Err(SupervisorError::UnresponsiveProcess { dir }),
         };
+        let (process, predecessor, listener) = match adopted {
+            Some(adopted) => (Some(adopted.process), adopted.predecessor, adopted.listener),
+            None => (None, None, None),
+        };
         let listener = match listener {
             Some(listener) => listener,
             None => bind(member.listen).map_err(|source| SupervisorError::Listen {
@@ -128,21 +132,29 @@
             })?,
         };
         let address = listener.local_addr().map_err(SupervisorError::ListenerAddress)?;
-        instances.push(InstanceSlot {
+        let mut instance = InstanceSlot {
             member: member.clone(),
             dir,
-            listener,
+            listener: Some(listener),
             address,
             adopted: process.is_some(),
-            process,
-            process_number: 0,
-            check: None,
-        });
+            process: None,
+            successor: None,
+            predecessor: None,
+            last_number: 0,
+        };
+        for (role, process) in [(ProcessRole::Present, process), (ProcessRole::Predecessor, predecessor)] {
+            if let Some(process) = process {
+                instance.add_process(role, process);
+            }
+        }
+        instances.push(instance);
     }
     Ok(instances)
 }
 
-fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+/// Binds a listening socket. Connections are accepted by the instance's processes, to which it is passed.
+pub(super) fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let domain = match listen {
         SocketAddr::V4(_) => rustix::net::AddressFamily::INET,
         SocketAddr::V6(_) => rustix::net::AddressFamily::INET6,
@@ -164,6 +176,9 @@
         for id in adopted {
             self.supervise(Event::Adopted(id));
             self.watch_adopted(id);
+            if self.instance(id).predecessor.is_some() {
+                self.supervise(Event::PredecessorAdopted(id));
+            }
         }
         self.supervise(Event::Tick);
     }
--- a/crates/supervisor/src/actions.rs
+++ b/crates/supervisor/src/actions.rs
@@ -16,6 +16,24 @@
     /// Check whether the instance serves requests, and report [`Event::Proved`](crate::Event::Proved) or
     /// [`Event::ProofFailed`](crate::Event::ProofFailed).
     Prove(InstanceId),
+    /// Start a process that is to replace the instance's present one, which goes on serving meanwhile.
+    StartSuccessor(InstanceId, ReleaseId),
+    /// Check whether the successor serves requests, and report [`SuccessorEvent::Proved`](crate::SuccessorEvent::Proved) or
+    /// [`SuccessorEvent::ProofFailed`](crate::SuccessorEvent::ProofFailed).
+    ProveSuccessor(InstanceId),
+    /// Request that the successor exit (SIGTERM).
+    TerminateSuccessor(InstanceId),
+    /// Kill the successor (SIGKILL).
+    KillSuccessor(InstanceId),
+    /// The successor is the instance's process from now on; the former one, if it runs, is its predecessor.
+    Promote(InstanceId),
+    /// Request that the predecessor exit (SIGTERM).
+    TerminatePredecessor(InstanceId),
+    /// Kill the predecessor (SIGKILL).
+    KillPredecessor(InstanceId),
+    /// Close the instance's listening socket until its next start: no process will accept soon. A connection that is
+    /// refused holds no request.
+    CloseListener(InstanceId),
     /// The roll has ended: every instance has been restarted or skipped, or the roll stopped early with an error.
     RollEnded(Result<(), RollError>),
     /// The command is refused in the present state.
@@ -76,6 +94,12 @@
         /// Number of consecutive failures.
         failures: u32,
     },
+    /// A roll ends the present process before it starts the next one, which cannot run beside it.
+    #[error("cannot be replaced while it runs; it is ended first")]
+    EndedFirst,
+    /// The process that was to replace the present one did not take over, for this reason.
+    #[error("goes on with its present process, for the new one {0}")]
+    NotReplaced(String),
     /// The process did not exit within [`Policy::stop_within`](crate::Policy::stop_within) and is killed.
     #[error("does not end; it is killed")]
     Killed,
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -17,9 +17,12 @@
 //!
 //! # Invariants
 //!
-//! - An instance never has two processes: a new process starts only after the previous one has exited.
-//! - A roll takes down at most [`Policy::roll_at_once`] instances at a time. It continues only when a restarted instance
-//!   is ready and verified to serve, and stops with the reason if one is not.
+//! - An instance has two processes only during a roll: the present one goes on serving until its successor is ready and verified
+//!   to serve, and only then is terminated. A successor that fails leaves the present one as it is. Otherwise a new process starts
+//!   only after the previous one has exited.
+//! - A roll replaces at most [`Policy::roll_at_once`] instances at a time. It continues only when the former process of an instance
+//!   has exited, and stops with the reason if a successor does not serve.
+//! - While no process of an instance accepts connections and none will soon, its listening socket is closed.
 //! - Starts are at least [`Policy::start_every`] apart. A failure is followed by a backoff that doubles, with jitter, up
 //!   to [`Restart::max`]. An instance with more than [`Restart::limit`] failures, without [`Restart::forgive_after`] of
 //!   readiness between them, becomes [`Phase::Failed`]; the other instances continue.
@@ -30,11 +33,12 @@
 mod events;
 mod machine;
 mod policy;
+mod replacement;
 mod roll;
 mod states;
 
 pub use actions::{Action, Refusal, Report, RollError};
-pub use events::{Command, Event};
+pub use events::{Command, Event, SuccessorEvent};
 pub use machine::Supervisor;
 pub use policy::{Policy, Restart};
 pub use states::{InstanceId, Phase, ReleaseId, Time};
--- a/crates/supervisor/src/machine.rs
+++ b/crates/supervisor/src/machine.rs
@@ -3,29 +3,55 @@
 use crate::actions::{Action, Refusal, Report, RollError};
 use crate::events::{Command, Event};
 use crate::policy::Policy;
+use crate::replacement::{Shutdown, Successor};
 use crate::roll::Roll;
 use crate::states::{InstanceId, Phase, ReleaseId, Time};
 use std::time::Duration;
 
+/// Maximum time for which connections may wait in the accept queue of a socket that no process reads. A request is owed its answer
+/// half a second after its deadline at the latest, and the next process has to start within that too.
+const MAX_UNREAD: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Clone)]
-struct Instance {
-    phase: Phase,
-    release: ReleaseId,
+pub(crate) struct Instance {
+    pub(crate) phase: Phase,
+    pub(crate) release: ReleaseId,
     /// Consecutive failures, which determine the backoff before the next start.
-    consecutive_failures: u32,
+    pub(crate) consecutive_failures: u32,
     /// Number of all starts, for the status.
-    starts: u64,
+    pub(crate) starts: u64,
+    /// The process that is to replace the present one.
+    pub(crate) successor: Option<Successor>,
+    /// The shutdown of the process that the present one has replaced.
+    pub(crate) predecessor: Option<Shutdown>,
+}
+
+impl Instance {
+    /// Whether a process runs beside the present one, or is to run.
+    pub(crate) fn is_being_replaced(&self) -> bool {
+        self.successor.is_some() || self.predecessor.is_some()
+    }
+
+    /// The time from which the instance's next process may start; none if it waits for no start.
+    fn start_due(&self) -> Option<Time> {
+        match (&self.successor, &self.phase) {
+            (Some(successor), _) => successor.start_due(),
+            // A new process could not be told from the one that is still shutting down.
+            (None, Phase::Waiting { until }) if self.predecessor.is_none() => Some(*until),
+            _ => None,
+        }
+    }
 }
 
 /// Supervises the instances of one fleet.
 pub struct Supervisor {
-    policy: Policy,
-    instances: Vec<Instance>,
+    pub(crate) policy: Policy,
+    pub(crate) instances: Vec<Instance>,
     random: fastrand::Rng,
     /// Earliest time at which any process may start.
     next_start: Time,
-    roll: Option<Roll>,
-    stopping: bool,
+    pub(crate) roll: Option<Roll>,
+    pub(crate) stopping: bool,
     finished: bool,
 }
 
@@ -37,6 +63,8 @@
             release: ReleaseId::default(),
             consecutive_failures: 0,
             starts: 0,
+            successor: None,
+            predecessor: None,
         };
         Supervisor {
             policy,
@@ -76,12 +104,15 @@
 
     /// Returns when [`Event::Tick`] is due if no other event occurs before.
     pub fn next_wake(&self) -> Option<Time> {
-        let due = |instance: &Instance| match instance.phase {
-            Phase::Waiting { until } if !self.stopping => Some(until.max(self.next_start)),
-            Phase::Starting { since } => Some(since + self.policy.ready_within),
-            Phase::Proving { since } => Some(since + self.policy.prove_within),
-            Phase::Stopping { since, killed: false } => Some(since + self.policy.stop_within),
-            _ => None,
+        let start = |instance: &Instance| {
+            instance.start_due().filter(|_| !self.stopping).map(|until| until.max(self.next_start))
+        };
+        let due = |instance: &Instance| {
+            let successor = instance.successor.as_ref().map(|successor| &successor.phase);
+            let timeouts = [Some(&instance.phase), successor].into_iter().flatten();
+            let shutdown = instance.predecessor.and_then(|shutdown| shutdown.kill_at(&self.policy));
+            let timeouts = timeouts.filter_map(|phase| phase.timeout(&self.policy));
+            timeouts.chain(shutdown).chain(start(instance)).min()
         };
         self.instances.iter().filter_map(due).min()
     }
@@ -109,6 +140,9 @@
                 self.on_exited(now, id, format!("cannot be started: {reason}"), actions);
             }
             Event::Exited(id, status) => self.on_exited(now, id, status, actions),
+            Event::Successor(id, event) => self.on_successor_event(now, id, event, actions),
+            Event::PredecessorExited(id) => self.on_predecessor_exited(id),
+            Event::PredecessorAdopted(id) => return self.adopt_predecessor(now, id, actions),
             Event::Command(command) => self.on_command(now, command, actions),
             Event::Tick => {}
         }
@@ -126,7 +160,10 @@
         }
     }
 
-    fn reload(&self, actions: &mut Vec<Action>) {
+    fn reload(&mut self, actions: &mut Vec<Action>) {
+        for successor in self.instances.iter_mut().filter_map(|instance| instance.successor.as_mut()) {
+            successor.missed_reload = successor.start_due().is_none();
+        }
         let can_reload = |instance: &Instance| {
             instance.phase.has_process() && !matches!(instance.phase, Phase::Stopping { .. })
         };
@@ -154,11 +191,14 @@
         self.stopping = true;
         self.end_roll(Err(RollError::FleetStopping), actions);
         for index in 0..self.instances.len() {
+            let id = InstanceId(index);
+            self.terminate_successor(now, id, actions);
             match self.instances[index].phase {
                 Phase::Waiting { .. } | Phase::Failed { .. } => {
                     self.instances[index].phase = Phase::Stopped;
+                    actions.push(Action::CloseListener(id));
                 }
-                _ => self.terminate(now, InstanceId(index), actions),
+                _ => self.terminate(now, id, actions),
             }
         }
     }
@@ -175,7 +215,7 @@
         let instance = &mut self.instances[id.0];
         if matches!(instance.phase, Phase::Proving { .. }) {
             instance.phase = Phase::Ready { since: now };
-            if let Some(roll) = &mut self.roll {
+            if let Some(roll) = self.roll.as_mut().filter(|_| instance.predecessor.is_none()) {
                 roll.on_serving(id);
             }
         }
@@ -189,11 +229,13 @@
         self.terminate(now, id, actions);
     }
 
-    fn terminate(&mut self, now: Time, id: InstanceId, actions: &mut Vec<Action>) {
+    /// Terminates a process that no other one replaces. It accepts connections for a while yet.
+    pub(crate) fn terminate(&mut self, now: Time, id: InstanceId, actions: &mut Vec<Action>) {
         let instance = &mut self.instances[id.0];
         if instance.phase.has_process() && !matches!(instance.phase, Phase::Stopping { .. }) {
             instance.phase = Phase::Stopping { since: now, killed: false };
             actions.push(Action::Terminate(id));
+            actions.push(Action::CloseListener(id));
         }
     }
 
@@ -207,6 +249,9 @@
             self.instances[id.0].phase = Phase::Stopped;
             return;
         }
+        if self.replace_exited(now, id, &status, actions) {
+            return;
+        }
         let expected = matches!(phase, Phase::Stopping { .. });
         if expected && self.roll.as_mut().is_some_and(|roll| roll.on_exited(id)) {
             return self.restart_for_roll(now, id);
@@ -235,13 +280,18 @@
         actions: &mut Vec<Action>,
     ) {
         self.fail_roll(id, status, actions);
+        self.count_failure(now, id, phase);
+        actions.push(Action::Report(id, Report::UnexpectedExit(status.to_owned())));
+    }
+
+    /// Counts the unexpected exit of a process in this phase.
+    pub(crate) fn count_failure(&mut self, now: Time, id: InstanceId, phase: &Phase) {
         let forgive_after = self.policy.restart.forgive_after;
         let instance = &mut self.instances[id.0];
         if matches!(phase, Phase::Ready { since } if now.saturating_sub(*since) >= forgive_after) {
             instance.consecutive_failures = 0;
         }
         instance.consecutive_failures += 1;
-        actions.push(Action::Report(id, Report::UnexpectedExit(status.to_owned())));
     }
 
     /// Schedules the next start after the backoff, or marks the instance as failed after too many consecutive failures.
@@ -249,6 +299,7 @@
         let instance = &mut self.instances[id.0];
         if instance.consecutive_failures > self.policy.restart.limit {
             actions.push(Action::Report(id, Report::Failed { failures: instance.consecutive_failures }));
+            actions.push(Action::CloseListener(id));
             instance.phase = Phase::Failed { reason: status };
             return;
         }
@@ -258,10 +309,13 @@
             failures => self.policy.restart.backoff(failures, self.random.f64()),
         };
         instance.phase = Phase::Waiting { until: now + backoff };
+        if backoff > MAX_UNREAD || instance.is_being_replaced() {
+            actions.push(Action::CloseListener(id));
+        }
     }
 
     /// Stops the roll if it was restarting this instance, which returns to its previous program.
-    fn fail_roll(&mut self, id: InstanceId, reason: &str, actions: &mut Vec<Action>) {
+    pub(crate) fn fail_roll(&mut self, id: InstanceId, reason: &str, actions: &mut Vec<Action>) {
         let previous = self.roll.as_ref().and_then(|roll| roll.previous_release(id));
         let Some(previous) = previous else { return };
         self.instances[id.0].release = previous;
@@ -278,10 +332,12 @@
     fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
         for index in 0..self.instances.len() {
             self.check_timeout(now, InstanceId(index), actions);
+            self.check_replacement_timeouts(now, InstanceId(index), actions);
         }
         self.continue_roll(now, actions);
         self.start_next(now, actions);
-        let stopped = |instance: &Instance| matches!(instance.phase, Phase::Stopped);
+        let stopped =
+            |instance: &Instance| matches!(instance.phase, Phase::Stopped) && !instance.is_being_replaced();
         if self.stopping && !self.finished && self.instances.iter().all(stopped) {
             self.finished = true;
             actions.push(Action::Finished);
@@ -312,16 +368,18 @@
             }
             // Instances that are down for another reason count towards the limit too, but not failed ones.
             let down = |i: &Instance| !matches!(i.phase, Phase::Ready { .. } | Phase::Failed { .. });
-            let down = self.instances.iter().filter(|i| down(i)).count();
+            let down = self.instances.iter().filter(|i| down(i) || i.is_being_replaced()).count();
             if down >= self.policy.roll_at_once {
                 return;
             }
             let Some(id) = roll.next() else { return };
-            let instance = &self.instances[id.0];
+            let instance = &mut self.instances[id.0];
             match instance.phase {
+                Phase::Ready { .. } if instance.is_being_replaced() => return,
                 Phase::Ready { .. } => {
                     roll.start_restart(id, instance.release);
-                    self.terminate(now, id, actions);
+                    let release = roll.release().unwrap_or(instance.release);
+                    instance.successor = Some(Successor::new(release, now));
                 }
                 // An instance that failed since the start of the roll is not restarted.
                 Phase::Failed { .. } => roll.skip(),
@@ -336,15 +394,22 @@
             return;
         }
         while now >= self.next_start {
-            let due = |(index, i): (usize, &Instance)| match i.phase {
-                Phase::Waiting { until } if until <= now => Some((until, index)),
-                _ => None,
+            let due = |(index, i): (usize, &Instance)| {
+                i.start_due().filter(|until| *until <= now).map(|until| (until, index))
             };
             let Some((_, index)) = self.instances.iter().enumerate().filter_map(due).min() else { return };
-            let instance = &mut self.instances[index];
-            instance.phase = Phase::Starting { since: now };
+            let (id, instance) = (InstanceId(index), &mut self.instances[index]);
             instance.starts += 1;
-            actions.push(Action::Start(InstanceId(index), instance.release));
+            match &mut instance.successor {
+                Some(successor) => {
+                    successor.phase = Phase::Starting { since: now };
+                    actions.push(Action::StartSuccessor(id, successor.release));
+                }
+                None => {
+                    instance.phase = Phase::Starting { since: now };
+                    actions.push(Action::Start(id, instance.release));
+                }
+            }
             self.next_start = now + self.policy.start_every;
         }
     }
--- a/crates/supervisor/src/states.rs
+++ b/crates/supervisor/src/states.rs
@@ -1,5 +1,6 @@
 //! Identifiers, time, and the phases of an instance.
 
+use crate::Policy;
 use std::time::Duration;
 
 /// Identifies an instance by its index in the fleet's list.
@@ -61,6 +62,16 @@
         )
     }
 
+    /// The time at which a process that is still in this phase has taken too long; none if the phase may last.
+    pub(crate) fn timeout(&self, policy: &Policy) -> Option<Time> {
+        match self {
+            Phase::Starting { since } => Some(*since + policy.ready_within),
+            Phase::Proving { since } => Some(*since + policy.prove_within),
+            Phase::Stopping { since, killed: false } => Some(*since + policy.stop_within),
+            _ => None,
+        }
+    }
+
     /// Name of the phase in the fleet's status.
     pub fn as_str(&self) -> &'static str {
         match self {
