A request in an inherited accept queue counts from when it arrived

Callers saw: a request that waited for its accept at a socket that a supervisor holds was sent to a server after its client's time was over. The users' page: nothing goes out for a request after its final answer is due.

Evidence: a request of 300 ms that stood 0.7 s in an inherited queue was answered 200 before, and is answered 429 and not sent on now.

Change: the queue of a socket that another process has opened counts as one in which connections have waited, until it has been empty once.

Test: request_that_waited_longer_than_its_time_for_the_accept_is_not_forwarded, which failed before.

--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -15,7 +15,7 @@
 use super::status::Phase;
 use super::Startup;
 use crate::control_plane::ControlPlane;
-use crate::downstream::Server;
+use crate::downstream::{QueueOrigin, Server};
 use bellcroft_agent_core::handover::HandoverEvent;
 use bellcroft_agent_core::serving::ShutdownKind;
 use bellcroft_agent_core::shutdown::ShutdownSignal;
@@ -287,7 +287,9 @@
 
     fn accept_clients(&mut self) {
         if let Some(listener) = self.listener.take() {
-            self.accept_task = Some(tokio::task::spawn_local(self.instance.server.clone().accept(listener)));
+            let origin = if self.socket_inherited { QueueOrigin::Inherited } else { QueueOrigin::Own };
+            let accepting = self.instance.server.clone().accept(listener, origin);
+            self.accept_task = Some(tokio::task::spawn_local(accepting));
         }
     }
 
--- a/crates/agent/src/downstream/accept.rs
+++ b/crates/agent/src/downstream/accept.rs
@@ -36,6 +36,21 @@
     pub assumed: Duration,
 }
 
+/// The longest time for which connections are taken to have waited in the queue of a socket that another process has opened.
+const MAX_INHERITED_DELAY: Duration = Duration::from_secs(30);
+/// The delay that is assumed for these if the kernel does not tell: a supervisor leaves a socket open for no longer while no process
+/// accepts.
+const ASSUMED_INHERITED_DELAY: Duration = Duration::from_millis(500);
+
+/// Who opened a listening socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueOrigin {
+    /// This process: its accept queue was empty.
+    Own,
+    /// Another process: connections may have waited in its accept queue while no process accepted.
+    Inherited,
+}
+
 /// The kernel's queue of connections that have not been accepted. It does not tell how long a connection has been in it.
 #[derive(Default)]
 struct AcceptQueue {
@@ -50,6 +65,17 @@
 }
 
 impl AcceptQueue {
+    fn new(origin: QueueOrigin) -> Self {
+        match origin {
+            QueueOrigin::Own => AcceptQueue::default(),
+            QueueOrigin::Inherited => AcceptQueue {
+                nonempty_since: Instant::now().checked_sub(MAX_INHERITED_DELAY),
+                delayed_since: Instant::now().checked_sub(ASSUMED_INHERITED_DELAY),
+                ..AcceptQueue::default()
+            },
+        }
+    }
+
     /// Called when connections are left in the queue.
     fn on_blocked(&mut self) {
         let now = Instant::now();
@@ -92,9 +118,9 @@
 
 impl Server {
     /// Accepts connections until [`Server::stop_accepting`] is called; those accepted by then are served.
-    pub async fn accept(self: Rc<Self>, listener: Listener) {
+    pub async fn accept(self: Rc<Self>, listener: Listener, origin: QueueOrigin) {
         let mut accepting = self.accepting.subscribe();
-        let mut queue = AcceptQueue::default();
+        let mut queue = AcceptQueue::new(origin);
         let mut shortages = 0;
         let stopped = loop {
             let accepted = tokio::select! {
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -17,7 +17,7 @@
 use crate::daemon::status::RequestCounters;
 use crate::driver::Driver;
 use crate::request_log::CloseReason;
-pub use accept::AcceptDelay;
+pub use accept::{AcceptDelay, QueueOrigin};
 use bellcroft_agent_core::guard::{ConnectionState, Guard};
 use bellcroft_agent_core::serving::{Service, ServingState};
 use bellcroft_net::Stream;
--- a/crates/agent/tests/daemon/service_manager.rs
+++ b/crates/agent/tests/daemon/service_manager.rs
@@ -79,6 +79,31 @@
     assert_eq!(other.end().await.0, Some(0));
 }
 
+/// Guards against requests that are sent on after their time because they stood in the accept queue of an inherited socket, and their
+/// time was counted from when they were read.
+#[tokio::test]
+async fn request_that_waited_longer_than_its_time_for_the_accept_is_not_forwarded() {
+    let (mut backend, _directory, config) = world().await;
+    let daemon = Daemon::new(&config);
+    let given = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = given.local_addr().expect("an address");
+    let mut waiting = Vec::new();
+    for (number, wait) in ["300m", "20000m"].into_iter().enumerate() {
+        let mut client = Client { stream: TcpStream::connect(address).await.expect("a connection") };
+        client.send(&request_as(&format!("waits-{number}"), "GET", "/read", wait, "")).await;
+        waiting.push(client);
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    let process = running(handed(&daemon, vec![given.into()], "$$")).await;
+    let [late, in_time] = &mut waiting[..] else { unreachable!("there are two") };
+    assert_eq!(late.answer().await.status(), 429);
+    assert_eq!(in_time.answer().await.status(), 200);
+    assert!(backend.next().await.head.contains("waits-1"));
+    assert!(backend.seen.try_recv().is_err(), "it was sent on after its client's time");
+    process.signal("-TERM").await;
+    assert_eq!(process.end().await.0, Some(0));
+}
+
 #[tokio::test]
 async fn unusable_inherited_sockets_exit_with_2() {
     let (_backend, _directory, config) = world().await;
