The status thread, not the runtime's, asks whose state directory it is

Cause: since two processes of an instance may share a state directory, each status looked at the control socket's file from the runtime's thread, which must not wait for a disk. Found by reading.

Change: the writer's thread, which has the disk's waits anyway, looks before it writes; the runtime's thread knows by a flag whether it is still to take over.

--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -232,13 +232,18 @@
         text
     }
 
-    /// Writes the status file, unless another process serves the state directory's control socket.
+    /// Writes the status file, unless it is another process's. The disk is left to the writer's thread.
     pub(super) fn write_status(&self) {
-        if let Some(writer) = self.status_writer.borrow().as_ref().filter(|_| self.serves_state()) {
+        if let Some(writer) = self.status_writer.borrow().as_ref().filter(|_| !self.awaits_takeover()) {
             writer.write(self.status_json());
         }
     }
 
+    /// Whether this process is to replace another one that still serves the state directory's sockets.
+    pub(super) fn awaits_takeover(&self) -> bool {
+        self.state_place.borrow().as_ref().is_some_and(|place| place.awaits_takeover)
+    }
+
     /// Closes the copies of the listening socket: while one is open, the kernel accepts connections that no process serves. A process
     /// without a state directory may still be replaced by one that an operator starts, which asks for the socket.
     pub(super) fn close_listener_copies(&self) {
@@ -248,7 +253,7 @@
         }
     }
 
-    /// Whether this process serves the control socket of its state directory; false without one.
+    /// Whether this process serves the control socket of its state directory; false without one. Looks at the disk.
     pub(super) fn serves_state(&self) -> bool {
         self.state_place.borrow().as_ref().is_some_and(StatePlace::is_taken)
     }
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -131,6 +131,9 @@
         };
         let control_socket = Control::serve(state.path(), answer);
         let control_socket = control_socket.map_err(|e| problems.push(format!("control socket: {e}"))).ok();
+        if let Some((writer, control_socket)) = writer.as_ref().zip(control_socket.as_ref()) {
+            writer.set_control_socket(control_socket.file());
+        }
         StateFiles { writer, control_socket, instance }
     }
 
@@ -319,7 +322,7 @@
 
     fn check_readiness(&mut self) {
         if self.instance.phase() == Phase::Starting && self.instance.driver.is_ready() {
-            if self.awaits_takeover() {
+            if self.instance.awaits_takeover() {
                 self.take_over_state();
             }
             self.accept_clients();
@@ -355,7 +358,7 @@
         // After the last response, so that the last samples count it.
         instance.control.stop_telemetry().await;
         instance.set_phase(Phase::Stopped);
-        let writer = instance.status_writer.borrow_mut().take().filter(|_| instance.serves_state());
+        let writer = instance.status_writer.borrow_mut().take().filter(|_| !instance.awaits_takeover());
         if let Some(writer) = writer {
             writer.finish(instance.status_json()).await;
         }
--- a/crates/agent/src/daemon/state.rs
+++ b/crates/agent/src/daemon/state.rs
@@ -4,6 +4,7 @@
 //! when the process exits for whatever reason. Nothing on the request path touches the directory: the status file is
 //! written by a thread of its own, and a failed write is a problem in the status, not a reason to stop serving.
 
+use super::control::SocketFile;
 use std::fs::{DirBuilder, File, OpenOptions, Permissions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::os::fd::OwnedFd;
@@ -195,7 +196,8 @@
 }
 
 /// Writes the status file from a thread of its own, so that a slow disk delays nothing else. A status that arrives while
-/// another one waits replaces it: only the latest one is written.
+/// another one waits replaces it: only the latest one is written, and none once another process serves the directory's control
+/// socket.
 pub struct StatusWriter {
     shared: Arc<Shared>,
     thread: JoinHandle<()>,
@@ -216,6 +218,8 @@
     writing_since: Option<Instant>,
     /// Why the last write failed.
     problem: Option<String>,
+    /// The control socket of this process; none before it is served, and if it cannot be made.
+    control_socket: Option<SocketFile>,
 }
 
 impl Shared {
@@ -245,6 +249,11 @@
         Ok(StatusWriter { shared, thread })
     }
 
+    /// Sets the control socket of this process.
+    pub fn set_control_socket(&self, file: SocketFile) {
+        self.shared.lock().control_socket = Some(file);
+    }
+
     /// Queues a status, in place of one that still waits.
     pub fn write(&self, text: Vec<u8>) {
         self.shared.lock().pending = Some(text);
@@ -286,8 +295,11 @@
             continue;
         };
         state.writing_since = Some(Instant::now());
+        let control_socket = state.control_socket.clone();
         drop(state);
-        let problem = write_atomically(file, &text).err().map(|e| format!("{}: {e}", file.display()));
+        let is_replaced = control_socket.is_some_and(|socket| !socket.is_current());
+        let written = if is_replaced { Ok(()) } else { write_atomically(file, &text) };
+        let problem = written.err().map(|e| format!("{}: {e}", file.display()));
         state = shared.lock();
         (state.writing_since, state.problem) = (None, problem);
     }
--- a/crates/agent/src/daemon/takeover.rs
+++ b/crates/agent/src/daemon/takeover.rs
@@ -8,11 +8,6 @@
 use tracing::{info, warn};
 
 impl Serving {
-    /// Whether this process is to replace another one that still serves the state directory's sockets.
-    pub(super) fn awaits_takeover(&self) -> bool {
-        self.instance.state_place.borrow().as_ref().is_some_and(|place| place.awaits_takeover)
-    }
-
     /// Serves the control socket and the handover socket of the state directory, in place of the other process of a replacement.
     pub(super) fn take_over_state(&mut self) {
         let Some(state) = &self.state else { return };
@@ -25,6 +20,9 @@
                     place.awaits_takeover = false;
                     place.control_file = Some(control_socket.file());
                 }
+                if let Some(writer) = &*self.instance.status_writer.borrow() {
+                    writer.set_control_socket(control_socket.file());
+                }
                 self.control_socket = Some(control_socket);
             }
             Err(error) => warn!(instance = %self.instance.name(), %error, "control socket not available"),
@@ -34,7 +32,10 @@
 
     /// Handles the start or the exit of the other process of a replacement.
     pub(super) fn on_handover_change(&mut self) {
-        if self.is_alone() && !self.awaits_takeover() && self.state.is_some() && !self.instance.serves_state()
+        if self.is_alone()
+            && !self.instance.awaits_takeover()
+            && self.state.is_some()
+            && !self.instance.serves_state()
         {
             info!(instance = %self.instance.name(), "handover: successor has exited, taking the state directory back");
             self.take_over_state();
@@ -65,6 +66,6 @@
     /// Whether the supervisor that started this process has exited before the process could take over. The next supervisor knows
     /// only the process that serves.
     pub(super) fn is_abandoned(&self) -> bool {
-        self.awaits_takeover() && rustix::process::getppid() != self.supervisor
+        self.instance.awaits_takeover() && rustix::process::getppid() != self.supervisor
     }
 }
