--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -188,6 +188,16 @@
     }
 }
 
+/// Whether a process serves the Unix socket at this path.
+pub fn is_served(path: &Path) -> bool {
+    loop {
+        match std::os::unix::net::UnixStream::connect(path) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            connected => return connected.is_ok(),
+        }
+    }
+}
+
 /// Requests the listening socket from the old process, and the lock of its state directory if `takes_state`; none if there is no
 /// such process.
 ///
--- a/crates/agent/src/daemon/state.rs
+++ b/crates/agent/src/daemon/state.rs
@@ -5,6 +5,7 @@
 //! written by a thread of its own, and a failed write is a problem in the status, not a reason to stop serving.
 
 use super::control::SocketFile;
+use super::handover;
 use std::fs::{DirBuilder, File, OpenOptions, Permissions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::os::fd::OwnedFd;
@@ -105,8 +106,9 @@
     ///
     /// [`StateDirError::Held`] if that process serves no handover socket: it is of an earlier version, or shutting down.
     pub fn of_predecessor(path: &Path) -> Result<Self, StateDirError> {
-        let served = std::os::unix::net::UnixStream::connect(path.join(HANDOVER_SOCKET));
-        served.map_err(|_| StateDirError::Held(lock_holder(path)))?;
+        if !handover::is_served(&path.join(HANDOVER_SOCKET)) {
+            return Err(StateDirError::Held(lock_holder(path)));
+        }
         Ok(StateDir { path: path.to_owned(), lock: None })
     }
 
