A starting process accepts at once when the one it replaces has died

What callers saw: where a process dies while its successor is still starting, new connections stood unread until the successor was ready, or was given up after `ready_within`.

Cause: only readiness made a successor accept. Before that it leaves the clients to its predecessor, also to one that has exited.

Change: a process that remains alone accepts and serves its state directory whether it is ready or not. Until it is ready it answers 429, as each other starting process does.

--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -148,7 +148,7 @@
 
 impl Startup {
     /// Starts every part of the instance. Clients are accepted from here on, but by a successor, which leaves them to its
-    /// predecessor until it is ready.
+    /// predecessor until it is ready or remains alone.
     async fn build(self, signals: Signals) -> Result<Serving, DaemonError> {
         let Startup { config, options, mut state, mut problems, started_ms } = self;
         let is_successor = options.is_successor;
@@ -288,7 +288,8 @@
         }
     }
 
-    fn accept_clients(&mut self) {
+    /// Accepts clients from now on; without effect if it does already.
+    pub(super) fn accept_clients(&mut self) {
         if let Some(listener) = self.listener.take() {
             let origin = if self.socket_inherited { QueueOrigin::Inherited } else { QueueOrigin::Own };
             let accepting = self.instance.server.clone().accept(listener, origin);
--- a/crates/agent/src/daemon/takeover.rs
+++ b/crates/agent/src/daemon/takeover.rs
@@ -30,14 +30,15 @@
         self.serve_handover();
     }
 
-    /// Handles the start or the exit of the other process of a replacement.
+    /// Handles the start or the exit of the other process of a replacement. A process that remains alone serves clients and its state
+    /// directory whether it is ready or not, since no other process does.
     pub(super) fn on_handover_change(&mut self) {
-        if self.is_alone()
-            && !self.instance.awaits_takeover()
-            && self.state.is_some()
-            && !self.instance.serves_state()
-        {
-            info!(instance = %self.instance.name(), "handover: successor has exited, taking the state directory back");
+        if !self.is_alone() {
+            return;
+        }
+        self.accept_clients();
+        if self.state.is_some() && !self.instance.serves_state() {
+            info!(instance = %self.instance.name(), "handover: other process has exited, serving the state directory");
             self.take_over_state();
             self.instance.write_status();
         }
--- a/crates/agent/tests/fleet_sockets.rs
+++ b/crates/agent/tests/fleet_sockets.rs
@@ -193,6 +193,43 @@
     let _ = hang(&mut site, "last").await;
 }
 
+/// Guards against a process that dies while its successor is still starting: nobody accepted until the successor was ready, or was given
+/// up after `ready_within`.
+#[tokio::test]
+async fn death_while_the_successor_starts_leaves_no_request_unread() {
+    let mut site = Site::start("ready_within = \"2s\"\n[restart]\nfirst = \"10ms\"", hanging).await;
+    let before = site.pid().await;
+    site.give_list(json!([]));
+    let restarted = site.fleet.command("restart", &[]);
+    let outcomes = ask_until(site.address, async {
+        let killed = async {
+            soon("the new one's start", async {
+                while site.starts() < 2 {
+                    sleep(Duration::from_millis(10)).await;
+                }
+            })
+            .await;
+            site.give_list(json!([host("s", site.server.address, "up")]));
+            kill("-KILL", before).await;
+            soon("its successor's place", async {
+                while site.fleet.pids().await.get("desk-0").is_none_or(|pid| *pid == before) {
+                    sleep(Duration::from_millis(10)).await;
+                }
+            })
+            .await;
+        };
+        let (output, ()) = tokio::join!(restarted, killed);
+        assert_eq!(output.status.code(), Some(1), "{}", String::from_utf8_lossy(&output.stderr));
+        // The successor is given up; the next process reads the list.
+        site.fleet.until("a process that is ready", |s| phases(s) == ["ready"]).await;
+    })
+    .await;
+    assert!(lost(&outcomes).is_empty(), "{:?}", lost(&outcomes));
+    let rejected = outcomes.iter().filter(|(_, outcome)| *outcome == Outcome::Answered(429)).count();
+    assert!(rejected > 0, "the successor was ready at once: the test shows nothing");
+    let _ = hang(&mut site, "last").await;
+}
+
 /// A process that is ready and serves nothing is ended, and its predecessor, which serves, takes the place back.
 #[tokio::test]
 async fn process_that_does_not_serve_gives_its_place_back() {
--- a/crates/agent/tests/handover.rs
+++ b/crates/agent/tests/handover.rs
@@ -4,12 +4,33 @@
 
 use console_config::operated;
 use serde_json::{json, Value};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use testbed::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// A request of 400 ms without an answer is lost after this time, with the platform's allowance for sockets.
+const LOST_AFTER: Duration = Duration::from_millis(950);
+
+/// Starts a process that replaces the one in the same folder.
+async fn start_in(folder: &Folder, config: Value) -> Agent {
+    Agent::with(config, |command| {
+        command.env("TMPDIR", folder.path());
+    })
+    .await
+}
+
+/// The answer to a request of 400 ms on a new connection; panics once it is lost.
+async fn answer_in_time(address: SocketAddr) -> Message {
+    let mut stream = TcpStream::connect(address).await.expect("a process holds the socket");
+    stream.write_all(request("GET", "/read", "400m", "").as_bytes()).await.expect("it is accepted");
+    let answer = read_message(&mut stream, 0);
+    tokio::time::timeout(LOST_AFTER, answer).await.expect("in time").expect("an answer")
+}
+
 /// Clients that send one request after another, each on one connection for as long as it stays open.
 async fn ask_on(address: String, stop: Arc<AtomicBool>, served: Arc<AtomicUsize>) -> Vec<String> {
     let mut wrong = Vec::new();
@@ -51,11 +72,7 @@
     let folder = Folder::new();
     let mut config = operated(&directory, &[host("s", backend.address, "up")]);
     config["listen"] = json!(unshared_address().await.to_string());
-    let start = || {
-        Agent::with(config.clone(), |command| {
-            command.env("TMPDIR", folder.path());
-        })
-    };
+    let start = || start_in(&folder, config.clone());
     let mut old = start().await;
     old.ready().await;
     let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
@@ -107,11 +124,7 @@
     let folder = Folder::new();
     let mut config = operated(&directory, &[host("s", backend.address, "up")]);
     config["listen"] = json!(unshared_address().await.to_string());
-    let start = |config: Value| {
-        Agent::with(config, |command| {
-            command.env("TMPDIR", folder.path());
-        })
-    };
+    let start = |config: Value| start_in(&folder, config);
     let mut old = start(config.clone()).await;
     // It knows no server, so it never becomes ready, and the old one keeps the clients.
     let mut lame = config.clone();
@@ -137,3 +150,23 @@
     next.term().await;
     assert!(next.end().await.success());
 }
+
+/// Guards against a process that dies while its successor is still starting and leaves a socket on which nobody accepts: requests stood
+/// unread until the successor was ready.
+#[tokio::test]
+async fn starting_successor_answers_once_its_predecessor_has_died() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let folder = Folder::new();
+    let mut config = operated(&directory, &[host("s", backend.address, "up")]);
+    config["listen"] = json!(unshared_address().await.to_string());
+    let mut old = start_in(&folder, config.clone()).await;
+    old.ready().await;
+    // It knows no server, so it never becomes ready.
+    config["known"] = json!({"seq": 1, "whole": true, "hosts": []});
+    let mut new = start_in(&folder, config).await;
+    old.child.kill().await.expect("it is ours");
+    assert_eq!(answer_in_time(old.address).await.status(), 429, "nothing was sent, so a retry is harmless");
+    new.term().await;
+    assert!(new.end().await.success());
+}
