The accept queue of a socket that another process handed over is not taken for empty

What callers saw: a request that stood unread in the accept queue past its time, since neither process of a handover accepted, was sent to a server when the successor got to it.

Cause: only a socket from a supervisor or service manager counted as one in whose queue connections may have waited; one that a predecessor hands over counted as opened by the process itself, and its first connections as new.

Change: the origin of the socket tells the state of its queue.

--- a/crates/agent/src/daemon/listen.rs
+++ b/crates/agent/src/daemon/listen.rs
@@ -3,6 +3,7 @@
 use super::error::{DaemonError, InheritedListenerError};
 use super::handover::{self, HandoverError, HandoverStream, TransferredListener};
 use super::state::{StateDir, HANDOVER_SOCKET};
+use crate::downstream::QueueOrigin;
 use bellcroft_net::Listener;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -23,6 +24,16 @@
     },
 }
 
+impl ListenerOrigin {
+    /// Whether connections may have waited in the socket's accept queue already.
+    pub(super) fn queue(&self) -> QueueOrigin {
+        match self {
+            ListenerOrigin::Bound => QueueOrigin::Own,
+            ListenerOrigin::Inherited | ListenerOrigin::Predecessor { .. } => QueueOrigin::Inherited,
+        }
+    }
+}
+
 /// Takes the inherited socket, else the predecessor's over the Unix socket at `handover_socket`, else binds `address`.
 ///
 /// # Errors
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -195,6 +195,7 @@
             signals,
             driver_task,
             socket_inherited: is_successor || matches!(socket.origin, ListenerOrigin::Inherited),
+            queue_origin: socket.origin.queue(),
             listener: Some(socket.listener),
             accept_task: None,
             control_socket: files.control_socket,
@@ -231,6 +232,8 @@
     pub(super) driver_task: JoinHandle<()>,
     /// A supervisor holds the listening socket too.
     pub(super) socket_inherited: bool,
+    /// Whether connections may have waited in the accept queue before this process accepted.
+    pub(super) queue_origin: QueueOrigin,
     /// The listening socket while clients are not accepted yet.
     pub(super) listener: Option<Listener>,
     pub(super) accept_task: Option<JoinHandle<()>>,
@@ -291,8 +294,7 @@
     /// Accepts clients from now on; without effect if it does already.
     pub(super) fn accept_clients(&mut self) {
         if let Some(listener) = self.listener.take() {
-            let origin = if self.socket_inherited { QueueOrigin::Inherited } else { QueueOrigin::Own };
-            let accepting = self.instance.server.clone().accept(listener, origin);
+            let accepting = self.instance.server.clone().accept(listener, self.queue_origin);
             self.accept_task = Some(tokio::task::spawn_local(accepting));
         }
     }
--- a/crates/agent/tests/handover.rs
+++ b/crates/agent/tests/handover.rs
@@ -170,3 +170,33 @@
     new.term().await;
     assert!(new.end().await.success());
 }
+
+/// Guards against requests that are sent on after their time because neither process accepted them, and their time was counted from when
+/// the successor read them.
+#[tokio::test]
+async fn request_that_waited_for_either_process_is_not_forwarded_late() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let folder = Folder::new();
+    let hosts = [host("s", backend.address, "up")];
+    let mut config = operated(&directory, &hosts);
+    config["listen"] = json!(unshared_address().await.to_string());
+    let mut old = start_in(&folder, config.clone()).await;
+    old.ready().await;
+    // It is ready once discovery has a list for it.
+    config["known"] = json!({"seq": 1, "whole": true, "hosts": []});
+    let mut new = start_in(&folder, config).await;
+    kill("-STOP", old.child.id().expect("it runs")).await;
+    let (mut late, mut in_time) = (old.client().await, old.client().await);
+    late.send(&request_as("late", "GET", "/read", "300m", "")).await;
+    in_time.send(&request_as("in-time", "GET", "/read", "20000m", "")).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    directory.list(2, &hosts);
+    assert_eq!(late.answer().await.status(), 429);
+    assert_eq!(in_time.answer().await.status(), 200);
+    assert!(backend.next().await.head.contains("in-time"));
+    assert!(backend.seen.try_recv().is_err(), "it was sent on after its client's time");
+    old.child.kill().await.expect("it is ours");
+    new.term().await;
+    assert!(new.end().await.success());
+}
