A process that no longer accepts closes its copies of the listening socket

What callers saw: connections stood unread until a draining process exited, up to the longest deadline after SIGTERM: where it has no state directory and accepts no longer, and in a fleet where the process that had replaced it died too.

Cause: a draining process kept copies of the socket, for a successor or a supervisor that may ask; while one copy is open, the kernel takes connections.

A gap of microseconds between last accept and close remains, in the kernel. A successor that asks a draining process gets a new socket at the same address, the log of claims as before, and `stopped_accepting` in the reply, by which it accepts at once; an earlier version ignores that field.

--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -9,7 +9,7 @@
 use bellcroft_agent_core::request_claims::RequestIdHash;
 use bellcroft_net::Stream;
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fs::Permissions;
 use std::future::poll_fn;
 use std::io;
@@ -50,6 +50,14 @@
     },
 }
 
+/// What the old process replies with the descriptors.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct HandoverReply {
+    /// Whether the old process shuts down and has stopped accepting. One of an earlier version does not say so.
+    #[serde(default)]
+    stopped_accepting: bool,
+}
+
 /// Why the old process did not hand over its listening socket.
 #[derive(Debug, thiserror::Error)]
 pub enum HandoverError {
@@ -103,6 +111,8 @@
 pub struct TransferredListener {
     /// The listening socket.
     pub listener: std::net::TcpListener,
+    /// Whether the predecessor accepts connections at the same address.
+    pub predecessor_accepts: bool,
     /// The log of claims; none if the predecessor is of an earlier version.
     pub claims: Option<OwnedFd>,
     /// The lock of the state directory, if this process takes that over.
@@ -225,6 +235,7 @@
         Ok(answer) => answer.map_err(HandoverError::Exchange)?,
         Err(_) => return Err(HandoverError::Timeout),
     };
+    let reply: HandoverReply = serde_json::from_slice(&line.text).unwrap_or_default();
     let mut descriptors = line.descriptors.into_iter();
     let Some(listener) = descriptors.next() else {
         return Err(HandoverError::NoDescriptor(String::from_utf8_lossy(&line.text).into_owned()));
@@ -238,18 +249,52 @@
         shares_claims: claims.is_some(),
         on_end: HandoverEvent::PredecessorExited,
     };
-    Ok(Some(TransferredListener { listener: listener.into(), claims, lock, stream }))
+    Ok(Some(TransferredListener {
+        listener: listener.into(),
+        predecessor_accepts: !reply.stopped_accepting,
+        claims,
+        lock,
+        stream,
+    }))
 }
 
 fn process_id(stream: &UnixStream) -> Option<u32> {
     stream.peer_cred().ok()?.pid().and_then(|pid| u32::try_from(pid).ok())
 }
 
+/// The listening socket as it is given to the next process.
+#[derive(Debug)]
+pub struct OfferedSocket {
+    address: SocketAddr,
+    /// None once this process has stopped accepting: while a copy is open, the kernel accepts connections that no process serves.
+    listener: RefCell<Option<OwnedFd>>,
+}
+
+impl OfferedSocket {
+    /// Offers a copy of the socket that listens on `address`.
+    pub fn new(address: SocketAddr, listener: OwnedFd) -> Self {
+        OfferedSocket { address, listener: RefCell::new(Some(listener)) }
+    }
+
+    /// A copy of the listening socket, or a new one in place of one that has been closed.
+    fn for_successor(&self) -> io::Result<OwnedFd> {
+        match &*self.listener.borrow() {
+            Some(listener) => listener.try_clone(),
+            None => Ok(bellcroft_net::listen(self.address)?.into()),
+        }
+    }
+
+    fn reply(&self) -> HandoverReply {
+        HandoverReply { stopped_accepting: self.listener.borrow().is_none() }
+    }
+}
+
 /// Serves the Unix socket over which the next process requests the listening socket. Dropping it removes the socket's
 /// file unless the next process has replaced that by its own.
 pub struct HandoverListener {
     path: PathBuf,
     task: JoinHandle<()>,
+    offered: Rc<OfferedSocket>,
     /// The file at the path is the next process's.
     pub successor_owns_socket: Cell<bool>,
 }
@@ -264,32 +309,38 @@
 }
 
 impl HandoverListener {
-    /// Answers each request at `path` with a copy of the listening socket, and tells `peer` of the requesting process.
+    /// Answers each request at `path` with the listening socket, and tells `peer` of the requesting process.
     ///
     /// # Errors
     ///
     /// The socket cannot be made.
-    pub fn serve(path: PathBuf, listener: OwnedFd, peer: Rc<dyn HandoverPeer>) -> io::Result<Self> {
+    pub fn serve(path: PathBuf, offered: Rc<OfferedSocket>, peer: Rc<dyn HandoverPeer>) -> io::Result<Self> {
         let temporary = path.with_extension("new");
         let _ = std::fs::remove_file(&temporary);
         let socket = UnixListener::bind(&temporary)?;
         std::fs::set_permissions(&temporary, Permissions::from_mode(0o600))?;
         // Atomically over the old process's socket: each request reaches exactly one of the two.
         std::fs::rename(&temporary, &path)?;
-        let task = tokio::task::spawn_local(accept(socket, listener, peer));
-        Ok(HandoverListener { path, task, successor_owns_socket: Cell::new(false) })
+        let task = tokio::task::spawn_local(accept(socket, offered.clone(), peer));
+        Ok(HandoverListener { path, task, offered, successor_owns_socket: Cell::new(false) })
+    }
+
+    /// Closes the copy of the listening socket. A process that asks from now on gets a new socket at the same address.
+    pub fn stop_listening(&self) {
+        drop(self.offered.listener.borrow_mut().take());
     }
 }
 
-async fn accept(socket: UnixListener, listener: OwnedFd, peer: Rc<dyn HandoverPeer>) {
+async fn accept(socket: UnixListener, offered: Rc<OfferedSocket>, peer: Rc<dyn HandoverPeer>) {
     loop {
         let Ok((stream, _)) = socket.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             continue;
         };
-        let (copy, peer) = (listener.try_clone(), peer.clone());
+        let (offered, peer) = (offered.clone(), peer.clone());
         tokio::task::spawn_local(async move {
-            if let Ok(Ok(transferred)) = timeout(EXCHANGE_TIMEOUT, transfer(&stream, copy, &*peer)).await {
+            if let Ok(Ok(transferred)) = timeout(EXCHANGE_TIMEOUT, transfer(&stream, &offered, &*peer)).await
+            {
                 peer.on_event(HandoverEvent::ListenerRequested);
                 let successor = HandoverStream {
                     peer: process_id(&stream),
@@ -315,7 +366,7 @@
 /// Answers one request with the listening socket, and with the log of claims if the new process uses it.
 async fn transfer(
     stream: &UnixStream,
-    listener: io::Result<OwnedFd>,
+    offered: &OfferedSocket,
     peer: &dyn HandoverPeer,
 ) -> io::Result<Transfer> {
     if !is_authorized(rustix::process::geteuid().as_raw(), stream.peer_cred()?.uid()) {
@@ -326,13 +377,14 @@
     else {
         return Err(io::ErrorKind::InvalidInput.into());
     };
-    let mut descriptors = vec![listener?];
+    let reply = serde_json::to_string(&offered.reply())?;
+    let mut descriptors = vec![offered.for_successor()?];
     if shares_claims {
         descriptors.push(peer.share_claims()?);
     }
     if takes_state {
         descriptors.push(peer.share_lock()?);
     }
-    write(stream, b"{}\n", &descriptors).await?;
+    write(stream, format!("{reply}\n").as_bytes(), &descriptors).await?;
     Ok(Transfer { shares_claims, received: line.rest })
 }
--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -245,12 +245,15 @@
     }
 
     /// Closes the copies of the listening socket: while one is open, the kernel accepts connections that no process serves. A process
-    /// without a state directory may still be replaced by one that an operator starts, which asks for the socket.
+    /// without a state directory may still be replaced by one that an operator starts, which asks for a socket and the log of claims.
     pub(super) fn close_listener_copies(&self) {
         drop(self.listener_copy.borrow_mut().take());
         if self.state_place.borrow().is_some() {
             drop(self.handover_listener.borrow_mut().take());
         }
+        if let Some(handover_listener) = &*self.handover_listener.borrow() {
+            handover_listener.stop_listening();
+        }
     }
 
     /// Whether this process serves the control socket of its state directory; false without one. Looks at the disk.
--- a/crates/agent/src/daemon/listen.rs
+++ b/crates/agent/src/daemon/listen.rs
@@ -21,6 +21,8 @@
         stream: HandoverStream,
         /// The log of claims; none if that process is of an earlier version.
         claims: Option<OwnedFd>,
+        /// Whether that process accepts connections.
+        accepts: bool,
     },
 }
 
@@ -54,9 +56,9 @@
         None => None,
     };
     let listen_error = |source| DaemonError::Listen { address, source };
-    if let Some(TransferredListener { listener, claims, stream, .. }) = predecessor {
+    if let Some(TransferredListener { listener, predecessor_accepts, claims, stream, .. }) = predecessor {
         let listener = Listener::from_std(listener).map_err(listen_error)?;
-        return Ok((listener, ListenerOrigin::Predecessor { stream, claims }));
+        return Ok((listener, ListenerOrigin::Predecessor { stream, claims, accepts: predecessor_accepts }));
     }
     let listener = Listener::bind(address).await.map_err(listen_error)?;
     Ok((listener, ListenerOrigin::Bound))
@@ -76,11 +78,11 @@
     let handover_error = |source| DaemonError::Handover { address, source };
     let transferred = handover::request_listener(&state.path().join(HANDOVER_SOCKET), true).await;
     let transferred = transferred.map_err(handover_error)?;
-    let TransferredListener { listener, claims, lock, stream } =
+    let TransferredListener { listener, predecessor_accepts, claims, lock, stream } =
         transferred.ok_or(handover_error(HandoverError::NoPredecessor))?;
     state.set_lock(lock.ok_or(handover_error(HandoverError::NoLock))?);
     let listener = Listener::from_std(listener).map_err(|source| DaemonError::Listen { address, source })?;
-    Ok((listener, ListenerOrigin::Predecessor { stream, claims }))
+    Ok((listener, ListenerOrigin::Predecessor { stream, claims, accepts: predecessor_accepts }))
 }
 
 /// The socket that a service manager or a supervisor passed (sd_listen_fds(3)), if any.
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -5,7 +5,7 @@
 use super::control::{self, Control};
 use super::descriptors::DescriptorBudget;
 use super::error::DaemonError;
-use super::handover::{self, HandoverListener};
+use super::handover::{self, HandoverListener, OfferedSocket};
 use super::instance::{Instance, Lifecycle, ShutdownRequest, StatePlace};
 use super::listen::{acquire_listener, take_over_listener, ListenerOrigin};
 use super::notify::Notify;
@@ -72,7 +72,7 @@
     /// For a supervisor that requests it over the control socket.
     control_copy: Option<OwnedFd>,
     /// For a process that replaces this one, with the path of the Unix socket where it asks.
-    handover_copy: Option<(PathBuf, OwnedFd)>,
+    offered: Option<(PathBuf, Rc<OfferedSocket>)>,
 }
 
 impl ClientSocket {
@@ -97,8 +97,9 @@
             listener.local_addr().map_err(|source| DaemonError::Listen { address: config.listen, source })?;
         let copy = || listener.as_fd().try_clone_to_owned().ok();
         let control_copy = if has_state { copy() } else { None };
-        let handover_copy = handover_socket.and_then(|path| Some((path, copy()?)));
-        Ok(ClientSocket { listener, origin, address, control_copy, handover_copy })
+        let offered =
+            handover_socket.and_then(|path| Some((path, Rc::new(OfferedSocket::new(address, copy()?)))));
+        Ok(ClientSocket { listener, origin, address, control_copy, offered })
     }
 }
 
@@ -161,7 +162,7 @@
         let driver = control.driver().clone();
         let driver_task = control.take_driver_task().unwrap_or_else(|| unreachable!("it was just started"));
         let mut predecessor = None;
-        if let ListenerOrigin::Predecessor { claims, stream } = &mut socket.origin {
+        if let ListenerOrigin::Predecessor { claims, stream, .. } = &mut socket.origin {
             predecessor = stream.peer();
             if let Some(claims) = claims.take() {
                 driver.join_claims(claims);
@@ -200,7 +201,7 @@
             accept_task: None,
             control_socket: files.control_socket,
             console: None,
-            handover_copy: socket.handover_copy,
+            offered: socket.offered,
             awaits_predecessors_exit: is_successor,
             supervisor: rustix::process::getppid(),
             state,
@@ -239,8 +240,8 @@
     pub(super) accept_task: Option<JoinHandle<()>>,
     pub(super) control_socket: Option<Control>,
     pub(super) console: Option<Console>,
-    /// A copy of the listening socket for a process that replaces this one, with the path of the Unix socket where it asks.
-    pub(super) handover_copy: Option<(PathBuf, OwnedFd)>,
+    /// The listening socket for a process that replaces this one, with the path of the Unix socket where it asks.
+    pub(super) offered: Option<(PathBuf, Rc<OfferedSocket>)>,
     /// Whether the addresses of membership and of the console are the predecessor's until it exits.
     pub(super) awaits_predecessors_exit: bool,
     /// The parent at the start.
@@ -252,10 +253,8 @@
 impl Serving {
     /// Offers the listening socket to a process that is to replace this one.
     pub(super) fn serve_handover(&mut self) {
-        let Some((path, listener)) = &self.handover_copy else { return };
-        let served = listener
-            .try_clone()
-            .and_then(|listener| HandoverListener::serve(path.clone(), listener, self.instance.clone()));
+        let Some((path, offered)) = &self.offered else { return };
+        let served = HandoverListener::serve(path.clone(), offered.clone(), self.instance.clone());
         match served {
             Ok(handover_listener) => {
                 if let Some(former) = self.instance.handover_listener.replace(Some(handover_listener)) {
@@ -283,9 +282,12 @@
 
     fn open_listener(&mut self, origin: ListenerOrigin) {
         match origin {
-            ListenerOrigin::Predecessor { stream, .. } => {
+            ListenerOrigin::Predecessor { stream, accepts, .. } => {
                 self.instance.on_handover_event(HandoverEvent::ListenerTransferred);
                 stream.watch(self.instance.clone());
+                if !accepts {
+                    self.accept_clients();
+                }
             }
             ListenerOrigin::Bound | ListenerOrigin::Inherited => self.accept_clients(),
         }
@@ -343,7 +345,7 @@
         let signal = ShutdownSignal { read_at: signalled, paused: instance.driver.latest_pause() };
         let replaced = instance.is_replaced();
         // With a state directory, a process that is not replaced offers nothing further.
-        drop(self.handover_copy.take());
+        drop(self.offered.take());
         if let Some(handover_listener) = &*instance.handover_listener.borrow() {
             handover_listener.successor_owns_socket.set(replaced);
         }
--- a/crates/agent/src/daemon/shutdown.rs
+++ b/crates/agent/src/daemon/shutdown.rs
@@ -71,9 +71,14 @@
     let clock = instance.driver.clock;
     match successor {
         // New connections wait in the accept queue for the other process.
-        Successor::Listening => instance.server.stop_accepting(Accepting::Off),
+        Successor::Listening => {
+            instance.close_listener_copies();
+            instance.server.stop_accepting(Accepting::Off);
+        }
         Successor::None => {
             sleep_until(clock.instant(schedule.accept_until())).await;
+            // Before the last look at the accept queue: what connects after it is reset by the end of the last copy.
+            instance.close_listener_copies();
             instance.server.stop_accepting(Accepting::Drain);
         }
     }
@@ -86,14 +91,9 @@
             );
         }
     }
-    match successor {
-        // A client may use an open connection once more; that response carries `Connection: close`.
-        Successor::Listening => {
-            if let Some(at) = instance.server.close_idle_at() {
-                sleep_until(at).await;
-            }
-        }
-        Successor::None => instance.close_listener_copies(),
+    // A client may use an open connection once more; that response carries `Connection: close`.
+    if let Some(at) = instance.server.close_idle_at().filter(|_| successor == Successor::Listening) {
+        sleep_until(at).await;
     }
 }
 
--- a/crates/agent/tests/handover.rs
+++ b/crates/agent/tests/handover.rs
@@ -200,3 +200,93 @@
     new.term().await;
     assert!(new.end().await.success());
 }
+
+/// A process that shuts down and no longer accepts, with the configuration and the folder of its successors.
+struct Draining {
+    process: Agent,
+    config: Value,
+    folder: Folder,
+    /// The connection of the request that keeps it from its exit.
+    _hung: TcpStream,
+    _parts: (Backend, Directory),
+}
+
+/// The request that its server never answers.
+fn hung_request() -> String {
+    request_as("hung", "POST", "/pay/hang", "2500m", "b")
+}
+
+impl Draining {
+    async fn start() -> Self {
+        let hanging = |message: &Message| match message.target().contains("hang") {
+            true => Reply::Mute,
+            false => Reply::Bytes(ok("x")),
+        };
+        let mut backend = Backend::start(hanging).await;
+        let directory = Directory::start(Mood::Mute).await;
+        let folder = Folder::new();
+        let mut config = operated(&directory, &[host("s", backend.address, "up")]);
+        config["listen"] = json!(unshared_address().await.to_string());
+        let process = start_in(&folder, config.clone()).await;
+        process.ready().await;
+        let mut hung = TcpStream::connect(process.address).await.expect("it listens");
+        hung.write_all(hung_request().as_bytes()).await.expect("it reads");
+        while !backend.next().await.target().contains("hang") {}
+        process.term().await;
+        soon("the end of accepting", async {
+            while process.logged("no longer accepting connections") == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        })
+        .await;
+        Draining { process, config, folder, _hung: hung, _parts: (backend, directory) }
+    }
+
+    async fn successor(&self, config: Value) -> Agent {
+        start_in(&self.folder, config).await
+    }
+
+    fn assert_runs(&mut self) {
+        let exited = self.process.child.try_wait().expect("it is ours");
+        assert!(exited.is_none(), "it has ended: the test shows nothing");
+    }
+}
+
+/// Guards against a process that no longer accepts and keeps a copy of its listening socket for a successor: connections stood unread
+/// until its exit. Its successor knows its ids as before.
+#[tokio::test]
+async fn draining_process_refuses_connections_and_shares_its_claims() {
+    let mut old = Draining::start().await;
+    let refused = TcpStream::connect(old.process.address).await.expect_err("nobody accepts");
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    let mut new = old.successor(old.config.clone()).await;
+    new.ready().await;
+    assert_eq!(new.get("/read").await.status(), 200);
+    assert_eq!(
+        new.client().await.ask(&hung_request()).await.status(),
+        409,
+        "the old one may have executed it"
+    );
+    old.assert_runs();
+    assert!(old.process.end().await.success());
+    assert_eq!(new.get("/read").await.status(), 200);
+    new.term().await;
+    assert!(new.end().await.success());
+}
+
+/// Guards against a successor that leaves the clients to a process that no longer accepts them.
+#[tokio::test]
+async fn starting_successor_of_draining_process_answers() {
+    let mut old = Draining::start().await;
+    let mut lame = old.config.clone();
+    lame["known"] = json!({"seq": 1, "whole": true, "hosts": []});
+    let mut new = old.successor(lame).await;
+    assert_eq!(
+        answer_in_time(old.process.address).await.status(),
+        429,
+        "nothing was sent, so a retry is harmless"
+    );
+    old.assert_runs();
+    new.term().await;
+    assert!(new.end().await.success());
+}
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -25,6 +25,19 @@
     Other(#[source] io::Error),
 }
 
+/// Opens a socket that listens on an address.
+///
+/// # Errors
+///
+/// There is no descriptor or memory for it, or it cannot listen on the address.
+pub fn listen(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SockAddr::from(address))?;
+    socket.listen(ACCEPT_BACKLOG as i32)?;
+    Ok(socket.into())
+}
+
 /// A listening socket.
 #[derive(Debug)]
 pub struct Listener(TcpListener);
@@ -36,14 +49,7 @@
     ///
     /// The socket cannot be opened, or cannot listen on the address.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        let open = || {
-            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-            socket.set_reuse_address(true)?;
-            socket.bind(&SockAddr::from(address))?;
-            socket.listen(ACCEPT_BACKLOG as i32)?;
-            Ok(socket)
-        };
-        Self::from_std(open_with_retry(open).await?.into())
+        Self::from_std(open_with_retry(|| listen(address)).await?)
     }
 
     /// Wraps a socket that is listening already.
