A test takes a process whose exit was not noted for one that runs

Cause: the test looks whether the process is listed in /proc. Its supervisor was killed, so init has to take note of its exit, and on this machine does so every 2 s: of 200 processes that had exited, all were still listed after 10 ms, the last for 1.99 s.

Change: the state in /proc/PID/stat tells whether a process has exited. The check is as strict: a process that runs fails it.

--- a/crates/agent/tests/fleet_sockets.rs
+++ b/crates/agent/tests/fleet_sockets.rs
@@ -248,7 +248,7 @@
         let killed = async {
             site.fleet.until("the new one", |s| instances(s)[0]["pid"] != before).await;
             kill("-KILL", site.pid().await).await;
-            assert!(std::path::Path::new(&format!("/proc/{before}")).exists(), "nothing hung");
+            assert!(is_running(before), "nothing hung");
         };
         let (_, ()) = tokio::join!(site.fleet.command("restart", &[]), killed);
         site.fleet.until("a process that is ready", |s| phases(s) == ["ready"]).await;
@@ -327,7 +327,7 @@
         let other = child_of(id, before);
         supervisor.kill().await.expect("it runs");
         soon("its end", async {
-            while std::path::Path::new(&format!("/proc/{other}")).exists() {
+            while is_running(other) {
                 sleep(Duration::from_millis(10)).await;
             }
         })
@@ -446,7 +446,7 @@
     .await;
     assert!(lost(&outcomes).is_empty(), "{:?}", lost(&outcomes));
     assert_eq!(site.pid().await, successor, "it is adopted");
-    assert!(!std::path::Path::new(&format!("/proc/{before}")).exists(), "the old process goes on");
+    assert!(!is_running(before), "the old process goes on");
     assert_eq!(site.starts(), 2, "no third process");
     assert!(site.fleet.command("stop", &[]).await.status.success());
     drop((hung, site.directory, site.world));
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -34,7 +34,7 @@
 pub use metrics::*;
 pub use page::write_into;
 pub use process::{
-    command, config, kill, log_field, on_own_runtime, patient_config, program, settings, write_config, Agent,
+    command, config, is_running, kill, log_field, on_own_runtime, patient_config, program, settings, write_config, Agent,
     Client, Leaving,
 };
 pub use scripted_discovery::{DiscoveryCall, ScriptedDiscovery};
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -297,6 +297,14 @@
     assert!(sent.success());
 }
 
+/// Whether a process has not exited yet. One whose exit its parent has not taken note of is still listed in `/proc`.
+pub fn is_running(id: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    // The state is behind the name, which is in parentheses and may contain any character.
+    let state = stat.rsplit(") ").next().and_then(|fields| fields.chars().next());
+    state.is_some_and(|state| !matches!(state, 'Z' | 'X'))
+}
+
 /// How a client leaves.
 #[derive(Debug, Clone, Copy)]
 pub enum Leaving {
