A test plays a cold server over a rolling restart

Two processes of one instance overlap in a roll; that both together spare a server in slow start was by reading.

--- a/crates/agent/tests/fleet.rs
+++ b/crates/agent/tests/fleet.rs
@@ -339,3 +339,38 @@
         assert_eq!((output.status.code(), text.lines().count()), (Some(2), 4), "{word}: {text}");
     }
 }
+
+/// What a server in slow start gets of what a warm one gets, at the most: without slow start it is about 0.8.
+const MAX_SLOW_START_SHARE: f64 = 0.45;
+/// How long the sends to a server that has just started are counted.
+const SLOW_START_COUNTED: Duration = Duration::from_millis(1_500);
+
+/// Guards against a cold server that two processes of one instance push over together: it is spared through a rolling restart as it is
+/// by one process.
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart_spares_a_server_in_slow_start() {
+    const SERVERS: usize = 6;
+    let mut world = World::start(SERVERS, &Plan::default()).await;
+    let mut fleet = Fleet::new(&world, 1, "");
+    fleet.run();
+    let agents = fleet.ready().await;
+    let traffic = Traffic::start(&Load { agents, clients: 16, rate: 400.0, seed: 3, most: 10_000 });
+    traffic.more(200, 1).await;
+    world.replace(0, Plan::default()).await;
+    let begin = tokio::time::Instant::now();
+    let output = fleet.command("restart", &[]).await;
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    tokio::time::sleep_until(begin + SLOW_START_COUNTED).await;
+    let end = tokio::time::Instant::now();
+    let records = traffic.finish().await;
+    assert_eq!(world.audit(&records), Vec::<String>::new());
+    let sends = |server: usize| {
+        let seen = world.seen().into_iter().filter(|(number, _)| *number == server);
+        seen.filter(|(_, seen)| seen.first_byte > begin && seen.first_byte < end).count() as f64
+    };
+    let warm = (1..SERVERS).map(sends).sum::<f64>() / (SERVERS - 1) as f64;
+    assert!(warm > 10.0, "too little traffic to tell: {warm}");
+    let share = sends(0) / warm;
+    assert!(share < MAX_SLOW_START_SHARE, "{share:.2} of what a warm server gets");
+    assert!(fleet.command("stop", &[]).await.status.success());
+}
