--- a/crates/agent/src/daemon/listen.rs
+++ b/crates/agent/src/daemon/listen.rs
@@ -1,13 +1,59 @@
 //! The clients' listening socket: inherited, transferred by a predecessor, or bound by this process.
 
+use super::config::Config;
 use super::error::{DaemonError, InheritedListenerError};
-use super::handover::{self, HandoverError, HandoverStream, TransferredListener};
+use super::handover::{self, HandoverError, HandoverStream, OfferedSocket, TransferredListener};
 use super::state::{StateDir, HANDOVER_SOCKET};
 use crate::downstream::QueueOrigin;
 use bellcroft_net::Listener;
 use std::net::SocketAddr;
-use std::os::fd::OwnedFd;
-use std::path::Path;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// The listening socket before clients are accepted, and its copies.
+pub(super) struct ClientSocket {
+    pub(super) listener: Listener,
+    pub(super) origin: ListenerOrigin,
+    pub(super) address: SocketAddr,
+    /// For a supervisor that requests it over the control socket.
+    pub(super) control_copy: Option<OwnedFd>,
+    /// For a process that replaces this one, with the path of the Unix socket where it asks.
+    pub(super) offered: Option<(PathBuf, Rc<OfferedSocket>)>,
+}
+
+impl ClientSocket {
+    /// Takes or binds the listening socket, by where the process comes from.
+    ///
+    /// # Errors
+    ///
+    /// There is no usable socket.
+    pub(super) async fn acquire(config: &Config, state: Option<&mut StateDir>) -> Result<Self, DaemonError> {
+        let has_state = state.is_some();
+        let (handover_socket, (listener, origin)) = match state {
+            // With a state directory, a supervisor replaces processes: only a successor asks for the socket.
+            Some(state) if !state.is_locked() => {
+                (Some(state.path().join(HANDOVER_SOCKET)), take_over_listener(config.listen, state).await?)
+            }
+            Some(state) => {
+                (Some(state.path().join(HANDOVER_SOCKET)), acquire_listener(config.listen, None).await?)
+            }
+            None => {
+                let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+                let path = handover::socket_path(folder, &config.name, config.listen);
+                let acquired = acquire_listener(config.listen, path.as_deref()).await?;
+                (path, acquired)
+            }
+        };
+        let address =
+            listener.local_addr().map_err(|source| DaemonError::Listen { address: config.listen, source })?;
+        let copy = || listener.as_fd().try_clone_to_owned().ok();
+        let control_copy = if has_state { copy() } else { None };
+        let offered =
+            handover_socket.and_then(|path| Some((path, Rc::new(OfferedSocket::new(address, copy()?)))));
+        Ok(ClientSocket { listener, origin, address, control_copy, offered })
+    }
+}
 
 /// Where an instance's listening socket comes from.
 pub(super) enum ListenerOrigin {
@@ -41,7 +87,7 @@
 /// # Errors
 ///
 /// The inherited socket is unusable, the predecessor does not transfer its own, or the address cannot be bound.
-pub(super) async fn acquire_listener(
+async fn acquire_listener(
     address: SocketAddr,
     handover_socket: Option<&Path>,
 ) -> Result<(Listener, ListenerOrigin), DaemonError> {
@@ -69,7 +115,7 @@
 /// # Errors
 ///
 /// That process does not transfer them.
-pub(super) async fn take_over_listener(
+async fn take_over_listener(
     address: SocketAddr,
     state: &mut StateDir,
 ) -> Result<(Listener, ListenerOrigin), DaemonError> {
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -1,17 +1,16 @@
 //! The life of an instance: built in [`Startup::build`], run by [`Serving::run`], ended by [`Serving::shut_down`].
 
-use super::config::Config;
 use super::console::Console;
 use super::control::{self, Control};
 use super::descriptors::DescriptorBudget;
 use super::error::DaemonError;
-use super::handover::{self, HandoverListener, OfferedSocket};
+use super::handover::{HandoverListener, OfferedSocket};
 use super::instance::{Instance, Lifecycle, ShutdownRequest, StatePlace};
-use super::listen::{acquire_listener, take_over_listener, ListenerOrigin};
+use super::listen::{ClientSocket, ListenerOrigin};
 use super::notify::Notify;
 use super::reload::ReloadHistory;
 use super::shutdown::{self, Successor};
-use super::state::{StateDir, StatusWriter, HANDOVER_SOCKET};
+use super::state::{StateDir, StatusWriter};
 use super::status::Phase;
 use super::Startup;
 use crate::control_plane::ControlPlane;
@@ -22,8 +21,6 @@
 use bellcroft_net::Listener;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
-use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,45 +61,6 @@
     }
 }
 
-/// The listening socket before clients are accepted, and its copies.
-struct ClientSocket {
-    listener: Listener,
-    origin: ListenerOrigin,
-    address: SocketAddr,
-    /// For a supervisor that requests it over the control socket.
-    control_copy: Option<OwnedFd>,
-    /// For a process that replaces this one, with the path of the Unix socket where it asks.
-    offered: Option<(PathBuf, Rc<OfferedSocket>)>,
-}
-
-impl ClientSocket {
-    async fn acquire(config: &Config, state: Option<&mut StateDir>) -> Result<Self, DaemonError> {
-        let has_state = state.is_some();
-        let (handover_socket, (listener, origin)) = match state {
-            // With a state directory, a supervisor replaces processes: only a successor asks for the socket.
-            Some(state) if !state.is_locked() => {
-                (Some(state.path().join(HANDOVER_SOCKET)), take_over_listener(config.listen, state).await?)
-            }
-            Some(state) => {
-                (Some(state.path().join(HANDOVER_SOCKET)), acquire_listener(config.listen, None).await?)
-            }
-            None => {
-                let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
-                let path = handover::socket_path(folder, &config.name, config.listen);
-                let acquired = acquire_listener(config.listen, path.as_deref()).await?;
-                (path, acquired)
-            }
-        };
-        let address =
-            listener.local_addr().map_err(|source| DaemonError::Listen { address: config.listen, source })?;
-        let copy = || listener.as_fd().try_clone_to_owned().ok();
-        let control_copy = if has_state { copy() } else { None };
-        let offered =
-            handover_socket.and_then(|path| Some((path, Rc::new(OfferedSocket::new(address, copy()?)))));
-        Ok(ClientSocket { listener, origin, address, control_copy, offered })
-    }
-}
-
 /// The control socket's way to the instance, which exists only once the socket is served.
 type InstanceSlot = Rc<RefCell<Option<Rc<Instance>>>>;
 
--- a/crates/supervisor/src/machine.rs
+++ b/crates/supervisor/src/machine.rs
@@ -171,22 +171,6 @@
         actions.extend(running.map(|(index, _)| Action::Reload(InstanceId(index))));
     }
 
-    fn start_roll(&mut self, now: Time, release: Option<ReleaseId>, actions: &mut Vec<Action>) {
-        if let Some((restarted, total)) = self.roll() {
-            return actions.push(Action::Refused(Refusal::RollInProgress { restarted, total }));
-        }
-        for (index, instance) in self.instances.iter_mut().enumerate() {
-            // A roll also retries failed instances; no other command does.
-            if matches!(instance.phase, Phase::Failed { .. }) {
-                actions.push(Action::Report(InstanceId(index), Report::Retried));
-                instance.consecutive_failures = 0;
-                instance.phase = Phase::Waiting { until: now };
-            }
-        }
-        let ids = (0..self.instances.len()).map(InstanceId);
-        self.roll = Some(Roll::new(ids, release));
-    }
-
     fn stop(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.stopping = true;
         self.end_roll(Err(RollError::FleetStopping), actions);
@@ -263,15 +247,6 @@
         self.schedule_restart(now, id, status, actions);
     }
 
-    /// Schedules the new process of an instance whose old process a roll has terminated.
-    fn restart_for_roll(&mut self, now: Time, id: InstanceId) {
-        let release = self.roll.as_ref().and_then(Roll::release);
-        let instance = &mut self.instances[id.0];
-        instance.release = release.unwrap_or(instance.release);
-        instance.consecutive_failures = 0;
-        instance.phase = Phase::Waiting { until: now };
-    }
-
     fn on_unexpected_exit(
         &mut self,
         now: Time,
@@ -311,20 +286,6 @@
         instance.phase = Phase::Waiting { until: now + backoff };
     }
 
-    /// Stops the roll if it was restarting this instance, which returns to its previous program.
-    pub(crate) fn fail_roll(&mut self, id: InstanceId, reason: &str, actions: &mut Vec<Action>) {
-        let previous = self.roll.as_ref().and_then(|roll| roll.previous_release(id));
-        let Some(previous) = previous else { return };
-        self.instances[id.0].release = previous;
-        self.end_roll(Err(RollError::Instance { id, reason: reason.to_owned() }), actions);
-    }
-
-    fn end_roll(&mut self, result: Result<(), RollError>, actions: &mut Vec<Action>) {
-        if self.roll.take().is_some() {
-            actions.push(Action::RollEnded(result));
-        }
-    }
-
     /// Performs everything that is due at `now`: timeouts, the next step of a roll, and starts.
     fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
         for index in 0..self.instances.len() {
@@ -359,33 +320,6 @@
         }
     }
 
-    fn continue_roll(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while let Some(roll) = &mut self.roll {
-            if roll.is_complete() {
-                return self.end_roll(Ok(()), actions);
-            }
-            // Instances that are down for another reason count towards the limit too, but not failed ones.
-            let down = |i: &Instance| !matches!(i.phase, Phase::Ready { .. } | Phase::Failed { .. });
-            let down = self.instances.iter().filter(|i| down(i) || i.is_being_replaced()).count();
-            if down >= self.policy.roll_at_once {
-                return;
-            }
-            let Some(id) = roll.next() else { return };
-            let instance = &mut self.instances[id.0];
-            match instance.phase {
-                Phase::Ready { .. } if instance.is_being_replaced() => return,
-                Phase::Ready { .. } => {
-                    roll.start_restart(id, instance.release);
-                    let release = roll.release().unwrap_or(instance.release);
-                    instance.successor = Some(Successor::new(release, now));
-                }
-                // An instance that failed since the start of the roll is not restarted.
-                Phase::Failed { .. } => roll.skip(),
-                _ => return,
-            }
-        }
-    }
-
     /// Starts the instances that are due, the longest waiting first, with `start_every` between two starts.
     fn start_next(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.stopping {
--- a/crates/supervisor/src/roll.rs
+++ b/crates/supervisor/src/roll.rs
@@ -1,6 +1,9 @@
-//! Progress of a roll: the instances still to be restarted, and those being restarted.
+//! A roll: the instances still to be restarted, those being restarted, and the steps between.
 
-use crate::{InstanceId, ReleaseId};
+use crate::actions::{Action, Refusal, Report, RollError};
+use crate::machine::{Instance, Supervisor};
+use crate::replacement::Successor;
+use crate::states::{InstanceId, Phase, ReleaseId, Time};
 use std::collections::{HashMap, VecDeque};
 
 /// A roll in progress.
@@ -88,3 +91,73 @@
         }
     }
 }
+
+impl Supervisor {
+    /// Starts a roll, in which failed instances are tried again.
+    pub(crate) fn start_roll(&mut self, now: Time, release: Option<ReleaseId>, actions: &mut Vec<Action>) {
+        if let Some((restarted, total)) = self.roll() {
+            return actions.push(Action::Refused(Refusal::RollInProgress { restarted, total }));
+        }
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            // A roll also retries failed instances; no other command does.
+            if matches!(instance.phase, Phase::Failed { .. }) {
+                actions.push(Action::Report(InstanceId(index), Report::Retried));
+                instance.consecutive_failures = 0;
+                instance.phase = Phase::Waiting { until: now };
+            }
+        }
+        let ids = (0..self.instances.len()).map(InstanceId);
+        self.roll = Some(Roll::new(ids, release));
+    }
+
+    /// Starts the next steps of a roll, or ends it.
+    pub(crate) fn continue_roll(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(roll) = &mut self.roll {
+            if roll.is_complete() {
+                return self.end_roll(Ok(()), actions);
+            }
+            // Instances that are down for another reason count towards the limit too, but not failed ones.
+            let down = |i: &Instance| !matches!(i.phase, Phase::Ready { .. } | Phase::Failed { .. });
+            let down = self.instances.iter().filter(|i| down(i) || i.is_being_replaced()).count();
+            if down >= self.policy.roll_at_once {
+                return;
+            }
+            let Some(id) = roll.next() else { return };
+            let instance = &mut self.instances[id.0];
+            match instance.phase {
+                Phase::Ready { .. } if instance.is_being_replaced() => return,
+                Phase::Ready { .. } => {
+                    roll.start_restart(id, instance.release);
+                    let release = roll.release().unwrap_or(instance.release);
+                    instance.successor = Some(Successor::new(release, now));
+                }
+                // An instance that failed since the start of the roll is not restarted.
+                Phase::Failed { .. } => roll.skip(),
+                _ => return,
+            }
+        }
+    }
+
+    /// Schedules the new process of an instance whose old process a roll has terminated.
+    pub(crate) fn restart_for_roll(&mut self, now: Time, id: InstanceId) {
+        let release = self.roll.as_ref().and_then(Roll::release);
+        let instance = &mut self.instances[id.0];
+        instance.release = release.unwrap_or(instance.release);
+        instance.consecutive_failures = 0;
+        instance.phase = Phase::Waiting { until: now };
+    }
+
+    /// Stops the roll if it was restarting this instance, which returns to its previous program.
+    pub(crate) fn fail_roll(&mut self, id: InstanceId, reason: &str, actions: &mut Vec<Action>) {
+        let previous = self.roll.as_ref().and_then(|roll| roll.previous_release(id));
+        let Some(previous) = previous else { return };
+        self.instances[id.0].release = previous;
+        self.end_roll(Err(RollError::Instance { id, reason: reason.to_owned() }), actions);
+    }
+
+    pub(crate) fn end_roll(&mut self, result: Result<(), RollError>, actions: &mut Vec<Action>) {
+        if self.roll.take().is_some() {
+            actions.push(Action::RollEnded(result));
+        }
+    }
+}
