One function opens listening sockets

The supervisor's `bind` stood beside the function that `crates/net` has since. It calls that one now, with its own length of the accept queue (4096, as before). A comment in `shut_down` says what dropping the offered copy is for. No behaviour changes.

--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -280,7 +280,7 @@
     fn for_successor(&self) -> io::Result<OwnedFd> {
         match &*self.listener.borrow() {
             Some(listener) => listener.try_clone(),
-            None => Ok(bellcroft_net::listen(self.address)?.into()),
+            None => Ok(bellcroft_net::listen(self.address, bellcroft_net::ACCEPT_BACKLOG)?.into()),
         }
     }
 
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -302,7 +302,7 @@
         let signalled = instance.driver.clock.now();
         let signal = ShutdownSignal { read_at: signalled, paused: instance.driver.latest_pause() };
         let replaced = instance.is_replaced();
-        // With a state directory, a process that is not replaced offers nothing further.
+        // A copy that is not served must not stay open either; one that is served is closed with the end of accepting.
         drop(self.offered.take());
         if let Some(handover_listener) = &*instance.handover_listener.borrow() {
             handover_listener.successor_owns_socket.set(replaced);
--- a/crates/agent/src/fleet/supervisor_loop.rs
+++ b/crates/agent/src/fleet/supervisor_loop.rs
@@ -24,7 +24,7 @@
 
 /// Maximum length of a listening socket's accept queue, where connections wait while no process accepts. The kernel's
 /// limit (`net.core.somaxconn`) may be lower.
-const ACCEPT_BACKLOG: i32 = 4096;
+const ACCEPT_BACKLOG: u32 = 4096;
 /// Interval at which the fleet's status file is written.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -153,18 +153,9 @@
     Ok(instances)
 }
 
-/// Binds a listening socket. Connections are accepted by the instance's processes, to which it is passed.
+/// Opens a listening socket. Connections are accepted by the instance's processes, to which it is passed.
 pub(super) fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    let domain = match listen {
-        SocketAddr::V4(_) => rustix::net::AddressFamily::INET,
-        SocketAddr::V6(_) => rustix::net::AddressFamily::INET6,
-    };
-    let flags = rustix::net::SocketFlags::CLOEXEC;
-    let socket = rustix::net::socket_with(domain, rustix::net::SocketType::STREAM, flags, None)?;
-    rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
-    rustix::net::bind(&socket, &listen)?;
-    rustix::net::listen(&socket, ACCEPT_BACKLOG)?;
-    Ok(TcpListener::from(socket))
+    bellcroft_net::listen(listen, ACCEPT_BACKLOG)
 }
 
 impl Fleet {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -25,16 +25,16 @@
     Other(#[source] io::Error),
 }
 
-/// Opens a socket that listens on an address.
+/// Opens a socket that listens on an address, with so many connections at most in its accept queue.
 ///
 /// # Errors
 ///
 /// There is no descriptor or memory for it, or it cannot listen on the address.
-pub fn listen(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+pub fn listen(address: SocketAddr, backlog: u32) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.bind(&SockAddr::from(address))?;
-    socket.listen(ACCEPT_BACKLOG as i32)?;
+    socket.listen(backlog as i32)?;
     Ok(socket.into())
 }
 
@@ -49,7 +49,7 @@
     ///
     /// The socket cannot be opened, or cannot listen on the address.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        Self::from_std(open_with_retry(|| listen(address)).await?)
+        Self::from_std(open_with_retry(|| listen(address, ACCEPT_BACKLOG)).await?)
     }
 
     /// Wraps a socket that is listening already.
