Failing tests: bytes in a second write that begin no request leave it served

The table's forms that show by the bytes behind them are written in two pieces, with pauses of 0 to 100 ms: they have to get an error while the request is open, no attempt may begin after that, and an unsafe id that may have run stays claimed. The opposite is in the same file and passes: the next request divided at each of its bytes, and sound bytes behind.

servers_get_only_sound_requests tells one candidate of the incident: whatever the agent sends for a form of the table is judged by the reference grammar, which is independent of the agent. It passes: what a server gets is sound.

--- a/crates/testbed/src/request_forms/table.rs
+++ b/crates/testbed/src/request_forms/table.rs
@@ -13,6 +13,8 @@
     pub is_sound: bool,
     /// Whether the form shows only if all of its bytes come at once.
     pub in_one_write: bool,
+    /// The number of bytes behind the end of the request, if the form shows by them.
+    pub bytes_behind: usize,
     /// The bytes that the client sends.
     pub bytes: Vec<u8>,
 }
@@ -122,9 +124,14 @@
             Change::Behind(_) => (draft.head.clone(), draft.body.clone()),
         };
         let mut bytes = (head + &body).into_bytes();
-        if let Change::Behind(more) = self.change {
-            bytes.extend_from_slice(more);
-        }
+        let bytes_behind = match self.change {
+            Change::Behind(more) => {
+                bytes.extend_from_slice(more);
+                more.len()
+            }
+            Change::Framing(..) if self.is_read_at_once() => body.len(),
+            Change::Head(_) | Change::Chunked(_) | Change::Framing(..) => 0,
+        };
         let sound = format!("{}{}", draft.head, draft.body).into_bytes();
         let is_example = matches!(self.change, Change::Head(_)) && self.rule == EXAMPLE;
         (bytes != sound || is_example).then(|| Form {
@@ -132,6 +139,7 @@
             effect: draft.effect,
             is_sound: self.sound_for.includes(draft.effect, &body),
             in_one_write: self.is_read_at_once(),
+            bytes_behind,
             bytes,
         })
     }
