Bytes that come later and begin no request make an open request unsound

Cause: the bytes behind a request were judged once, with the read that brought its end (read_following read on only if a read had filled its buffer). What came a moment later was kept for the next request, whatever it was. The same behind bodies (complete_body).

Change, in layers, none of which waits: what the kernel has, also where the runtime does not know of it yet, is read before a request counts as complete, before the first byte of each attempt and before the response; each later read is judged until the response is there. Bytes that begin no request then get 400, attempts that are not written whole are cancelled, none begins, the connection ends, and the request is logged with its id and rule. An id that may have been executed stays claimed. handle() is divided into its steps.

--- a/crates/agent/src/client_presence.rs
+++ b/crates/agent/src/client_presence.rs
@@ -1,14 +1,17 @@
-//! Whether a client may have closed its connection unnoticed.
+//! What is known of the client of a request: whether it may have closed its connection unnoticed, and whether bytes of it are unread
+//! that may show that the request is not sound.
 //!
 //! The close of a client that has more to send than its window allows stands behind these bytes, and shows only as they are read. While
 //! bytes are unread, all that is known of the client is when it has been seen last: when the socket was empty, or when the first bytes
 //! arrived after that.
 
 use bellcroft_net::Stream;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
+use std::task::Waker;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
 
 /// The time after the client has been seen within which an attempt may begin although the client may have closed the connection since:
@@ -26,22 +29,45 @@
     seen_at: Cell<Instant>,
     /// Whether the socket was empty at the last read.
     was_empty: Cell<bool>,
+    /// Wakes the task that reads the connection.
+    reader: RefCell<Option<Waker>>,
 }
 
 impl ClientPresence {
     /// The client of a connection that was established at `connected_at` at the earliest.
     pub fn new(stream: &Rc<Stream<TcpStream>>, connected_at: Instant) -> Rc<Self> {
         let stream = Rc::downgrade(stream);
-        Rc::new(ClientPresence { stream, seen_at: Cell::new(connected_at), was_empty: Cell::new(false) })
+        Rc::new(ClientPresence {
+            stream,
+            seen_at: Cell::new(connected_at),
+            was_empty: Cell::new(false),
+            reader: RefCell::default(),
+        })
     }
 
-    /// Called when a read found no more bytes, nor the end of the stream.
+    /// Called when a read found that the socket is empty.
     pub fn on_read_blocked(&self) {
-        // Bytes may have arrived of which the runtime does not know yet.
+        self.seen_at.set(Instant::now());
+        self.was_empty.set(true);
+    }
+
+    /// Called when the task that reads the connection waits.
+    pub fn on_reader_waits(&self, reader: &Waker) {
+        let mut kept = self.reader.borrow_mut();
+        if !kept.as_ref().is_some_and(|kept| kept.will_wake(reader)) {
+            *kept = Some(reader.clone());
+        }
+    }
+
+    /// Has the bytes read that have arrived by now, if there are any.
+    pub async fn read_arrived(&self) {
         if !self.has_unread_bytes() {
-            self.seen_at.set(Instant::now());
-            self.was_empty.set(true);
+            return;
+        }
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
         }
+        yield_now().await;
     }
 
     /// Called when bytes have been read.
@@ -54,6 +80,7 @@
     /// Whether an attempt may begin: the client cannot have closed the connection, or only a short time ago, or its close has arrived,
     /// which ends the request by itself.
     pub async fn is_confirmed(&self) -> bool {
+        self.read_arrived().await;
         if self.may_have_left() {
             sleep(READ_TIME).await;
         }
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -38,6 +38,10 @@
     state: Cell<(ConnectionState, Instant)>,
     /// Why the current request is rejected; none if it is not.
     rejection: Cell<Option<RequestRejection>>,
+    /// Notified when `rejection` is set.
+    rejected: Notify,
+    /// Whether the response to the current request is there, written or not.
+    has_response: Cell<bool>,
     /// Whether a response has been written since the framing last checked.
     pub(super) response_written: Cell<bool>,
     /// Whether hyper has the complete body of the current response; its last bytes may not have been written.
@@ -51,7 +55,7 @@
     /// The time since which the rest of a request has been read and discarded; none if it is not.
     lingering_since: Cell<Option<Instant>>,
     /// Wakes the task that reads the connection.
-    pub(super) waker: RefCell<Option<Waker>>,
+    waker: RefCell<Option<Waker>>,
     /// The timer of the response that is being written.
     response_timer: Cell<Option<PendingTimer>>,
     /// Whether any response has been written over the connection.
@@ -91,6 +95,8 @@
             peer,
             state: Cell::new((ConnectionState::Unused, now)),
             rejection: Cell::new(None),
+            rejected: Notify::new(),
+            has_response: Cell::new(false),
             response_written: Cell::new(false),
             response_body_finished: Cell::new(false),
             body_timeout: Cell::default(),
@@ -226,6 +232,50 @@
     /// Rejects the current request.
     pub(super) fn reject_request(&self, rejection: RequestRejection) {
         self.rejection.set(Some(rejection));
+        self.rejected.notify_one();
+    }
+
+    /// Why the current request is not sound; none if nothing is known against it.
+    pub fn unsound(&self) -> Option<UnsoundRequest> {
+        match self.rejection.get() {
+            Some(RequestRejection::Unsound(unsound)) => Some(unsound),
+            Some(RequestRejection::OutOfMemory) | None => None,
+        }
+    }
+
+    /// Waits until the current request turns out not to be sound.
+    pub async fn found_unsound(&self) -> UnsoundRequest {
+        loop {
+            if let Some(unsound) = self.unsound() {
+                return unsound;
+            }
+            self.rejected.notified().await;
+        }
+    }
+
+    /// Has the bytes read that have arrived behind the current request.
+    pub async fn read_arrived(&self) {
+        if let Some(presence) = self.presence() {
+            presence.read_arrived().await;
+        }
+    }
+
+    /// Called when the task that reads the connection waits for more bytes.
+    pub(super) fn on_reader_waits(&self, reader: &Waker) {
+        *self.waker.borrow_mut() = Some(reader.clone());
+        if let Some(presence) = self.presence() {
+            presence.on_reader_waits(reader);
+        }
+    }
+
+    /// Called when the response to the current request is there.
+    pub(super) fn on_response(&self) {
+        self.has_response.set(true);
+    }
+
+    /// Whether the response to the current request is there.
+    pub(super) fn has_response(&self) -> bool {
+        self.has_response.get()
     }
 
     /// Called when a head cannot be parsed, to which hyper responds.
@@ -342,6 +392,7 @@
             timer.on_response_written();
         }
         self.has_written_response.set(true);
+        self.has_response.set(false);
         self.response_deadline.set(None);
         self.set_state(ConnectionState::Idle);
         self.response_written.set(true);
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -9,7 +9,7 @@
 use crate::daemon::status::RequestOutcome;
 use crate::driver::{Driver, FinalResponse, IncomingRequest, SubmittedRequest};
 use crate::request_log::ResponseReason;
-use crate::streaming_body::UploadEnd;
+use crate::streaming_body::{StreamingBody, UploadEnd};
 use bellcroft_balancer::RequestId;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
@@ -19,7 +19,9 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::sync::oneshot;
+use tokio::time::error::Elapsed;
+use tokio::time::{timeout_at, Instant};
 
 /// The time after a request's deadline at which the agent stops waiting for the balancer's response, which is due by the
 /// deadline.
@@ -48,6 +50,7 @@
         if close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        client.on_response();
         response.body_mut().attach_to(&client);
         Ok(response)
     }
@@ -85,78 +88,104 @@
             }
             () = client.refused() => return Ok(closing_refusal(INCOMPLETE_REQUEST)),
         };
+        if let Some(unsound) = client.unsound() {
+            self.on_unsound(Some(&incoming.request_id), unsound);
+            return Err(unsound_response(unsound));
+        }
         let Some(open_id) = self.claim_id(&incoming) else {
             self.count_bad_request();
             return Err(plain_response(StatusCode::CONFLICT, "a request with this X-Request-ID is open"));
         };
-        let (mut deadline, response_timeout) = (incoming.deadline, incoming.response_timeout);
-        let mut client_deadline = incoming.client_deadline;
         let upload = incoming.body.upload().cloned();
         if upload.is_none() {
             client.on_request_complete();
         }
+        let pending = PendingExchange::new(&incoming);
         let counter = self.request_counters.on_request(&self.driver.class_name(incoming.class.id()));
-        let SubmittedRequest { id, mut response, timer } = if self.is_saturated() {
+        let SubmittedRequest { id, response, timer } = if self.is_saturated() {
             self.driver.reject(incoming, ResponseReason::ConnectionLimit)
         } else {
             self.driver.submit(incoming)
         };
         // hyper drops this future when the client disconnects; the guard then notifies the driver.
         let _guard = DisconnectGuard(&self.driver, id);
-        let mut early = None;
-        let mut is_malformed = false;
-        if let Some(upload) = upload {
-            tokio::select! {
-                biased;
-                response = &mut response => early = Some(Ok(response)),
-                end = upload.receive(|| client.is_request_received(), response_timeout) => match end {
-                    UploadEnd::Complete(completed_at) => {
-                        client.on_request_complete();
-                        deadline = completed_at.min(client.request_received_at()) + response_timeout;
-                        client_deadline = deadline;
-                        self.driver.on_body_complete(id, deadline);
-                    }
-                    UploadEnd::Broken(broken) => {
-                        is_malformed = true;
-                        self.driver.fail_broken_upload(id, broken);
-                    }
-                    UploadEnd::HeldUp => self.driver.fail_held_up_upload(id),
-                },
-                () = client.refused() => self.driver.fail_incomplete(id),
+        let decision = tokio::select! {
+            biased;
+            unsound = client.found_unsound() => {
+                self.driver.fail_unsound(id, unsound.status());
+                self.on_unsound(Some(open_id.id()), unsound);
+                return Err(unsound_response(unsound));
             }
-        }
-        let decided = match early {
-            Some(response) => response,
-            None => timeout_at(deadline + DEADLINE_SLACK, response).await,
+            decision = self.await_decision(id, response, upload, pending, client) => decision,
         };
-        let latest_deadline = client_deadline + client.late_allowance();
+        let latest_deadline = decision.client_deadline + client.late_allowance();
         self.driver.on_response_decided(open_id.id(), client.number(), latest_deadline);
-        client.on_response_decided(client_deadline);
-        let (outcome, mut response) = match decided {
-            Ok(Ok(response)) => (
-                match response {
-                    FinalResponse::Served(..) => RequestOutcome::Served,
-                    FinalResponse::Shed(_) => RequestOutcome::Rejected,
-                    FinalResponse::Failed(_) => RequestOutcome::Failed,
-                },
-                response_for(response),
-            ),
-            Ok(Err(_)) => {
-                (RequestOutcome::Failed, plain_response(StatusCode::BAD_GATEWAY, "no answer was decided"))
-            }
-            Err(_) => {
-                (RequestOutcome::Failed, plain_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
-            }
-        };
+        client.on_response_decided(decision.client_deadline);
+        let (outcome, mut response) = decision.response;
         let request_log = self.driver.request_log.clone();
         let completion = ResponseCompletion::new(counter, timer, outcome, open_id, request_log);
         response.body_mut().set_completion(completion);
-        if is_malformed {
+        if decision.is_malformed {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Receives the rest of the request, waits for its response, and has read what has arrived behind it by then.
+    async fn await_decision(
+        &self,
+        id: RequestId,
+        mut response: oneshot::Receiver<FinalResponse>,
+        upload: Option<Rc<StreamingBody>>,
+        mut pending: PendingExchange,
+        client: &ClientConnection,
+    ) -> Decision {
+        let early = match upload {
+            Some(upload) => self.receive_upload(id, &mut response, &upload, &mut pending, client).await,
+            None => None,
+        };
+        let decided = match early {
+            Some(response) => Ok(response),
+            None => timeout_at(pending.deadline + DEADLINE_SLACK, response).await,
+        };
+        client.read_arrived().await;
+        let PendingExchange { client_deadline, is_malformed, .. } = pending;
+        Decision { response: decided_response(decided), client_deadline, is_malformed }
+    }
+
+    /// Receives the rest of the request's body; returns the response if that is decided earlier.
+    async fn receive_upload(
+        &self,
+        id: RequestId,
+        response: &mut oneshot::Receiver<FinalResponse>,
+        upload: &StreamingBody,
+        pending: &mut PendingExchange,
+        client: &ClientConnection,
+    ) -> Option<ReceivedResponse> {
+        let end = tokio::select! {
+            biased;
+            response = response => return Some(response),
+            end = upload.receive(|| client.is_request_received(), pending.response_timeout) => end,
+            () = client.refused() => {
+                self.driver.fail_incomplete(id);
+                return None;
+            }
+        };
+        match end {
+            UploadEnd::Complete(completed_at) => {
+                client.on_request_complete();
+                pending.on_complete(completed_at.min(client.request_received_at()));
+                self.driver.on_body_complete(id, pending.deadline);
+            }
+            UploadEnd::Broken(broken) => {
+                pending.is_malformed = true;
+                self.driver.fail_broken_upload(id, broken);
+            }
+            UploadEnd::HeldUp => self.driver.fail_held_up_upload(id),
+        }
+        None
+    }
+
     /// Marks a request's id as open; none if it is open already. Clients use a new id for each request, and a second open
     /// request with the same id would interfere with the first.
     fn claim_id(&self, incoming: &IncomingRequest) -> Option<OpenRequestId> {
@@ -166,6 +195,62 @@
     }
 }
 
+/// The driver's final response, unless it has dropped the request.
+type ReceivedResponse = Result<FinalResponse, oneshot::error::RecvError>;
+
+/// The times of a request that waits for its response, and what became of its body.
+struct PendingExchange {
+    deadline: Instant,
+    client_deadline: Instant,
+    response_timeout: Duration,
+    is_malformed: bool,
+}
+
+impl PendingExchange {
+    fn new(incoming: &IncomingRequest) -> Self {
+        PendingExchange {
+            deadline: incoming.deadline,
+            client_deadline: incoming.client_deadline,
+            response_timeout: incoming.response_timeout,
+            is_malformed: false,
+        }
+    }
+
+    /// Called when the last byte of a streaming body has been received, which arrived at `completed_at`.
+    fn on_complete(&mut self, completed_at: Instant) {
+        self.deadline = completed_at + self.response_timeout;
+        self.client_deadline = self.deadline;
+    }
+}
+
+/// The decided response to a request.
+struct Decision {
+    response: (RequestOutcome, Response<ClientResponseBody>),
+    /// The time until which the client waits.
+    client_deadline: Instant,
+    /// Whether the request's body has broken off, so that its connection has to be closed.
+    is_malformed: bool,
+}
+
+fn decided_response(
+    decided: Result<ReceivedResponse, Elapsed>,
+) -> (RequestOutcome, Response<ClientResponseBody>) {
+    match decided {
+        Ok(Ok(response)) => {
+            let outcome = match response {
+                FinalResponse::Served(..) => RequestOutcome::Served,
+                FinalResponse::Shed(_) => RequestOutcome::Rejected,
+                FinalResponse::Failed(_) => RequestOutcome::Failed,
+            };
+            (outcome, response_for(response))
+        }
+        Ok(Err(_)) => {
+            (RequestOutcome::Failed, plain_response(StatusCode::BAD_GATEWAY, "no answer was decided"))
+        }
+        Err(_) => (RequestOutcome::Failed, plain_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+    }
+}
+
 /// The response to a request of which nothing has been sent to a server, and after which its connection closes.
 fn closing_refusal(text: &str) -> Response<ClientResponseBody> {
     let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, text);
--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -82,8 +82,6 @@
     readable: usize,
     /// The length of `buffered` when an incomplete head was parsed; it is not parsed again before more bytes have been read.
     parsed_len: usize,
-    /// Whether the last read filled its buffer, so that more bytes may have been there.
-    last_read_was_full: bool,
     /// Whether the end of the stream has been read.
     eof: bool,
     /// The number of bytes after `buffered` that were discarded. Once it is not 0, the stream ends for hyper after
@@ -110,7 +108,6 @@
             unread_since: None,
             readable: 0,
             parsed_len: 0,
-            last_read_was_full: false,
             eof: false,
             discarded: 0,
             passed: 0,
@@ -135,17 +132,15 @@
         };
         let queued_bytes_age = self.queued_bytes_age();
         let mut chunk = [0; READ_CHUNK_BYTES];
-        let Poll::Ready(read) = self.io.poll_read(cx, &mut chunk[..limit]) else {
+        let Poll::Ready(read) = self.poll_read_arrived(cx, &mut chunk[..limit]) else {
             self.reads_queued_bytes &= !self.arrivals.has_recorded();
             self.unread_since = None;
-            self.last_read_was_full = false;
             if let Some(presence) = self.client.presence() {
                 presence.on_read_blocked();
             }
             return Poll::Pending;
         };
         let n = read?;
-        self.last_read_was_full = n == limit;
         if let Some(presence) = self.client.presence().filter(|_| n > 0) {
             presence.on_bytes_read();
         }
@@ -163,15 +158,35 @@
         Poll::Ready(Ok(n > 0))
     }
 
-    /// Reads the bytes that may lie behind the buffered ones, if the last read can have left some: they may show that the end of the
-    /// request is in doubt.
-    fn read_following(&mut self, cx: &mut Context<'_>) {
-        if self.last_read_was_full && matches!(self.read_limit(), ReadLimit::Buffer(1..)) {
+    /// Reads bytes, also such of which the runtime does not know yet.
+    fn poll_read_arrived(&self, cx: &mut Context<'_>, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
+        let read = self.io.poll_read(cx, chunk);
+        if read.is_ready() || self.io.unread_bytes() == 0 {
+            return read;
+        }
+        match self.io.read_arrived(chunk).transpose() {
+            Some(read) => Poll::Ready(read),
+            None => Poll::Pending,
+        }
+    }
+
+    /// Reads what has arrived behind the buffered bytes, if the request ends with them: it may show that this end is in doubt.
+    fn read_following(&mut self, cx: &mut Context<'_>, request_end: usize) {
+        if self.buffered.len() <= request_end && matches!(self.read_limit(), ReadLimit::Buffer(1..)) {
             // A broken connection shows again at the next read or write.
             let _ = self.poll_fill(cx);
         }
     }
 
+    /// Rejects the complete request if bytes behind it, which came later, begin no request, and its response has not begun.
+    fn check_following(&mut self) {
+        let is_open = matches!(self.stage, Stage::Complete) && !self.client.has_response();
+        if is_open && !may_begin_request(&self.buffered) {
+            self.stage = Stage::Closed;
+            self.client.reject_request(RequestRejection::Unsound(UnsoundRequest::FollowingBytes));
+        }
+    }
+
     /// How much may be read now.
     fn read_limit(&mut self) -> ReadLimit {
         if self.discarded > 0 || self.client.lingering_since().is_some() {
@@ -244,7 +259,7 @@
     }
 
     /// Parses the buffered part of a head; true if hyper may read any of it.
-    fn parse_head(&mut self) -> bool {
+    fn parse_head(&mut self, cx: &mut Context<'_>) -> bool {
         if self.buffered.is_empty() {
             return false;
         }
@@ -265,13 +280,7 @@
             HeadFraming::Sized(head, _) | HeadFraming::Chunked(head) if !self.buffered.reserve_head(head) => {
                 self.reject_request(head, RequestRejection::OutOfMemory);
             }
-            HeadFraming::Sized(head, 0) if !may_begin_request(&self.buffered[head..]) => {
-                self.reject_unsound(head, UnsoundRequest::FollowingBytes);
-            }
-            HeadFraming::Sized(head, 0) => {
-                self.readable = head;
-                self.complete_request();
-            }
+            HeadFraming::Sized(head, 0) => self.complete_head_without_body(cx, head),
             HeadFraming::Sized(head, body) => {
                 self.client.start_body();
                 (self.readable, self.stage) = (head, Stage::Body(body));
@@ -284,6 +293,17 @@
         true
     }
 
+    /// Handles a head that is the whole request.
+    fn complete_head_without_body(&mut self, cx: &mut Context<'_>, head: usize) {
+        self.read_following(cx, head);
+        if may_begin_request(&self.buffered[head..]) {
+            self.readable = head;
+            self.complete_request();
+        } else {
+            self.reject_unsound(head, UnsoundRequest::FollowingBytes);
+        }
+    }
+
     fn reject_unsound(&mut self, head: usize, unsound: UnsoundRequest) {
         self.reject_request(head, RequestRejection::Unsound(unsound));
     }
@@ -291,7 +311,7 @@
     /// Handles a body that ends with the readable bytes. If the bytes behind it begin no request, hyper does not get its end, so that
     /// no server gets the request whole.
     fn complete_body(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
-        self.read_following(cx);
+        self.read_following(cx, self.readable);
         if may_begin_request(&self.buffered[self.readable..]) {
             self.complete_request();
             return Ok(());
@@ -363,8 +383,7 @@
             }
             match this.stage {
                 Stage::Head => {
-                    this.read_following(cx);
-                    if this.parse_head() {
+                    if this.parse_head(cx) {
                         continue;
                     }
                     // The bytes after the buffered ones have been discarded, so an incomplete head stays incomplete.
@@ -403,20 +422,20 @@
                 }
                 // Only a disconnect still matters, and `client_disconnected` detects that at the socket.
                 Stage::Complete if this.discarded >= MAX_DISCARDED_BYTES => {
-                    *this.client.waker.borrow_mut() = Some(cx.waker().clone());
+                    this.client.on_reader_waits(cx.waker());
                     return Poll::Pending;
                 }
                 Stage::Body(_) | Stage::Chunked(_) | Stage::Complete => {}
             }
             match this.poll_fill(cx) {
-                Poll::Ready(Ok(true)) => {}
+                Poll::Ready(Ok(true)) => this.check_following(),
                 Poll::Ready(Ok(false)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
                 Poll::Pending => {
                     if matches!(this.stage, Stage::Body(_) | Stage::Chunked(_)) {
                         this.client.update_body_timeout(ProgressTimeout::on_wait);
                     }
-                    *this.client.waker.borrow_mut() = Some(cx.waker().clone());
+                    this.client.on_reader_waits(cx.waker());
                     return Poll::Pending;
                 }
             }
--- a/crates/agent/src/downstream/sound_request/following_bytes.rs
+++ b/crates/agent/src/downstream/sound_request/following_bytes.rs
@@ -1,4 +1,4 @@
-//! The bytes that came together with a request, behind its end.
+//! The bytes behind the end of a request, which come together with it or while it has no response.
 //!
 //! They begin the next request (RFC 9112, section 6.3). Where they cannot, the client means something else by them, such as a body
 //! without a length, so the end of the request is in doubt.
--- a/crates/agent/src/driver/requests.rs
+++ b/crates/agent/src/driver/requests.rs
@@ -306,7 +306,7 @@
 
     /// Fails a pending request with 408, since its body is incomplete and its connection is needed for another client.
     pub fn fail_incomplete(self: &Rc<Self>, request: RequestId) {
-        self.fail_upload(request, StatusCode::REQUEST_TIMEOUT, ResponseReason::ConnectionLimit);
+        self.fail_pending(request, StatusCode::REQUEST_TIMEOUT, ResponseReason::ConnectionLimit);
     }
 
     /// Fails a pending request whose body cannot be completed, with 400 or 413. No server can have got it whole.
@@ -315,16 +315,21 @@
             BrokenUpload::Malformed => (StatusCode::BAD_REQUEST, ResponseReason::MalformedBody),
             BrokenUpload::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, ResponseReason::BodyTooLarge),
         };
-        self.fail_upload(request, status, reason);
+        self.fail_pending(request, status, reason);
+    }
+
+    /// Fails a pending request with this status, since it has turned out not to be sound.
+    pub fn fail_unsound(self: &Rc<Self>, request: RequestId, status: StatusCode) {
+        self.fail_pending(request, status, ResponseReason::Unsound);
     }
 
     /// Fails a pending request with 504, since its server has not taken its body, and its client may have waited for its whole
     /// timeout meanwhile.
     pub fn fail_held_up_upload(self: &Rc<Self>, request: RequestId) {
-        self.fail_upload(request, StatusCode::GATEWAY_TIMEOUT, ResponseReason::BodyHeldUp);
+        self.fail_pending(request, StatusCode::GATEWAY_TIMEOUT, ResponseReason::BodyHeldUp);
     }
 
-    fn fail_upload(self: &Rc<Self>, request: RequestId, status: StatusCode, reason: ResponseReason) {
+    fn fail_pending(self: &Rc<Self>, request: RequestId, status: StatusCode, reason: ResponseReason) {
         self.abandon(&mut self.state.borrow_mut(), request, status, reason);
         self.pump();
     }
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -67,6 +67,8 @@
     MalformedBody,
     /// The request's body exceeds the maximum length.
     BodyTooLarge,
+    /// Bytes behind the request, which came after it was accepted, show that it is not sound.
+    Unsound,
     /// The server did not take the request's body while the client may have waited for its whole timeout.
     BodyHeldUp,
 }
--- a/crates/agent/tests/late_bytes.rs
+++ b/crates/agent/tests/late_bytes.rs
@@ -179,13 +179,11 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let begin = begin.clone();
             tokio::spawn(async move {
-                while let Some(request) = read_message(&mut stream, 0).await {
-                    let _ = begin.send(request.target().to_owned());
-                    // Long enough for the bytes behind the request; then the connection breaks.
-                    sleep(Duration::from_millis(150)).await;
-                    let _ = stream.set_zero_linger();
-                    return;
-                }
+                let request = read_message(&mut stream, 0).await.expect("a request");
+                let _ = begin.send(request.target().to_owned());
+                // Long enough for the bytes behind the request; then the connection breaks.
+                sleep(Duration::from_millis(150)).await;
+                let _ = stream.set_zero_linger();
             });
         }
     });
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -5,7 +5,7 @@
 use hyper::rt::ReadBufCursor;
 use socket2::SockRef;
 use std::future::poll_fn;
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
 use std::pin::Pin;
@@ -119,6 +119,21 @@
         poll_io(cx, |cx| self.0.poll_read_ready(cx), || self.0.try_read(buffer))
     }
 
+    /// Reads bytes that have arrived, also such of which the runtime does not know yet; none if there are none. The runtime still
+    /// tells of them later.
+    ///
+    /// # Errors
+    ///
+    /// The connection is broken.
+    pub fn read_arrived(&self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
+        let socket = SockRef::from(&self.0);
+        match retry_interrupted(|| (&*socket).read(buffer)) {
+            Ok(count) => Ok(Some(count)),
+            Err(error) if is_transient(&error) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Writes as many bytes as fit, once any fit, and returns their number.
     pub fn poll_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         poll_io(cx, |cx| self.0.poll_write_ready(cx), || self.0.try_write(bytes))
