--- a/crates/agent/tests/leaving.rs
+++ b/crates/agent/tests/leaving.rs
@@ -386,3 +386,40 @@
         }
     }
 }
+
+/// Guards against attempts for clients whose close lies behind unread bytes while their process is replaced by a new one.
+#[tokio::test]
+async fn client_that_closed_behind_unread_bytes_gets_no_attempt_over_an_upgrade() {
+    let mut server = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let listed = |health: &str| vec![host("s", server.address, health)];
+    let (away, here) = (listed("draining"), listed("up"));
+    let directory = Directory::start(Mood::Mute).await;
+    directory.list(1, &away);
+    let folder = Folder::new();
+    let mut config = patient_config(directory.address, &away);
+    config["listen"] = unshared_address().await.to_string().into();
+    let in_folder = |command: &mut tokio::process::Command| {
+        command.env("TMPDIR", folder.path());
+    };
+    let old = Agent::with(config.clone(), in_folder).await;
+    let mut kept = Vec::new();
+    for number in 0..12 {
+        let text = streamed(3 << 20, 3 << 20);
+        let text = text.replacen("X-Request-ID: ", &format!("X-Request-ID: {number}-"), 1);
+        let mut client = old.client().await;
+        let sending = client.stream.write_all(text.as_bytes());
+        let _ = tokio::time::timeout(Duration::from_millis(50), sending).await;
+        kept.push(client.leave(Leaving::ALL[number % Leaving::ALL.len()]).await);
+    }
+    let new = Agent::with(config, in_folder).await;
+    old.term().await;
+    tokio::time::sleep(AFTER_LEAVING).await;
+    directory.list(2, &here);
+    new.ready().await;
+    for _ in 0..4 {
+        let answer = new.client().await.ask(&request("GET", "/read/stays", "20000m", "")).await;
+        assert_eq!(answer.status(), 200);
+    }
+    let (_, begun) = server.record();
+    assert!(begun.iter().all(|path| path.contains("stays")), "begun: {begun:?}");
+}
--- a/crates/agent/tests/repeated_ids.rs
+++ b/crates/agent/tests/repeated_ids.rs
@@ -181,6 +181,8 @@
 ];
 /// The ids for each way and each number of processes.
 const IDS: u64 = 60;
+/// The ids that servers execute at least when a process is killed; the others wait or are refused.
+const HELD_IDS: usize = 8;
 
 /// Sends a request whose client leaves up to 5 ms later, and then copies of it on new connections, whose clients leave too.
 async fn send_repeatedly(address: SocketAddr, text: String, leave_after: Duration, repetition: Repetition) {
@@ -260,3 +262,53 @@
     }
     assert!(twice.is_empty(), "{twice:#?}");
 }
+
+/// Guards against a second execution by the process that is left when the other one of an upgrade is killed while servers execute its
+/// requests.
+#[tokio::test]
+async fn request_is_not_executed_again_after_a_process_of_an_upgrade_was_killed() {
+    for kills_old in [true, false] {
+        let (mut servers, hosts, _word) = holding_servers().await;
+        let directory = Directory::start(Mood::Mute).await;
+        let folder = Folder::new();
+        let config = upgrade_config(&directory, &hosts).await;
+        let mut old = ready_process(&config, &folder).await;
+        let mut new = ready_process(&config, &folder).await;
+        let address = old.address;
+        let texts: Vec<String> =
+            (0..IDS).map(|n| request_as(&format!("killed-{n}"), "POST", "/pay", "20000m", "")).collect();
+        let mut clients = Vec::new();
+        for text in &texts {
+            let mut client = TcpStream::connect(address).await.expect("a connection");
+            client.write_all(text.as_bytes()).await.expect("it reads");
+            clients.push(client);
+        }
+        let mut executed = HashMap::new();
+        soon("requests at servers", async {
+            while executed.len() < HELD_IDS {
+                merge(&mut executed, executions(&mut servers));
+                sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        let (killed, left) = if kills_old { (&mut old, &new) } else { (&mut new, &old) };
+        killed.child.kill().await.expect("it runs");
+        drop(clients);
+        let mut again = Vec::new();
+        for text in &texts {
+            let mut client = left.client().await;
+            client.send(text).await;
+            again.push(client);
+        }
+        sleep(Duration::from_millis(300)).await;
+        merge(&mut executed, executions(&mut servers));
+        let twice = executed.values().filter(|count| **count > 1).count();
+        assert_eq!(twice, 0, "of {} ids, the old process killed: {kills_old}", executed.len());
+    }
+}
+
+fn merge(all: &mut HashMap<String, usize>, more: HashMap<String, usize>) {
+    for (id, count) in more {
+        *all.entry(id).or_default() += count;
+    }
+}
