What is a sound request, and a connection's accept delay, stand below downstream

sound_request and AcceptDelay are used by the request log, streaming bodies and the connections; from downstream they tied these modules into a circle. They are modules of their own now.

--- a/crates/agent/src/downstream/accept.rs
+++ b/crates/agent/src/downstream/accept.rs
@@ -6,6 +6,7 @@
 
 use super::eviction::{EVICTION_AGE, URGENT_EVICTION_BATCH, URGENT_EVICTION_INTERVAL};
 use super::{Accepting, Server};
+use crate::accept_delay::AcceptDelay;
 use crate::daemon::descriptors::SPARE_CONNECTIONS;
 use bellcroft_net::{AcceptError, Listener, Stream, ACCEPT_BACKLOG};
 use std::future::{poll_fn, Future};
@@ -26,16 +27,6 @@
 /// The pause between accepts that fail for a shortage.
 const SHORTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
-/// How long a connection can have been in the accept queue. The kernel does not tell; it tells only when the connection's bytes
-/// arrived ([`Stream::received_ago`]).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct AcceptDelay {
-    /// The longest possible delay.
-    pub longest: Duration,
-    /// The delay that is assumed if the kernel does not tell when the bytes arrived.
-    pub assumed: Duration,
-}
-
 /// The longest time for which connections are taken to have waited in the queue of a socket that another process has opened.
 const MAX_INHERITED_DELAY: Duration = Duration::from_secs(30);
 /// The delay that is assumed for these if the kernel does not tell: a supervisor leaves a socket open for no longer while no process
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -1,9 +1,9 @@
 //! The state of a client's connection, shared by its framing and its owner, and the detection of disconnects.
 
-use super::accept::AcceptDelay;
 use super::eviction::LATE_RESPONSE_ALLOWANCE;
-use super::sound_request::UnsoundRequest;
+use crate::accept_delay::AcceptDelay;
 use crate::client_presence::ClientPresence;
+use crate::sound_request::UnsoundRequest;
 use crate::telemetry::PendingTimer;
 use bellcroft_agent_core::body_limits::ProgressTimeout;
 use bellcroft_agent_core::guard::ConnectionState;
--- a/crates/agent/src/downstream/head.rs
+++ b/crates/agent/src/downstream/head.rs
@@ -1,6 +1,6 @@
 //! Determines the length of a request from its head, before hyper parses it: hyper removes headers that make it ambiguous.
 
-use super::sound_request::is_target;
+use crate::sound_request::is_target;
 
 /// The maximum number of header lines, the same as hyper's.
 const MAX_HEADER_LINES: usize = 100;
--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -1,13 +1,13 @@
 //! Reads and checks a client's request.
 
 use super::connection::{ClientConnection, RequestRejection};
-use super::sound_request::{
-    affinity_key, check_head, class_name, has_idempotency_key, has_sound_trailers, header_text, request_id,
-    PlatformFields, UnsoundRequest,
-};
 use super::Server;
 use crate::driver::{class_signature, IncomingRequest, RequestBody, MAX_UPLOAD_TIME};
 use crate::memory::HeldBytes;
+use crate::sound_request::{
+    affinity_key, check_head, class_name, has_idempotency_key, has_sound_trailers, header_text, request_id,
+    PlatformFields, UnsoundRequest,
+};
 use crate::streaming_body::{BrokenUpload, ReceivedBody, StreamingBody};
 use crate::upstream::forwarded_headers;
 use bellcroft_agent_core::body_limits::{self, ForwardingMode, MAX_BUFFERED_BODY_BYTES};
--- a/crates/agent/src/downstream/response.rs
+++ b/crates/agent/src/downstream/response.rs
@@ -1,8 +1,8 @@
 //! Builds the responses to a client.
 
 use super::response_body::ClientResponseBody;
-use super::sound_request::UnsoundRequest;
 use crate::driver::FinalResponse;
+use crate::sound_request::UnsoundRequest;
 use crate::upstream::ResponseBody;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -4,7 +4,8 @@
 //! from the start of a shutdown, which is short and whose pending requests cannot be traced afterwards. A denied attempt
 //! is logged as a warning, unless it was denied because of the shutdown.
 
-use crate::downstream::{AcceptDelay, UnsoundRequest};
+use crate::accept_delay::AcceptDelay;
+use crate::sound_request::UnsoundRequest;
 use crate::upstream::RelayError;
 use bellcroft_agent_core::guard::{ConnectionState, LateResponse, SendDenied, Violation};
 use bellcroft_balancer::{ClassId, Outcome, ServerId};
--- a/crates/agent/src/downstream/sound_request/following_bytes.rs
+++ b/crates/agent/src/sound_request/following_bytes.rs
@@ -12,7 +12,7 @@
 
 /// Whether these bytes are nothing, or the beginning of a request. Other methods than the known ones do not count: a method may also
 /// be the end of other bytes and the method of a request behind them.
-pub(in crate::downstream) fn may_begin_request(mut bytes: &[u8]) -> bool {
+pub(crate) fn may_begin_request(mut bytes: &[u8]) -> bool {
     // A server ignores empty lines before a request (RFC 9112, section 2.2).
     while let Some(rest) = bytes.strip_prefix(LINE_END) {
         bytes = rest;
--- a/crates/agent/src/downstream/sound_request/mod.rs
+++ b/crates/agent/src/sound_request/mod.rs
@@ -7,7 +7,7 @@
 //! | body | none | any | any |
 //!
 //! For each class: HTTP/1.1; a target whose first part is the class ([`target`]); `Host` once, the same as the target's authority if
-//! that has one; the platform's fields once, each in its form ([`platform_fields`]); one length or one coding ([`super::head`]); no
+//! that has one; the platform's fields once, each in its form ([`platform_fields`]); one length or one coding (`crate::downstream::head`); no
 //! bytes behind it that cannot begin the next request ([`following_bytes`]). Other fields are allowed where RFC 9110 lets a recipient
 //! ignore them.
 
@@ -15,9 +15,9 @@
 mod platform_fields;
 mod target;
 
-pub(super) use following_bytes::may_begin_request;
-pub(super) use platform_fields::{header_text, request_id, PlatformFields};
-pub(super) use target::{affinity_key, class_name, is_target};
+pub(crate) use following_bytes::may_begin_request;
+pub(crate) use platform_fields::{header_text, request_id, PlatformFields};
+pub(crate) use target::{affinity_key, class_name, is_target};
 
 use bytes::Bytes;
 use hyper::body::Frame;
@@ -147,7 +147,7 @@
 
 impl UnsoundRequest {
     /// The status of the response.
-    pub(super) fn status(self) -> StatusCode {
+    pub(crate) fn status(self) -> StatusCode {
         match self {
             UnsoundRequest::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             UnsoundRequest::Expectation => StatusCode::EXPECTATION_FAILED,
@@ -160,7 +160,7 @@
 }
 
 /// Checks what does not depend on the class of a request. `has_body` states whether it declares a body that is not empty.
-pub(super) fn check_head(head: &Parts, has_body: bool) -> Result<(), UnsoundRequest> {
+pub(crate) fn check_head(head: &Parts, has_body: bool) -> Result<(), UnsoundRequest> {
     if head.version != Version::HTTP_11 {
         return Err(UnsoundRequest::Version);
     }
@@ -191,7 +191,7 @@
 }
 
 /// Whether a request has an idempotency key.
-pub(super) fn has_idempotency_key(headers: &HeaderMap) -> bool {
+pub(crate) fn has_idempotency_key(headers: &HeaderMap) -> bool {
     headers.contains_key(IDEMPOTENCY_KEY)
 }
 
--- a/crates/agent/src/downstream/sound_request/platform_fields.rs
+++ b/crates/agent/src/sound_request/platform_fields.rs
@@ -13,25 +13,22 @@
 
 /// The values of the platform's fields, but for the class and the idempotency key.
 #[derive(Debug)]
-pub(in crate::downstream) struct PlatformFields<'a> {
+pub(crate) struct PlatformFields<'a> {
     /// The request's id.
-    pub(in crate::downstream) request_id: &'a str,
+    pub(crate) request_id: &'a str,
     /// How long the client waits.
-    pub(in crate::downstream) timeout: Duration,
+    pub(crate) timeout: Duration,
     /// The tenant; none if the settings have no tenants.
-    pub(in crate::downstream) tenant: Option<TenantId>,
+    pub(crate) tenant: Option<TenantId>,
     /// The client's estimate of the server time that the request needs; none for an estimate of zero.
-    pub(in crate::downstream) cost_hint: Option<Micros>,
+    pub(crate) cost_hint: Option<Micros>,
     /// Whether the client marks the request as a retry of its own.
-    pub(in crate::downstream) is_retry: bool,
+    pub(crate) is_retry: bool,
 }
 
 impl<'a> PlatformFields<'a> {
     /// Parses the fields of a request; the settings have these tenants.
-    pub(in crate::downstream) fn parse(
-        headers: &'a HeaderMap,
-        tenants: &[String],
-    ) -> Result<Self, UnsoundRequest> {
+    pub(crate) fn parse(headers: &'a HeaderMap, tenants: &[String]) -> Result<Self, UnsoundRequest> {
         let request_id = request_id(headers).ok_or(UnsoundRequest::RequestId)?;
         let tenant = parse_tenant(headers, tenants)?;
         let timeout = header_text(headers, "x-timeout").and_then(parse_timeout);
@@ -51,12 +48,12 @@
 }
 
 /// The value of a header; none if it is missing or not text.
-pub(in crate::downstream) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
 /// The id of a request; none if it is missing, or not one word of the allowed length.
-pub(in crate::downstream) fn request_id(headers: &HeaderMap) -> Option<&str> {
+pub(crate) fn request_id(headers: &HeaderMap) -> Option<&str> {
     let is_id = |id: &&str| is_word(id.as_bytes()) && id.len() <= MAX_REQUEST_ID_BYTES;
     header_text(headers, "x-request-id").filter(is_id)
 }
@@ -123,5 +120,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/platform_fields.rs"]
+#[path = "../../tests/unit/platform_fields.rs"]
 mod tests;
--- a/crates/agent/src/downstream/sound_request/target.rs
+++ b/crates/agent/src/sound_request/target.rs
@@ -32,7 +32,7 @@
 }
 
 /// The name of the class in a path that begins with a slash.
-pub(in crate::downstream) fn class_name(path: &str) -> &str {
+pub(crate) fn class_name(path: &str) -> &str {
     path.split('/').nth(1).unwrap_or_default()
 }
 
@@ -52,7 +52,7 @@
 }
 
 /// The hash of the affinity key in the query of a target, if it has one.
-pub(in crate::downstream) fn affinity_key(target: &PathAndQuery) -> Option<KeyId> {
+pub(crate) fn affinity_key(target: &PathAndQuery) -> Option<KeyId> {
     affinity_keys(target.query()).next().map(|key| KeyId(fnv1a(key)))
 }
 
@@ -87,7 +87,7 @@
 
 /// Whether a request's target, as it was received, is of the origin or the absolute form, and consists of the characters of a URI
 /// without a fragment.
-pub(in crate::downstream) fn is_target(target: &[u8]) -> bool {
+pub(crate) fn is_target(target: &[u8]) -> bool {
     let Some(rest) = without_scheme(target) else { return target.first() == Some(&b'/') && is_path(target) };
     // An IPv6 address is in brackets.
     let after_address = match rest.iter().position(|byte| *byte == b']') {
--- a/crates/agent/src/streaming_body.rs
+++ b/crates/agent/src/streaming_body.rs
@@ -6,9 +6,9 @@
 //! attempt can send it from the start.
 
 use crate::clock::Clock;
-use crate::downstream::has_sound_trailers;
 use crate::memory::{BodyBytes, Memory, Reservation};
 use crate::read_ahead::ReadAhead;
+use crate::sound_request::has_sound_trailers;
 use bellcroft_agent_core::body_limits::{BodyTooLarge, ForwardedBytes};
 use bellcroft_agent_core::upload_clock::UploadClock;
 use bytes::Bytes;
