A response that begins shortly before its deadline is not buffered past it

Callers would see 429 or 504 for a response without a length that began less than 40 ms before its deadline. Found beside the cut answers, by drawing responses that begin 20 to 30 ms before it.

Cause: such a response is buffered for 40 ms from its head, and the attempt ended at the deadline meanwhile.

Change: the buffering ends 2 ms before the deadline; what has begun is forwarded from there.

--- a/crates/agent-core/src/body_limits.rs
+++ b/crates/agent-core/src/body_limits.rs
@@ -10,6 +10,9 @@
 /// first bytes.
 pub const MAX_BUFFERING_TIME: Micros = Micros(40_000);
 
+/// The time before a response's deadline by which its buffering ends, so that its attempt does not time out first.
+const DEADLINE_RESERVE: Micros = Micros(2_000);
+
 /// A body exceeds [`MAX_BODY_BYTES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyTooLarge;
@@ -40,14 +43,17 @@
 #[derive(Debug, Clone, Copy)]
 pub struct BufferingPhase {
     declared_length: Option<u64>,
-    head_received_at: Time,
+    /// The end of the phase for a body of unknown length.
+    ends_at: Time,
     buffered_bytes: usize,
 }
 
 impl BufferingPhase {
-    /// Starts the phase of a response whose head has just been received.
-    pub fn new(declared_length: Option<u64>, now: Time) -> Self {
-        BufferingPhase { declared_length, head_received_at: now, buffered_bytes: 0 }
+    /// Starts the phase of a response whose head has just been received. It ends before the response's deadline: one that has begun
+    /// by then is forwarded.
+    pub fn new(declared_length: Option<u64>, now: Time, deadline: Time) -> Self {
+        let ends_at = (now + MAX_BUFFERING_TIME).min(deadline - DEADLINE_RESERVE);
+        BufferingPhase { declared_length, ends_at, buffered_bytes: 0 }
     }
 
     /// Records that more bytes have been received, or that the deadline has passed. Returns whether the body is streamed
@@ -66,7 +72,7 @@
 
     /// The end of the phase; `None` for a response with a declared length.
     pub fn deadline(&self) -> Option<Time> {
-        self.declared_length.is_none().then(|| self.head_received_at + MAX_BUFFERING_TIME)
+        self.declared_length.is_none().then_some(self.ends_at)
     }
 
     fn is_overdue(&self, now: Time) -> bool {
--- a/crates/agent-core/tests/body_limits.rs
+++ b/crates/agent-core/tests/body_limits.rs
@@ -14,12 +14,25 @@
     assert_eq!(forwarding_mode(Some(u64::MAX)), Err(BodyTooLarge));
 }
 
+/// A deadline after all buffering.
+const LATE_DEADLINE: Time = Time(2_500_000);
+
+/// Guards against responses that begin shortly before their deadline and time out while they are buffered.
+#[test]
+fn response_of_unknown_length_is_not_buffered_up_to_its_deadline() {
+    let deadline = Time(MAX_BUFFERING_TIME.0 / 2);
+    let mut late = BufferingPhase::new(None, Time(0), deadline);
+    assert!(!late.on_bytes(1000, Time(1_000)));
+    assert!(late.deadline().is_some_and(|end| end < deadline));
+    assert!(late.on_bytes(0, Time(deadline.0 - 1_000)));
+}
+
 #[test]
 fn long_response_is_streamed_and_short_one_is_buffered() {
-    let mut long = BufferingPhase::new(Some(MAX_BUFFERED_BODY_BYTES as u64 + 1), Time(0));
+    let mut long = BufferingPhase::new(Some(MAX_BUFFERED_BODY_BYTES as u64 + 1), Time(0), LATE_DEADLINE);
     assert!(!long.on_bytes(0, Time(u64::MAX)), "without body bytes there is nothing to stream");
     assert!(long.on_bytes(1, Time(1)));
-    let mut short = BufferingPhase::new(Some(MAX_BUFFERED_BODY_BYTES as u64), Time(0));
+    let mut short = BufferingPhase::new(Some(MAX_BUFFERED_BODY_BYTES as u64), Time(0), LATE_DEADLINE);
     assert!(
         !short.on_bytes(MAX_BUFFERED_BODY_BYTES, Time(u64::MAX)),
         "a short body is buffered however slow it is, so that its request can be retried"
@@ -28,12 +41,12 @@
 
 #[test]
 fn response_of_unknown_length_is_buffered_briefly() {
-    let mut slow = BufferingPhase::new(None, Time(0));
+    let mut slow = BufferingPhase::new(None, Time(0), LATE_DEADLINE);
     assert!(!slow.on_bytes(1000, MAX_BUFFERING_TIME.just_before()));
     assert!(slow.on_bytes(0, Time(MAX_BUFFERING_TIME.0)));
-    let mut empty = BufferingPhase::new(None, Time(0));
+    let mut empty = BufferingPhase::new(None, Time(0), LATE_DEADLINE);
     assert!(!empty.on_bytes(0, Time(u64::MAX)), "without body bytes there is nothing to stream");
-    let mut long = BufferingPhase::new(None, Time(0));
+    let mut long = BufferingPhase::new(None, Time(0), LATE_DEADLINE);
     assert!(!long.on_bytes(MAX_BUFFERED_BODY_BYTES, Time(1)));
     assert!(long.on_bytes(1, Time(1)), "the body exceeds the buffer");
 }
--- a/crates/agent/src/upstream/response.rs
+++ b/crates/agent/src/upstream/response.rs
@@ -53,7 +53,7 @@
         mut connection: Connection,
         request: Request<OutgoingBody>,
         first_byte_timeout: Option<Duration>,
-        respond_by: impl FnOnce() -> Instant,
+        respond_by: impl Fn() -> Instant,
     ) -> Option<AttemptResult> {
         connection.progress.read_budget.set(MAX_RESPONSE_BYTES);
         let response = connection.sender.send_request(request);
@@ -75,7 +75,7 @@
         let mut rest = response.into_body();
         let is_served = outcome == Outcome::Success;
         let body_use = if is_served { BodyUse::Forwarded } else { BodyUse::Discarded };
-        let start = read_body_start(&mut rest, length, &self.memory, body_use).await?;
+        let start = read_body_start(&mut rest, length, respond_by(), &self.memory, body_use).await?;
         let body = if start.is_complete && start.more.is_empty() {
             self.pool.release_after_response(connection);
             ResponseBody::Complete(start.bytes)
@@ -127,12 +127,14 @@
 async fn read_body_start(
     body: &mut Incoming,
     length: Option<u64>,
+    respond_by: Instant,
     memory: &Memory,
     body_use: BodyUse,
 ) -> Option<BodyStart> {
     let head_received_at = Instant::now();
     let now = || Time(head_received_at.elapsed().as_micros() as u64);
-    let mut buffering = BufferingPhase::new(length, now());
+    let deadline = Time(respond_by.saturating_duration_since(head_received_at).as_micros() as u64);
+    let mut buffering = BufferingPhase::new(length, now(), deadline);
     let mut buffered = HeldBytes::new(memory, MemoryUse::Message);
     let mut has_begun = false;
     loop {
--- a/crates/agent/tests/response_ends.rs
+++ b/crates/agent/tests/response_ends.rs
@@ -86,9 +86,11 @@
             let (length, rate) = (random.usize(400_000..=1_900_000), random.usize(400_000..=700_000));
             cases.push(steady(framing, length, rate, wait));
             // It begins shortly before its deadline.
-            let mut late = lumps(&mut random, framing, wait);
-            late.script.begins_after = wait - draw_millis(&mut random, 100..=200);
-            cases.push(late);
+            for before in [20..=30, 100..=200] {
+                let mut late = lumps(&mut random, framing, wait);
+                late.script.begins_after = wait - draw_millis(&mut random, before);
+                cases.push(late);
+            }
             let mut late = steady(framing, random.usize(70_000..=120_000), 30_000, wait);
             late.script.begins_after = wait - draw_millis(&mut random, 100..=200);
             cases.push(late);
