One waker of a connection's reader, one refusal of unsound requests, no second count

The refusal of an unsound request stood three times in handle, the decision of an exchange copied two fields of the state it was made from, the log counted limited events in two places, the relay and the presence each had a time in which arrived bytes are read, and the relay asked the progress for the number of bytes that it counts itself.

No behaviour changes.

--- a/crates/agent-core/src/response_end.rs
+++ b/crates/agent-core/src/response_end.rs
@@ -101,11 +101,6 @@
         self.extent
     }
 
-    /// The number of received bytes.
-    pub fn received(&self) -> u64 {
-        self.received
-    }
-
     /// Records that the client waits for the server.
     pub fn on_wait(&mut self, now: Time) {
         self.waiting_since.get_or_insert(now);
--- a/crates/agent/src/client_presence.rs
+++ b/crates/agent/src/client_presence.rs
@@ -18,7 +18,7 @@
 /// by the platform's rules 0.1 s after a close, less the time until the attempt's first byte is written.
 const MAX_AGE: Duration = Duration::from_millis(80);
 /// The time in which bytes that have just arrived are read.
-const READ_TIME: Duration = Duration::from_millis(2);
+pub const READ_TIME: Duration = Duration::from_millis(2);
 
 /// What is known of the client of a connection.
 #[derive(Debug)]
@@ -64,12 +64,17 @@
         if !self.has_unread_bytes() {
             return;
         }
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
-        }
+        self.wake_reader();
         yield_now().await;
     }
 
+    /// Wakes the task that reads the connection.
+    pub fn wake_reader(&self) {
+        if let Some(reader) = &*self.reader.borrow() {
+            reader.wake_by_ref();
+        }
+    }
+
     /// Called when bytes have been read.
     pub fn on_bytes_read(&self) {
         if self.was_empty.take() {
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -9,7 +9,7 @@
 use bellcroft_agent_core::guard::ConnectionState;
 use bellcroft_balancer::Time;
 use bellcroft_net::Stream;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -54,8 +54,6 @@
     write_stalled_since: Cell<Option<Instant>>,
     /// The time since which the rest of a request has been read and discarded; none if it is not.
     lingering_since: Cell<Option<Instant>>,
-    /// Wakes the task that reads the connection.
-    waker: RefCell<Option<Waker>>,
     /// The timer of the response that is being written.
     response_timer: Cell<Option<PendingTimer>>,
     /// Whether any response has been written over the connection.
@@ -103,7 +101,6 @@
             created_at: now,
             write_stalled_since: Cell::new(None),
             lingering_since: Cell::new(None),
-            waker: RefCell::new(None),
             response_timer: Cell::new(None),
             has_written_response: Cell::new(false),
             accept_delay,
@@ -262,7 +259,6 @@
 
     /// Called when the task that reads the connection waits for more bytes.
     pub(super) fn on_reader_waits(&self, reader: &Waker) {
-        *self.waker.borrow_mut() = Some(reader.clone());
         if let Some(presence) = self.presence() {
             presence.on_reader_waits(reader);
         }
@@ -396,8 +392,8 @@
         self.response_deadline.set(None);
         self.set_state(ConnectionState::Idle);
         self.response_written.set(true);
-        if let Some(waker) = self.waker.borrow_mut().take() {
-            waker.wake();
+        if let Some(presence) = self.presence() {
+            presence.wake_reader();
         }
     }
 }
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -8,7 +8,7 @@
 use crate::daemon::status::RequestOutcome;
 use crate::driver::{Driver, FinalResponse, IncomingRequest, SubmittedRequest};
 use crate::request_log::ResponseReason;
-use crate::sound_request::request_id;
+use crate::sound_request::{request_id, UnsoundRequest};
 use crate::streaming_body::{StreamingBody, UploadEnd};
 use bellcroft_balancer::RequestId;
 use hyper::body::Incoming;
@@ -65,8 +65,7 @@
             None => {}
             Some(RequestRejection::OutOfMemory) => return Ok(closing_refusal(NO_MEMORY_FOR_HEAD)),
             Some(RequestRejection::Unsound(unsound)) => {
-                self.on_unsound(request_id(request.headers()), unsound);
-                return Err(unsound_response(unsound));
+                return Err(self.refuse_unsound(request_id(request.headers()), unsound));
             }
         }
         if request.uri().path() == "/ready" {
@@ -89,8 +88,7 @@
             () = client.refused() => return Ok(closing_refusal(INCOMPLETE_REQUEST)),
         };
         if let Some(unsound) = client.unsound() {
-            self.on_unsound(Some(&incoming.request_id), unsound);
-            return Err(unsound_response(unsound));
+            return Err(self.refuse_unsound(Some(&incoming.request_id), unsound));
         }
         let Some(open_id) = self.claim_id(&incoming) else {
             self.count_bad_request();
@@ -100,7 +98,7 @@
         if upload.is_none() {
             client.on_request_complete();
         }
-        let pending = PendingExchange::new(&incoming);
+        let mut pending = PendingExchange::new(&incoming);
         let counter = self.request_counters.on_request(&self.driver.class_name(incoming.class.id()));
         let SubmittedRequest { id, response, timer } = if self.is_saturated() {
             self.driver.reject(incoming, ResponseReason::ConnectionLimit)
@@ -109,39 +107,47 @@
         };
         // hyper drops this future when the client disconnects; the guard then notifies the driver.
         let _guard = DisconnectGuard(&self.driver, id);
-        let decision = tokio::select! {
+        let (outcome, mut response) = tokio::select! {
             biased;
             unsound = client.found_unsound() => {
                 self.driver.fail_unsound(id, unsound.status());
-                self.on_unsound(Some(open_id.id()), unsound);
-                return Err(unsound_response(unsound));
+                return Err(self.refuse_unsound(Some(open_id.id()), unsound));
             }
-            decision = self.await_decision(id, response, upload, pending, client) => decision,
+            decided = self.await_decision(id, response, upload, &mut pending, client) => decided,
         };
-        let latest_deadline = decision.client_deadline + client.late_allowance();
+        let latest_deadline = pending.client_deadline + client.late_allowance();
         self.driver.on_response_decided(open_id.id(), client.number(), latest_deadline);
-        client.on_response_decided(decision.client_deadline);
-        let (outcome, mut response) = decision.response;
+        client.on_response_decided(pending.client_deadline);
         let request_log = self.driver.request_log.clone();
         let completion = ResponseCompletion::new(counter, timer, outcome, open_id, request_log);
         response.body_mut().set_completion(completion);
-        if decision.is_malformed {
+        if pending.is_malformed {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Counts and logs a request that is not sound, and returns its response; its id is given if it has a sound one.
+    fn refuse_unsound(
+        &self,
+        request_id: Option<&str>,
+        unsound: UnsoundRequest,
+    ) -> Response<ClientResponseBody> {
+        self.on_unsound(request_id, unsound);
+        unsound_response(unsound)
+    }
+
     /// Receives the rest of the request, waits for its response, and has read what has arrived behind it by then.
     async fn await_decision(
         &self,
         id: RequestId,
         mut response: oneshot::Receiver<FinalResponse>,
         upload: Option<Rc<StreamingBody>>,
-        mut pending: PendingExchange,
+        pending: &mut PendingExchange,
         client: &ClientConnection,
-    ) -> Decision {
+    ) -> DecidedResponse {
         let early = match upload {
-            Some(upload) => self.receive_upload(id, &mut response, &upload, &mut pending, client).await,
+            Some(upload) => self.receive_upload(id, &mut response, &upload, pending, client).await,
             None => None,
         };
         let decided = match early {
@@ -149,8 +155,7 @@
             None => timeout_at(pending.deadline + DEADLINE_SLACK, response).await,
         };
         client.read_arrived().await;
-        let PendingExchange { client_deadline, is_malformed, .. } = pending;
-        Decision { response: decided_response(decided), client_deadline, is_malformed }
+        decided_response(decided)
     }
 
     /// Receives the rest of the request's body; returns the response if that is decided earlier.
@@ -203,6 +208,7 @@
     deadline: Instant,
     client_deadline: Instant,
     response_timeout: Duration,
+    /// Whether the request's body has broken off, so that its connection has to be closed.
     is_malformed: bool,
 }
 
@@ -223,18 +229,10 @@
     }
 }
 
-/// The decided response to a request.
-struct Decision {
-    response: (RequestOutcome, Response<ClientResponseBody>),
-    /// The time until which the client waits.
-    client_deadline: Instant,
-    /// Whether the request's body has broken off, so that its connection has to be closed.
-    is_malformed: bool,
-}
+/// The decided response to a request, and what it counts as.
+type DecidedResponse = (RequestOutcome, Response<ClientResponseBody>);
 
-fn decided_response(
-    decided: Result<ReceivedResponse, Elapsed>,
-) -> (RequestOutcome, Response<ClientResponseBody>) {
+fn decided_response(decided: Result<ReceivedResponse, Elapsed>) -> DecidedResponse {
     match decided {
         Ok(Ok(response)) => {
             let outcome = match response {
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -122,6 +122,14 @@
     logged: ViolationLogLimiter,
 }
 
+impl LimitedCount {
+    /// Counts an event. Returns the total, and whether a log line at level `info` is due.
+    fn record(&mut self) -> (u64, bool) {
+        self.total += 1;
+        (self.total, self.logged.record().is_some())
+    }
+}
+
 impl RequestLog {
     /// Logs events at level `info` from now on.
     pub fn on_shutdown(&self) {
@@ -162,28 +170,22 @@
     /// since the process started, also those between two lines.
     pub fn on_unsound_request(&self, id: Option<&str>, reason: UnsoundRequest) {
         let mut counts = self.unsound_requests.borrow_mut();
-        let count = counts.entry(reason).or_default();
-        count.total += 1;
-        let total = count.total;
-        match count.logged.record() {
-            Some(_) => {
-                info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request");
-            }
-            None => event!(self, id, ?reason, total, "unsound request"),
+        let (total, is_due) = counts.entry(reason).or_default().record();
+        if is_due {
+            info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request");
+        } else {
+            event!(self, id, ?reason, total, "unsound request");
         }
     }
 
     /// Logs that a response that has begun stays incomplete. `total` counts those since the process started, also those between two
     /// lines.
     pub fn on_response_cut_off(&self, id: &str, reason: RelayError) {
-        let mut count = self.cut_off_responses.borrow_mut();
-        count.total += 1;
-        let total = count.total;
-        match count.logged.record() {
-            Some(_) => {
-                info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "response cut off");
-            }
-            None => event!(self, id, ?reason, total, "response cut off"),
+        let (total, is_due) = self.cut_off_responses.borrow_mut().record();
+        if is_due {
+            info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "response cut off");
+        } else {
+            event!(self, id, ?reason, total, "response cut off");
         }
     }
 
--- a/crates/agent/src/upstream/relay.rs
+++ b/crates/agent/src/upstream/relay.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::pool::ConnectionPool;
 use super::response::{BodyStart, MAX_RELAYED_BYTES};
+use crate::client_presence::READ_TIME;
 use crate::memory::BodyBytes;
 use bellcroft_agent_core::body_limits::ForwardedBytes;
 use bellcroft_agent_core::response_end::{Extent, ResponseProgress};
@@ -16,9 +17,6 @@
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant, Sleep};
 
-/// The time in which bytes that arrived while the process was held up are read.
-const READ_TIME: Duration = Duration::from_millis(2);
-
 /// Why a response that is forwarded while its server sends it stays incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum RelayError {
@@ -110,7 +108,7 @@
             match Pin::new(&mut self.rest).poll_frame(cx) {
                 Poll::Pending => {
                     ready!(self.poll_timeout(cx));
-                    let (extent, received) = (self.progress.extent(), self.progress.received());
+                    let (extent, received) = (self.progress.extent(), self.forwarded.total());
                     return Poll::Ready(Some(Err(RelayError::TimedOut { extent, received })));
                 }
                 Poll::Ready(None) => {
@@ -157,6 +155,7 @@
                 self.timer.as_mut().reset(at);
             }
             ready!(self.timer.as_mut().poll(cx));
+            // Bytes may have arrived while the process was held up.
             self.is_last_read = true;
             self.timer.as_mut().reset(Instant::now() + READ_TIME);
         }
