Tests: the next request is divided at its last bytes too; typed errors of responses

next_request_in_pieces_behind_an_open_one_is_served took the number of places from a request with a shorter id, so the last seven bytes were no place of division. read_whole of the testbed reads the head by the function that others use, and says by a type, not by a text, why a response is not whole. No assertion changes. late_bytes, response_ends and streams pass.

--- a/crates/agent/tests/late_bytes.rs
+++ b/crates/agent/tests/late_bytes.rs
@@ -219,19 +219,19 @@
 #[tokio::test]
 async fn next_request_in_pieces_behind_an_open_one_is_served() {
     let (agent, _backend, _directory) = agent_with_server(Duration::from_millis(20)).await;
-    let second = request("POST", "/save/second", "10000m", "body");
+    let second_as =
+        |number: usize| request_as(&format!("second-{number:03}"), "POST", "/save/second", "10000m", "body");
     let mut sending = JoinSet::new();
-    for divided_at in 0..=second.len() {
+    for divided_at in 0..=second_as(0).len() {
         if sending.len() == CONCURRENT {
             sending.join_next().await.expect("one").expect("both are served");
         }
         let mut client = agent.client().await;
-        let (id_1, id_2) = (format!("first-{divided_at}"), format!("second-{divided_at}"));
-        let first = request_as(&id_1, "GET", "/read/first", "10000m", "");
-        let second = request_as(&id_2, "POST", "/save/second", "10000m", "body");
+        let first = request_as(&format!("first-{divided_at}"), "GET", "/read/first", "10000m", "");
+        let second = second_as(divided_at);
         sending.spawn(async move {
             client.stream.set_nodelay(true).expect("an option");
-            let (begin, rest) = second.split_at(divided_at.min(second.len()));
+            let (begin, rest) = second.split_at(divided_at);
             client.send(&(first + begin)).await;
             sleep(Duration::from_millis(2)).await;
             client.send(rest).await;
--- a/crates/agent/tests/response_ends.rs
+++ b/crates/agent/tests/response_ends.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
-use testbed::paced_server::{paced_server, pattern, read_whole, Framing, Piece, ResponseScript};
+use testbed::paced_server::{
+    paced_server, pattern, read_whole, Framing, Piece, ResponseError, ResponseScript,
+};
 use testbed::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -27,7 +29,7 @@
 /// The number of requests at one time.
 const CONCURRENT: usize = 12;
 /// A refusal, after which trying again is harmless.
-const REFUSED: &str = "http/1.1 429 too many requests";
+const REFUSED: ResponseError = ResponseError::Status(429);
 /// The number of refusals after which a client gives up, and its pause after each.
 const MAX_REFUSALS: usize = 10;
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
@@ -179,16 +181,16 @@
 }
 
 async fn arrives_whole(agent: SocketAddr, number: usize, case: Case) -> Result<(), String> {
-    let mut received = Err(REFUSED.to_owned());
+    let mut received = Err(REFUSED);
     for _ in 0..MAX_REFUSALS {
         let mut stream = send(agent, number, case.wait).await;
         received = soon("the response", read_whole(&mut stream)).await;
-        if received.as_ref().err().is_none_or(|error| error != REFUSED) {
+        if received != Err(REFUSED) {
             break;
         }
         sleep(REFUSAL_PAUSE).await;
     }
-    let body = received?;
+    let body = received.map_err(|error| format!("{error:?}"))?;
     (body == pattern(case.script.length)).then_some(()).ok_or_else(|| "it is changed".to_owned())
 }
 
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -49,7 +49,7 @@
     client.send(&request("GET", "/read", &format!("{wait}m"), "")).await;
     let whole = soon("the response", read_whole(&mut client.stream)).await;
     let case = format!("{:?} of {}, {wait} ms", script.framing, script.length);
-    let whole = whole.unwrap_or_else(|error| panic!("{case}: {error}"));
+    let whole = whole.unwrap_or_else(|error| panic!("{case}: {error:?}"));
     assert!(whole == pattern(script.length), "{case}: unchanged");
 }
 
--- a/crates/testbed/src/paced_server.rs
+++ b/crates/testbed/src/paced_server.rs
@@ -1,6 +1,6 @@
 //! A server whose responses are written at a given pace, and a client that tells whether one has come whole.
 
-use crate::http::read_message;
+use crate::http::{read_head, read_message};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -133,28 +133,29 @@
     (0..length).map(|n| (n / 7 + n / 4096 * 31) as u8).collect()
 }
 
+/// Why a response has not come whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseError {
+    /// Its connection ended within its head.
+    EndsInHead,
+    /// It has another status than 200.
+    Status(u16),
+    /// Its connection ended after so many bytes of its body and their framing.
+    EndsAfter(usize),
+}
+
 /// Reads a whole response and returns its body.
 ///
 /// # Errors
 ///
-/// The response ends before it is whole; the text says where.
-pub async fn read_whole(stream: &mut TcpStream) -> Result<Vec<u8>, String> {
-    let mut bytes = Vec::new();
-    let head_end = loop {
-        if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            break at + 4;
-        }
-        match stream.read_buf(&mut bytes).await {
-            Ok(1..) => {}
-            end => return Err(format!("{end:?} within the head")),
-        }
-    };
-    let mut rest = bytes.split_off(head_end);
-    let head = String::from_utf8_lossy(&bytes).to_lowercase();
-    if !head.starts_with("http/1.1 200") {
-        return Err(head.lines().next().unwrap_or_default().to_owned());
+/// The response is no 200, or ends before it is whole.
+pub async fn read_whole(stream: &mut TcpStream) -> Result<Vec<u8>, ResponseError> {
+    let mut message = read_head(stream, 0).await.ok_or(ResponseError::EndsInHead)?;
+    if message.status() != 200 {
+        return Err(ResponseError::Status(message.status()));
     }
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+    let length: Option<usize> = message.header("content-length").and_then(|length| length.parse().ok());
+    let mut rest = std::mem::take(&mut message.body);
     loop {
         if length.is_some_and(|length| rest.len() >= length) {
             return Ok(rest);
@@ -162,9 +163,8 @@
         if length.is_none() && rest.ends_with(b"0\r\n\r\n") {
             return Ok(decode_chunks(&rest));
         }
-        match stream.read_buf(&mut rest).await {
-            Ok(1..) => {}
-            end => return Err(format!("{end:?} after {} bytes", rest.len())),
+        if !matches!(stream.read_buf(&mut rest).await, Ok(1..)) {
+            return Err(ResponseError::EndsAfter(rest.len()));
         }
     }
 }
