Tests: the end of a cancelled call to discovery is awaited, not looked for once

Cause, in the tests: the end of the replaced call and the next call come over two connections, and the stand-in may take in the next call first. The test looked once. Traced: 1 of 6,000 runs of the old test on all cores failed, the call between the two being the one that counted as open; in another failure it was noticed as closed 24 us later, with both other calls open and no further call of the agent, which excludes a hedge or a stall of the process.

Change: DiscoveryCall::until_cancelled awaits the end for up to 1 s, which is less than each timeout after which a call ends by itself (the shortest is 2.25 s), so a call that is not cancelled fails the test as before. What has to stay open is looked at after it. In the same file: a pause of 100 ms that stood for 'the failure is known' is the agent's log line now, with an agent for each way of failing, and the first watch is kept, whose drop reset its connection and began another call.

--- a/crates/agent/tests/discovery_restarts.rs
+++ b/crates/agent/tests/discovery_restarts.rs
@@ -58,12 +58,25 @@
         self.agent.until(KNOWN_SERVERS, |count| count == servers.count()).await;
     }
 
+    /// Waits until the agent has logged this text.
+    async fn until_logged(&self, text: &str) {
+        soon(text, async {
+            while self.agent.logged(text) == 0 {
+                sleep(POLL_INTERVAL).await;
+            }
+        })
+        .await;
+    }
+
     /// Whether the list in force has both servers.
     async fn lists_both(&self) -> bool {
         self.agent.figure(KNOWN_SERVERS).await == Servers::Both.count()
     }
 }
 
+/// The interval at which the agent's log is read.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The figure of the servers in the list in force.
 const KNOWN_SERVERS: &str = "svc.known_backends";
 
@@ -98,12 +111,13 @@
     let watch = discovery.next().await;
     site.reload().await;
     let first = snapshot_call(&mut discovery).await;
-    assert!(!watch.is_open(), "a call that waits for changes is replaced");
+    watch.until_cancelled().await;
     site.reload().await;
     let second = snapshot_call(&mut discovery).await;
     site.reload().await;
     let third = snapshot_call(&mut discovery).await;
-    assert!(first.is_open() && !second.is_open() && third.is_open());
+    second.until_cancelled().await;
+    assert!(first.is_open() && third.is_open());
     first.tell(&site.list(2, Servers::Second));
     site.until_listed(Servers::Second).await;
     // The next one is left alone from here on.
@@ -111,7 +125,8 @@
     let fourth = snapshot_call(&mut discovery).await;
     site.reload().await;
     let fifth = snapshot_call(&mut discovery).await;
-    assert!(third.is_open() && !fourth.is_open() && fifth.is_open());
+    fourth.until_cancelled().await;
+    assert!(third.is_open() && fifth.is_open());
     third.tell(&site.list(3, Servers::Both));
     site.until_listed(Servers::Both).await;
 }
@@ -119,22 +134,22 @@
 /// A call that fails frees the way for the next one.
 #[tokio::test]
 async fn call_that_fails_or_is_cut_leaves_the_next_one_alone() {
-    let mut discovery = ScriptedDiscovery::start().await;
-    let mut site = Site::start(&discovery).await;
-    discovery.next().await;
     for fail in [DiscoveryCall::reset, |call: DiscoveryCall| call.refuse("503 Service Unavailable")] {
+        let mut discovery = ScriptedDiscovery::start().await;
+        let mut site = Site::start(&discovery).await;
+        let _watch = discovery.next().await;
         site.reload().await;
         let first = snapshot_call(&mut discovery).await;
         site.reload().await;
         let second = snapshot_call(&mut discovery).await;
         fail(first);
-        // Its end is known once the next reload leaves the second call alone.
-        sleep(Duration::from_millis(100)).await;
+        site.until_logged("calls to discovery fail").await;
         site.reload().await;
         let third = snapshot_call(&mut discovery).await;
         site.reload().await;
         let fourth = snapshot_call(&mut discovery).await;
-        assert!(second.is_open() && !third.is_open() && fourth.is_open());
+        third.until_cancelled().await;
+        assert!(second.is_open() && fourth.is_open());
         second.refuse("503 Service Unavailable");
         fourth.tell(&site.list(2, Servers::Both));
         discovery.watch(2, &Value::Null).await;
@@ -146,7 +161,7 @@
 async fn list_of_an_earlier_call_does_not_replace_that_of_a_later_one() {
     let (mut former, mut present) = (ScriptedDiscovery::start().await, ScriptedDiscovery::start().await);
     let mut site = Site::start(&former).await;
-    former.next().await;
+    let _watch = former.next().await;
     site.reload().await;
     let earlier = snapshot_call(&mut former).await;
     site.reload_with_discovery(&present).await;
@@ -169,14 +184,15 @@
 async fn call_to_a_former_address_is_left_alone_until_the_present_one_answers() {
     let (mut first, mut second) = (ScriptedDiscovery::start().await, ScriptedDiscovery::start().await);
     let mut site = Site::start(&first).await;
-    first.next().await;
+    let _watch = first.next().await;
     site.reload_with_discovery(&second).await;
     let at_second = snapshot_call(&mut second).await;
     site.reload_with_discovery(&first).await;
     let at_first = snapshot_call(&mut first).await;
     site.reload_with_discovery(&second).await;
     let again_at_second = snapshot_call(&mut second).await;
-    assert!(at_second.is_open() && !at_first.is_open() && again_at_second.is_open());
+    at_first.until_cancelled().await;
+    assert!(at_second.is_open() && again_at_second.is_open());
     at_second.tell(&site.list(50, Servers::Second));
     site.until_listed(Servers::Second).await;
     again_at_second.tell(&site.list(3, Servers::Second));
--- a/crates/testbed/src/scripted_discovery.rs
+++ b/crates/testbed/src/scripted_discovery.rs
@@ -7,6 +7,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// The time within which the end of a call that the agent cancels arrives; shorter than each timeout of the agent's calls.
+const CANCELLATION_LIMIT: Duration = Duration::from_secs(1);
 
 /// What becomes of a call.
 enum CallReply {
@@ -51,6 +55,12 @@
         !self.answer.is_closed()
     }
 
+    /// Waits for the end of a call that the agent has cancelled: it may arrive after the call that replaces it.
+    pub async fn until_cancelled(mut self) {
+        let cancelled = timeout(CANCELLATION_LIMIT, self.answer.closed()).await;
+        assert!(cancelled.is_ok(), "{}: the agent still waits for it", self.path);
+    }
+
     /// How long it may wait; none if it asks for an answer at once.
     pub fn wait(&self) -> Duration {
         let wait = self.path.split("wait_ms=").nth(1).map_or(0, |wait| wait.parse().expect("a number"));
