Soak: long responses, and bytes that begin no request in a write behind a request

Change: a client in eight asks for a long response (by a script of the stand-in server: lumps, steady at 80 and 640 KB/s, in each framing; such that stop after 24 or 100 KB, or trickle) or writes bytes behind its request that begin no request, half of these with a response that begins after 0.3 s. A cut is allowed where the server was replaced, or by the process's end once it has given the longest deadline after SIGTERM; the process's own report of such a cut (closed_while_pending at its exit, pending=0 in the log before it) is left out only if the client of that connection had asked for a long response.

Records and fates of clients have a module of their own.

--- a/crates/testbed/src/paced_server.rs
+++ b/crates/testbed/src/paced_server.rs
@@ -73,7 +73,12 @@
         self.begins_after + self.pieces.last().map_or(Duration::ZERO, |piece| piece.at)
     }
 
-    async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
+    /// Writes the response. One that is not whole stays open until the client ends the connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended.
+    pub async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let begins_at = Instant::now() + self.begins_after;
         sleep_until(begins_at).await;
--- a/crates/testbed/src/server.rs
+++ b/crates/testbed/src/server.rs
@@ -1,6 +1,7 @@
 //! A server with cores, a queue, a cold start and faults, which records all that reaches it.
 
 use crate::http::{read_message, Message};
+use crate::paced_server::{Framing, ResponseScript};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -45,12 +46,23 @@
     pub seed: u64,
     /// Work by class in place of `service` and its spread.
     pub work: Option<Work>,
+    /// Responses that a request asks for by the number in its target's last parameter, `script`.
+    pub scripts: Arc<[ResponseScript]>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         let service = Duration::from_millis(8);
-        Plan { cores: 4, queue: 64, service, cold_for: Duration::ZERO, cold_share: 0.2, seed: 1, work: None }
+        Plan {
+            cores: 4,
+            queue: 64,
+            service,
+            cold_for: Duration::ZERO,
+            cold_share: 0.2,
+            seed: 1,
+            work: None,
+            scripts: Arc::default(),
+        }
     }
 }
 
@@ -261,6 +273,10 @@
         if fault == Fault::Mute {
             return true;
         }
+        let script = self.script(&message).filter(|_| !refused && fault != Fault::Reset);
+        if let Some(script) = script {
+            return self.write_script(script, stream, place).await;
+        }
         let answer = if refused {
             "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else {
@@ -280,6 +296,21 @@
         true
     }
 
+    /// The response that a request asks for.
+    fn script(&self, message: &Message) -> Option<&ResponseScript> {
+        let (_, number) = message.target().rsplit_once("&script=")?;
+        self.plan.scripts.get(number.parse::<usize>().ok()?)
+    }
+
+    /// Writes a response by its script; false when the connection ends with it.
+    async fn write_script(&self, script: &ResponseScript, stream: &mut TcpStream, place: usize) -> bool {
+        if script.write(stream).await.is_err() || !script.is_whole() {
+            return false;
+        }
+        lock(&self.seen)[place].answered = Some((200, Instant::now()));
+        script.framing != Framing::Close
+    }
+
     /// Requests that are past a core.
     fn waiting(&self) -> usize {
         let now = Instant::now();
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -1,5 +1,8 @@
-//! The clients of a soak: those that keep a connection, write slowly, rest before they ask, leave, or have little time.
+//! The clients of a soak: those that keep a connection, write slowly, rest before they ask, leave, have little time, ask for a long
+//! response, or send what begins no request behind a request.
 
+use super::records::{Behavior, SoakFate, SoakRecord};
+use super::responses::{delayed_response, read_long_response, soak_responses, SoakResponse};
 use super::slot::{Gate, Slot};
 use super::SoakPlan;
 use crate::http::read_message;
@@ -22,111 +25,19 @@
 /// The longest rest of a connection before its request.
 const MAX_REST: Duration = Duration::from_secs(2);
 /// Past its time a request is waited for this long; later it has no answer.
-const ANSWER_SLACK: Duration = Duration::from_secs(5);
+pub(super) const ANSWER_SLACK: Duration = Duration::from_secs(5);
 /// A request that crosses the end of its connection is sent to a process that has not read it. One that was out for longer
 /// when the connection ended had been read.
 const CROSSING: Duration = Duration::from_millis(100);
 /// A client that stops within a request and stays is owed an error or a close within this.
 const STALLED_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// What a client does with its next request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Behavior {
-    /// Sends it at once, over the connection that it has kept.
-    KeepAlive,
-    /// Sends it in pieces, over a new connection.
-    SlowWriter,
-    /// Connects, and sends it later.
-    Resting,
-    /// Sends it and closes before there is an answer.
-    Leaving,
-    /// Sends half of it and stays.
-    Stalled,
-    /// Has next to no time for it.
-    ShortDeadline,
-    /// Sends one that is not sound.
-    Unsound,
-    /// Sends it, closes before there is an answer, and sends it again under its id.
-    Returning,
-}
-
-/// What became of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SoakFate {
-    /// Answered with 200 and its own id.
-    Served,
-    /// Answered with 429 or 503.
-    Refused,
-    /// Another answer.
-    Failed,
-    /// Its connection ended and it had no answer.
-    Lost,
-    /// No answer came.
-    Unanswered,
-    /// It crossed the end of its connection and went out once more, under an id of its own.
-    Crossed,
-    /// Its connection was refused while the process had to accept it.
-    NotAccepted,
-    /// Its client left.
-    Left,
-    /// It was never complete, and its connection was answered or closed in time.
-    NeverComplete,
-    /// It was never complete, and its connection was left open for too long.
-    StalledTooLong,
-    /// It was not sound, and got an error or a close.
-    Rejected,
-    /// It was not sound, and was answered as served.
-    UnsoundServed,
-}
-
-impl SoakFate {
-    /// Its name in the report.
-    pub fn name(self) -> &'static str {
-        match self {
-            SoakFate::Served => "served",
-            SoakFate::Refused => "refused",
-            SoakFate::Failed => "failed",
-            SoakFate::Lost => "lost",
-            SoakFate::Unanswered => "unanswered",
-            SoakFate::Crossed => "crossed",
-            SoakFate::NotAccepted => "not accepted",
-            SoakFate::Left => "left",
-            SoakFate::NeverComplete => "never complete",
-            SoakFate::StalledTooLong => "stalled too long",
-            SoakFate::Rejected => "rejected",
-            SoakFate::UnsoundServed => "unsound and served",
-        }
-    }
-}
-
-/// A request and its end, as its client knows them.
-#[derive(Debug, Clone)]
-pub struct SoakRecord {
-    /// The slot of the process.
-    pub slot: usize,
-    /// Its `X-Request-ID`.
-    pub id: String,
-    /// The client's address.
-    pub client: Option<SocketAddr>,
-    /// Its place in [`CLASSES`].
-    pub class: usize,
-    /// What its client did.
-    pub behavior: Behavior,
-    /// When its client took a connection for it.
-    pub began: Instant,
-    /// When its last byte was written, or the last that was.
-    pub sent: Instant,
-    /// When its last byte was written once more under the same id, if the record is that of the first time.
-    pub sent_again: Option<Instant>,
-    /// How long its client waits.
-    pub wait: Duration,
-    /// When it ended.
-    pub ended: Instant,
-    /// What became of it.
-    pub fate: SoakFate,
-    /// The status of its answer; 0 for none.
-    pub status: u16,
-}
+/// The longest pause between a request and the bytes behind it.
+const MAX_PAUSE_BEHIND: Duration = Duration::from_millis(20);
+/// Bytes that begin no request.
+const NO_REQUESTS: [&[u8]; 4] = [b"\0\0\0\0", b"5\r\nhello\r\n0\r\n\r\n", b"{\"a\": 1}", b"\x16\x03\x01\x02"];
+/// A process may be held up for so long, and sockets add to it.
+pub(super) const PROCESS_STALL: Duration = Duration::from_millis(200);
 
 /// All clients of a soak.
 pub struct Clients {
@@ -191,6 +102,8 @@
     class: usize,
     wait: Duration,
     bytes: Vec<u8>,
+    /// The long response that it asks for.
+    response: Option<SoakResponse>,
 }
 
 impl Client {
@@ -215,7 +128,7 @@
 
     /// One request, and the one that follows it if it crossed the end of its connection.
     async fn next_requests(&mut self) -> Vec<SoakRecord> {
-        let behavior = match self.random.u32(..22) {
+        let behavior = match self.random.u32(..25) {
             0..10 => Behavior::KeepAlive,
             10..12 => Behavior::SlowWriter,
             12..15 => Behavior::Resting,
@@ -223,6 +136,8 @@
             17 => Behavior::Stalled,
             20 => Behavior::Unsound,
             21 => Behavior::Returning,
+            22 => Behavior::BytesBehind,
+            23..25 => Behavior::LongResponse,
             _ => Behavior::ShortDeadline,
         };
         let first = self.request(behavior).await;
@@ -252,8 +167,13 @@
             _ => ("POST", format!("Idempotency-Key: k{id}\r\nContent-Length: 4\r\n"), "body"),
         };
         let name = CLASSES[class].name;
+        let (response, script) = match behavior {
+            Behavior::LongResponse => self.long_response(),
+            Behavior::BytesBehind if self.random.bool() => (None, script_parameter(delayed_response())),
+            _ => (None, String::new()),
+        };
         let text = format!(
-            "{method} /{name}?key={id} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n\
+            "{method} /{name}?key={id}{script} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n\
              X-Priority-Class: {name}\r\nX-Tenant-Id: acme\r\nX-Timeout: {}m\r\n{own}\r\n{body}",
             wait.as_millis()
         );
@@ -261,7 +181,14 @@
             Behavior::Unsound => self.unsound_bytes(class, &id),
             _ => text.into_bytes(),
         };
-        Outgoing { id, class, wait, bytes }
+        Outgoing { id, class, wait, bytes, response }
+    }
+
+    /// A long response, and the parameter that asks for it.
+    fn long_response(&mut self) -> (Option<SoakResponse>, String) {
+        let mut responses = soak_responses();
+        let number = self.random.usize(..responses.len());
+        (Some(responses.swap_remove(number)), script_parameter(number))
     }
 
     /// A request in an unsound form of the table.
@@ -279,7 +206,10 @@
     /// A connection, and whether it was kept.
     async fn connection(&mut self, behavior: Behavior) -> Result<(TcpStream, bool), NoConnection> {
         let kept = self.kept.take().filter(|_| {
-            matches!(behavior, Behavior::KeepAlive | Behavior::Leaving | Behavior::ShortDeadline)
+            matches!(
+                behavior,
+                Behavior::KeepAlive | Behavior::Leaving | Behavior::ShortDeadline | Behavior::BytesBehind
+            )
         });
         if let Some(kept) = kept {
             return Ok((kept, true));
@@ -321,7 +251,7 @@
         let request = self.outgoing(behavior);
         let client = stream.local_addr().ok();
         let written = self.write(&mut stream, &request, behavior).await;
-        let bytes = request.bytes.clone();
+        let (bytes, response) = (request.bytes.clone(), request.response.clone());
         let mut record = self.record(request, behavior, began, client);
         if !written {
             // It was never complete.
@@ -351,7 +281,11 @@
                 sleep(Duration::from_millis(self.random.u64(..300))).await;
                 record = self.send_again(record, &bytes).await;
             }
-            _ => self.read(&mut record, stream, reused).await,
+            Behavior::BytesBehind => self.write_behind(&mut record, stream, reused).await,
+            _ => match response {
+                Some(response) => read_long_response(&mut record, &mut stream, &response).await,
+                None => self.read(&mut record, stream, reused).await,
+            },
         }
         Some(record)
     }
@@ -397,6 +331,7 @@
             began,
             sent: now,
             sent_again: None,
+            unsound_since: None,
             wait: request.wait,
             ended: now,
             fate: SoakFate::Lost,
@@ -429,6 +364,24 @@
         }
     }
 
+    /// Writes bytes behind a request that begin no request, and reads what becomes of it.
+    async fn write_behind(&mut self, record: &mut SoakRecord, mut stream: TcpStream, reused: bool) {
+        sleep(MAX_PAUSE_BEHIND.mul_f64(self.random.f64())).await;
+        let bytes = NO_REQUESTS[self.random.usize(..NO_REQUESTS.len())];
+        record.unsound_since = Some(Instant::now());
+        // A connection that has ended meanwhile may still have an answer.
+        let _ = stream.write_all(bytes).await;
+        self.read(record, stream, reused).await;
+        self.kept = None;
+        let judged_by = record.unsound_since.unwrap_or(record.sent) + PROCESS_STALL;
+        record.fate = match (record.status, record.fate) {
+            (200, _) if record.ended > judged_by => SoakFate::UnsoundServed,
+            (200, _) => SoakFate::Served,
+            (_, SoakFate::Failed | SoakFate::Lost) => SoakFate::Rejected,
+            (_, fate) => fate,
+        };
+    }
+
     async fn read(&mut self, record: &mut SoakRecord, mut stream: TcpStream, reused: bool) {
         let until = record.sent + record.wait + ANSWER_SLACK;
         let answer = timeout_at(until, read_message(&mut stream, 0)).await;
@@ -455,3 +408,8 @@
         };
     }
 }
+
+/// The last parameter of a request's target, which tells the server what to write.
+fn script_parameter(number: usize) -> String {
+    format!("&script={number}")
+}
--- a/crates/testbed/src/soak/cluster.rs
+++ b/crates/testbed/src/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! The processes of a soak, their servers and their discovery, and what the faults do to them.
 
+use super::responses::server_scripts;
 use super::slot::Slot;
 use super::timeline::SoakFault;
 use super::SoakPlan;
@@ -19,6 +20,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// A server with the soak's responses.
+fn server_plan(seed: u64) -> Plan {
+    Plan { seed, scripts: server_scripts().into(), ..Plan::default() }
+}
+
 /// The processes of a soak and what surrounds them.
 pub struct SoakCluster {
     /// The processes.
@@ -27,6 +33,8 @@
     pub world: World,
     /// Servers that began to drain, and when the list said so.
     pub drains: Vec<(usize, Instant)>,
+    /// Servers whose process was replaced, and when.
+    pub replacements: Vec<(usize, Instant)>,
     /// When discovery could not be reached.
     outages: Arc<Mutex<Vec<Interval>>>,
     /// The list as it stands, for processes that start.
@@ -39,7 +47,7 @@
 impl SoakCluster {
     /// Starts all of it.
     pub async fn start(plan: SoakPlan) -> Self {
-        let server = Plan { seed: plan.seed, ..Plan::default() };
+        let server = server_plan(plan.seed);
         let world = World::start(plan.servers, &server).await;
         let known = Arc::new(Mutex::new(world.known()));
         let mut slots = Vec::new();
@@ -48,7 +56,17 @@
         }
         let draining = vec![false; plan.servers];
         let outages = Arc::default();
-        SoakCluster { slots, world, known, drains: Vec::new(), outages, plan, draining, tasks: Vec::new() }
+        SoakCluster {
+            slots,
+            world,
+            known,
+            drains: Vec::new(),
+            replacements: Vec::new(),
+            outages,
+            plan,
+            draining,
+            tasks: Vec::new(),
+        }
     }
 
     /// Begins a fault; what it lasts goes on beside the next ones.
@@ -106,7 +124,8 @@
         // What is sent to the new process does not count against its predecessor's drain.
         self.drains.retain(|(drained, _)| *drained != server);
         let seed = self.plan.seed.wrapping_add(server as u64);
-        let plan = Plan { cold_for: Duration::from_secs(3), seed, ..Plan::default() };
+        let plan = Plan { cold_for: Duration::from_secs(3), ..server_plan(seed) };
+        self.replacements.push((server, Instant::now()));
         self.world.replace(server, plan).await;
         *lock(&self.known) = self.world.known();
     }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -8,12 +8,14 @@
 mod cluster;
 mod crowd;
 mod oracle;
+mod records;
+mod responses;
 mod slot;
 mod timeline;
 
 use crate::traffic::Class;
-use clients::SoakRecord;
 use cluster::SoakCluster;
+use records::SoakRecord;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -113,6 +115,7 @@
     let lag = Duration::from_micros(worst_lag.load(Ordering::Relaxed));
     let failed_calls = cluster.failed_calls();
     let (mut violations, logs) = cluster.end().await;
+    violations.retain(|report| !oracle::is_response_cut_by_exit(report, &records));
     violations.extend(oracle::judge(&cluster, &records, &logs, lag));
     let violations = violations.into_iter().map(|violation| with_log(violation, &logs)).collect();
     let begun_after_sigterm = count_after_sigterm(&cluster, &records);
--- a/crates/testbed/src/soak/slot.rs
+++ b/crates/testbed/src/soak/slot.rs
@@ -5,7 +5,7 @@
 use super::timeline::{RestartPlan, Signal, SignalTime};
 use super::SoakPlan;
 use crate::faults::Shim;
-use crate::process::{kill, Agent};
+use crate::process::{kill, log_field, Agent};
 use crate::traffic::CLASSES;
 use crate::world::World;
 use serde_json::Value;
@@ -145,6 +145,15 @@
         self.crashed_between(from, until) || lock(&self.terminations).iter().any(is_told)
     }
 
+    /// Whether a process that was told to end may have ended at this moment, known to within `tolerance`, with responses
+    /// unfinished: the longest deadline has passed, and SIGKILL has not.
+    pub fn may_exit_at(&self, at: Instant, tolerance: Duration) -> bool {
+        let longest_deadline = self.time_to_kill() - KILL_MARGIN;
+        let may_exit =
+            |told: &Instant| *told + longest_deadline <= at && at <= *told + self.time_to_kill() + tolerance;
+        lock(&self.terminations).iter().any(may_exit)
+    }
+
     /// Whether a crowd took up its connections at some time between these two.
     pub fn crowded_between(&self, from: Instant, until: Instant) -> bool {
         any_between(&self.crowds, from, until)
@@ -210,7 +219,9 @@
     async fn read_log(&self, agent: &mut Agent) {
         let log = agent.complete_log().await;
         let bad = |line: &&String| line.contains("violation") || line.contains("panicked");
-        log.iter().filter(bad).for_each(|line| self.report(line));
+        for line in log.iter().filter(bad) {
+            self.report(with_peer(line, &log));
+        }
         lock(&self.logs).extend(log);
     }
 
@@ -396,6 +407,17 @@
     }
 }
 
+/// A line of a process's log that is about a connection, with the address of the connection's client.
+fn with_peer(line: &str, log: &[String]) -> String {
+    let connection = log_field(line, "rule violation", "connection");
+    let closed = |other: &&String| {
+        connection.is_some() && log_field(other, "downstream connection closed", "connection") == connection
+    };
+    let peer =
+        log.iter().find(closed).and_then(|line| log_field(line, "downstream connection closed", "peer"));
+    peer.map_or_else(|| line.to_owned(), |peer| format!("{line} peer={peer}"))
+}
+
 /// Whether one of these lasted into the time between two moments.
 fn any_between(intervals: &Mutex<Vec<Interval>>, from: Instant, until: Instant) -> bool {
     lock(intervals).iter().any(|(begin, end)| *begin <= until && end.is_none_or(|end| end >= from))
