--- a/crates/agent/tests/fleet_sockets/replacement.rs
+++ b/crates/agent/tests/fleet_sockets/replacement.rs
@@ -2,10 +2,15 @@
 
 use crate::site::*;
 use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use testbed::*;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Instant};
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
 
 /// Guards against a rolling restart whose old process stops accepting while the new one waits for its exit: connections stood unread
 /// for as long as a server hung.
@@ -196,3 +201,66 @@
         assert_eq!(paid(&id).await, Outcome::Answered(409), "{id}");
     }
 }
+
+/// Guards against an id that runs twice, or a request that is lost, when new configurations come while a process is replaced: each
+/// client leaves its first request early and comes again.
+#[tokio::test]
+async fn id_runs_once_over_a_rolling_restart_beside_reloads() {
+    let mut site = Site::start("", hanging).await;
+    for roll in 0..ROLLS {
+        let (ended, stop) = oneshot::channel::<()>();
+        let rolls = async {
+            let restart = site.fleet.command("restart", &[]).await;
+            assert!(restart.status.success(), "{restart:?}");
+            drop(ended);
+        };
+        let reloads = async {
+            let mut stop = std::pin::pin!(stop);
+            let mut reloads = 0;
+            while timeout(RELOAD_INTERVAL, &mut stop).await.is_err() {
+                reloads += usize::from(site.fleet.command("reload", &[]).await.status.success());
+            }
+            reloads
+        };
+        let clients =
+            (0..CLIENTS).map(|client| leave_and_return(site.address, format!("id-{roll}-{client}")));
+        let clients: JoinSet<_> = clients.collect();
+        let ((), reloads, outcomes) = tokio::join!(rolls, reloads, clients.join_all());
+        assert!(reloads > 0, "no reload beside the roll");
+        let lost = outcomes.iter().flatten().find(|outcome| !matches!(outcome, Outcome::Answered(200 | 409)));
+        assert_eq!(lost, None, "roll {roll}");
+    }
+    let mut runs = HashMap::<String, usize>::new();
+    while let Ok(request) = site.server.seen.try_recv() {
+        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        *runs.entry(id).or_default() += 1;
+    }
+    assert_eq!(runs.len(), ROLLS * CLIENTS, "ids that ran");
+    runs.retain(|_, runs| *runs > 1);
+    assert_eq!(runs, HashMap::new(), "ids that ran more than once");
+}
+
+/// The pause between two reloads.
+const RELOAD_INTERVAL: Duration = Duration::from_millis(10);
+/// The rolls that follow one another.
+const ROLLS: usize = 3;
+/// The clients of each roll, which begin one after the other.
+const CLIENTS: usize = 60;
+/// The pause between the beginnings of two clients, and between two requests of one.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Sends a request, leaves at once, and sends it three more times under its id; the outcomes of these.
+async fn leave_and_return(address: SocketAddr, id: String) -> Vec<Outcome> {
+    let number: u64 = id.rsplit('-').next().and_then(|number| number.parse().ok()).expect("a number");
+    sleep(CLIENT_INTERVAL * u32::try_from(number).expect("few clients")).await;
+    let text = request_as(&id, "POST", "/pay", "2500m", "b");
+    if let Ok(mut stream) = TcpStream::connect(address).await {
+        let _ = stream.write_all(text.as_bytes()).await;
+    }
+    let mut outcomes = Vec::new();
+    for _ in 0..3 {
+        outcomes.push(ask(address, text.clone(), Duration::from_millis(2_500)).await);
+        sleep(CLIENT_INTERVAL).await;
+    }
+    outcomes
+}
