A request whose response is passed on ends with the response's last byte

What callers and operators saw: each request with a streamed response counted as left by its client when the response began, also one that was cut off later.

Cause: ClientResponseBody::attach_to matched on (source, completion.take()). The tuple is evaluated before the pattern, so the completion of a streamed body was taken and dropped too. Trace: on_cut_off ran with no completion left.

Change: the completion stays until the last byte or the cut. A cut is logged, counted as failed at once, and shows in the new series bellcroft_cut_responses_total.

Tests, both failed before: cut_response_is_logged_and_counted (0 failed, 0 cut, where each has to be 1), request_of_long_response_ends_with_its_last_byte (the same id again during the response was served, 409 wanted).

--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -309,6 +309,7 @@
         for (violation, total) in self.driver.guard.borrow().violations() {
             telemetry.rule_violations(violation.name(), total);
         }
+        telemetry.cut_responses(self.driver.request_log.cut_off_responses());
         self.control.refresh_gauges();
     }
 }
--- a/crates/agent/src/downstream/response_body.rs
+++ b/crates/agent/src/downstream/response_body.rs
@@ -36,6 +36,24 @@
         ResponseCompletion { counter: Some(counter), timer, outcome, open_id, request_log }
     }
 
+    /// Called when a response begins that goes on while its server sends it.
+    fn begin(&self) {
+        if let Some(timer) = &self.timer {
+            timer.on_response_begun();
+        }
+    }
+
+    /// Called when a response that has begun stays incomplete.
+    fn fail(&mut self, error: RelayError) {
+        self.request_log.on_response_cut_off(self.open_id.id(), error);
+        if let Some(counter) = self.counter.take() {
+            counter.finish(RequestOutcome::Failed);
+        }
+        if let Some(timer) = self.timer.take() {
+            timer.on_response_failed();
+        }
+    }
+
     /// Called when the response is finished with this outcome, and its last byte is about to be written.
     fn finish(&mut self, outcome: RequestOutcome, client: &ClientConnection) {
         if let Some(counter) = self.counter.take() {
@@ -85,22 +103,22 @@
     /// Sets the connection that the body is written to next. A complete body counts as finished from this call on.
     pub fn attach_to(&mut self, client: &Rc<ClientConnection>) {
         self.client = Some(client.clone());
-        if let (BodySource::Complete(_), Some(mut completion)) = (&self.source, self.completion.take()) {
-            let outcome = completion.outcome;
-            completion.finish(outcome, client);
+        match (&self.source, &self.completion) {
+            (BodySource::Complete(_), _) => self.on_finished(),
+            (BodySource::Relayed(_), Some(completion)) => completion.begin(),
+            (BodySource::Relayed(_), None) => {}
         }
     }
 
     fn on_cut_off(&mut self, error: RelayError) {
-        if let Some(completion) = &self.completion {
-            completion.request_log.on_response_cut_off(completion.open_id.id(), error);
+        if let Some(mut completion) = self.completion.take() {
+            completion.fail(error);
         }
-        self.on_finished(Some(RequestOutcome::Failed));
     }
 
-    fn on_finished(&mut self, outcome: Option<RequestOutcome>) {
+    fn on_finished(&mut self) {
         if let (Some(mut completion), Some(client)) = (self.completion.take(), &self.client) {
-            let outcome = outcome.unwrap_or(completion.outcome);
+            let outcome = completion.outcome;
             completion.finish(outcome, client);
         }
     }
@@ -128,10 +146,10 @@
             BodySource::Relayed(relay) => relay.poll_next(cx),
         };
         match &next {
-            Poll::Ready(None) => self.on_finished(None),
+            Poll::Ready(None) => self.on_finished(),
             // The client detects the failure: the body is shorter than its declared length, or has no last chunk.
             Poll::Ready(Some(Err(error))) => self.on_cut_off(*error),
-            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.on_finished(None),
+            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.on_finished(),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         next.map(|next| next.map(|data| data.map(Frame::data)))
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// The responses that were cut off since the process started.
+    pub fn cut_off_responses(&self) -> u64 {
+        self.cut_off_responses.borrow().total
+    }
+
     /// Logs that the final response to a request was decided.
     pub fn on_response(&self, id: &str, reason: ResponseReason) {
         event!(self, id, ?reason, "response decided");
--- a/crates/agent/src/telemetry.rs
+++ b/crates/agent/src/telemetry.rs
@@ -15,6 +15,7 @@
     families, FinalOutcome, Instance, InstanceInfo, Policy, Registry, RouteBudget, Version,
 };
 use families::Family;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -186,6 +187,7 @@
     class: usize,
     received_at: Instant,
     outcome: FinalOutcome,
+    has_response_begun: Cell<bool>,
     is_written: bool,
 }
 
@@ -205,6 +207,7 @@
             class,
             received_at,
             outcome: FinalOutcome::ClientLeft,
+            has_response_begun: Cell::new(false),
             is_written: false,
         }
     }
@@ -214,6 +217,18 @@
         self.outcome = outcome;
     }
 
+    /// Records that the response has begun, and goes on while its server sends it.
+    pub fn on_response_begun(&self) {
+        self.has_response_begun.set(true);
+        self.instance.response_begun(self.clock.now(), self.request.0);
+    }
+
+    /// Records that the response stays incomplete after it has begun.
+    pub fn on_response_failed(mut self) {
+        self.outcome = FinalOutcome::Failed;
+        self.is_written = true;
+    }
+
     /// Records that the last byte of the response was passed to the kernel.
     pub fn on_response_written(mut self) {
         self.is_written = true;
@@ -225,7 +240,11 @@
         let outcome = if self.is_written { self.outcome } else { FinalOutcome::ClientLeft };
         let now = Instant::now();
         let elapsed = Micros(now.saturating_duration_since(self.received_at).as_micros() as u64);
-        self.instance.request_finished(self.clock.at(now), self.request.0, self.class, outcome, elapsed);
+        if self.has_response_begun.get() {
+            self.instance.begun_response_finished(self.class, outcome, elapsed);
+        } else {
+            self.instance.request_finished(self.clock.at(now), self.request.0, self.class, outcome, elapsed);
+        }
     }
 }
 
--- a/crates/agent/tests/telemetry.rs
+++ b/crates/agent/tests/telemetry.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use testbed::paced_server::{read_whole, Framing, ResponseError, ResponseScript};
 use testbed::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const SHORT: &str =
     "interval = \"100ms\"\ntimeout = \"300ms\"\nretry_first = \"10ms\"\nretry_most = \"50ms\"\n";
@@ -20,7 +23,11 @@
 
 impl Stage {
     async fn set() -> Self {
-        let world = World::start(4, &Plan::default()).await;
+        Self::set_with(Plan::default()).await
+    }
+
+    async fn set_with(servers: Plan) -> Self {
+        let world = World::start(4, &servers).await;
         Stage { world, receiver: Receiver::start().await, folder: Folder::new() }
     }
 
@@ -208,6 +215,59 @@
     assert!(store.series.values().flatten().all(|(_, value)| *value >= 0.0 || value.is_nan()));
 }
 
+/// Asks for the response of a script; the connection on which it comes.
+async fn ask_for_script(agent: &Agent, id: &str, number: usize) -> TcpStream {
+    let mut client = TcpStream::connect(agent.address).await.expect("it listens");
+    let request = format!(
+        "GET /read-schedule?key=1&script={number} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n\
+         X-Priority-Class: read-schedule\r\nX-Tenant-Id: acme\r\nX-Timeout: 400m\r\n\r\n"
+    );
+    client.write_all(request.as_bytes()).await.expect("it reads");
+    client
+}
+
+/// Requests that have ended like this by the receiver's samples.
+fn ended(store: &Store, outcome: &str) -> f64 {
+    store.sum("bellcroft_requests_total", &[("outcome", outcome)])
+}
+
+/// Guards against responses that are cut off and have no log line, and that count as left by their clients.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_response_is_logged_and_counted() {
+    let endless = ResponseScript::paced(Framing::Chunked, 100_000, 24_000, Duration::ZERO).stopped_after(1);
+    let stage = Stage::set_with(Plan { scripts: [endless].into(), ..Plan::default() }).await;
+    let agent = stage.agent("n0", "").await;
+    let mut client = ask_for_script(&agent, "cut", 0).await;
+    let read = soon("the response's end", read_whole(&mut client)).await;
+    assert!(matches!(read, Err(ResponseError::EndsAfter(24_000..))), "{read:?}");
+    stage.receiver.until("the end of the request", |store, _| taken(store) == 1).await;
+    let store = stage.receiver.store();
+    assert_eq!((ended(&store, "failed"), store.sum("bellcroft_cut_responses_total", &[])), (1.0, 1.0));
+    assert_eq!(agent.logged("response cut off"), 1);
+}
+
+/// Guards against a long response that ends its request when it begins: its id was free, it counted as left by its client, and it had no
+/// time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_of_long_response_ends_with_its_last_byte() {
+    let sound = ResponseScript::paced(Framing::Chunked, 150_000, 48_000, Duration::from_millis(500));
+    let stage = Stage::set_with(Plan { scripts: [sound].into(), ..Plan::default() }).await;
+    let agent = stage.agent("n0", "").await;
+    let mut client = ask_for_script(&agent, "long", 0).await;
+    let mut first = [0; 1];
+    soon("the response's beginning", client.peek(&mut first)).await.expect("it goes on");
+    let mut repeated = ask_for_script(&agent, "long", 0).await;
+    let repeated = soon("the response", read_whole(&mut repeated)).await;
+    assert_eq!(repeated, Err(ResponseError::Status(409)), "its id is in use");
+    let body = soon("the response's end", read_whole(&mut client)).await.expect("it is whole");
+    assert_eq!(body.len(), 150_000);
+    stage.receiver.until("the end of the request", |store, _| taken(store) == 1).await;
+    let store = stage.receiver.store();
+    assert_eq!((ended(&store, "served"), store.sum("bellcroft_answer_seconds_count", &[])), (1.0, 1.0));
+    // The deadline limits the time in which a response begins.
+    assert_eq!(store.sum("bellcroft_rule_breaches_total", &[]), 0.0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reload_changes_receiver_and_labels_with_pending_request() {
     let stage = Stage::set().await;
--- a/crates/telemetry/src/families.rs
+++ b/crates/telemetry/src/families.rs
@@ -44,6 +44,7 @@
     REQUESTS_WITHIN_OBJECTIVE Counter "bellcroft_requests_in_wanted_time_total" ["class"] LIMIT_SMALL, "Requests served within their class's wanted time.";
     RESPONSE_SECONDS Histogram "bellcroft_answer_seconds" ["class"] LIMIT_SMALL, "From a request's last byte in to its answer's last byte out.";
     BAD_REQUESTS Counter "bellcroft_bad_requests_total" [] LIMIT_SMALL, "Requests that were answered for what was wrong with them.";
+    CUT_RESPONSES Counter "bellcroft_cut_responses_total" [] LIMIT_SMALL, "Responses that had begun and stayed incomplete: their server stopped, trickled, broke off, or sent too much.";
     TENANT_REQUESTS Counter "bellcroft_tenant_requests_total" ["tenant"] LIMIT_MEDIUM, "Requests taken, by whose they are.";
     TENANT_ALLOWANCE Gauge "bellcroft_tenant_allowance_requests_per_second" ["tenant"] LIMIT_MEDIUM, "This instance's part of the tenant's allowance.";
 
--- a/crates/telemetry/src/instance.rs
+++ b/crates/telemetry/src/instance.rs
@@ -357,20 +357,35 @@
         self.observer.borrow_mut().attempt_finished(id, attempt, outcome.never_ran());
     }
 
+    /// The response to a request has begun, and goes on while its server sends it. The request's deadline limits the beginning, not
+    /// the end.
+    pub fn response_begun(&self, now: Time, id: u64) {
+        self.observer.borrow_mut().response_sent(now, id, false);
+    }
+
     /// A request has finished: the last byte of its response was sent, or its client disconnected.
     pub fn request_finished(&self, now: Time, id: u64, class: usize, outcome: FinalOutcome, elapsed: Micros) {
+        self.begun_response_finished(class, outcome, elapsed);
+        let mut observer = self.observer.borrow_mut();
+        if outcome == FinalOutcome::ClientLeft {
+            observer.client_left(id);
+        } else {
+            observer.response_sent(now, id, outcome == FinalOutcome::Shed);
+        }
+    }
+
+    /// A request has finished whose response had begun, so that the rules on its beginning have been observed.
+    pub fn begun_response_finished(&self, class: usize, outcome: FinalOutcome, elapsed: Micros) {
         let series = &self.classes[class];
         series.in_flight.dec();
         series.outcomes[outcome as usize].inc();
-        let mut observer = self.observer.borrow_mut();
         if outcome == FinalOutcome::ClientLeft {
-            return observer.client_left(id);
+            return;
         }
         series.response_seconds.observe(elapsed.ms() / 1e3);
         if outcome == FinalOutcome::Served && elapsed <= series.objective {
             series.within_objective.inc();
         }
-        observer.response_sent(now, id, outcome == FinalOutcome::Shed);
     }
 
     /// An invalid request was received.
@@ -468,6 +483,11 @@
         raise_to(&self.registry.counter(&VIOLATIONS, &[rule]), total);
     }
 
+    /// Sets the total of responses that were cut off, which the request log counts.
+    pub fn cut_responses(&self, total: u64) {
+        raise_to(&self.registry.counter(&CUT_RESPONSES, &[]), total);
+    }
+
     /// Sets the metrics of remote write, which the sender counts.
     pub fn set_remote_write(
         &self,
