Tests: one wait for a log line in place of seven

The same loop stood in shutdown.rs (twice), handover.rs (twice), planned_shutdown.rs, telemetry.rs and pauses.rs, and discovery_restarts.rs had added another: Agent::until_logged serves all. It waits as long as the loops did (soon), and looks each millisecond.

--- a/crates/agent/tests/discovery_restarts.rs
+++ b/crates/agent/tests/discovery_restarts.rs
@@ -58,25 +58,12 @@
         self.agent.until(KNOWN_SERVERS, |count| count == servers.count()).await;
     }
 
-    /// Waits until the agent has logged this text.
-    async fn until_logged(&self, text: &str) {
-        soon(text, async {
-            while self.agent.logged(text) == 0 {
-                sleep(POLL_INTERVAL).await;
-            }
-        })
-        .await;
-    }
-
     /// Whether the list in force has both servers.
     async fn lists_both(&self) -> bool {
         self.agent.figure(KNOWN_SERVERS).await == Servers::Both.count()
     }
 }
 
-/// The interval at which the agent's log is read.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// The figure of the servers in the list in force.
 const KNOWN_SERVERS: &str = "svc.known_backends";
 
@@ -143,7 +130,7 @@
         site.reload().await;
         let second = snapshot_call(&mut discovery).await;
         fail(first);
-        site.until_logged("calls to discovery fail").await;
+        site.agent.until_logged("calls to discovery fail").await;
         site.reload().await;
         let third = snapshot_call(&mut discovery).await;
         site.reload().await;
--- a/crates/agent/tests/handover.rs
+++ b/crates/agent/tests/handover.rs
@@ -134,12 +134,7 @@
         assert_eq!(old.get("/read").await.status(), 200, "the one that is not ready takes nobody");
     }
     new.child.kill().await.expect("it is ours");
-    soon("the end is known", async {
-        while old.logged("role=Standalone") == 0 {
-            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
-        }
-    })
-    .await;
+    old.until_logged("role=Standalone").await;
     old.term().await;
     assert_eq!(old.get("/read").await.status(), 200, "what still connects has nobody else");
     assert!(old.end().await.success());
@@ -233,12 +228,7 @@
         hung.write_all(hung_request().as_bytes()).await.expect("it reads");
         while !backend.next().await.target().contains("hang") {}
         process.term().await;
-        soon("the end of accepting", async {
-            while process.logged("no longer accepting connections") == 0 {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
-        })
-        .await;
+        process.until_logged("no longer accepting connections").await;
         Draining { process, config, folder, _hung: hung, _parts: (backend, directory) }
     }
 
--- a/crates/agent/tests/pauses.rs
+++ b/crates/agent/tests/pauses.rs
@@ -26,12 +26,7 @@
     assert_eq!(client.answer().await.status(), 504);
     agent.term().await;
     assert!(agent.end().await.success());
-    soon("the end of the log", async {
-        while agent.logged("graceful shutdown: all requests answered") == 0 {
-            sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
+    agent.until_logged("graceful shutdown: all requests answered").await;
     let log = agent.log.lock().expect("no reader failed");
     log.iter().filter(|line| line.contains("violation")).cloned().collect()
 }
--- a/crates/agent/tests/planned_shutdown.rs
+++ b/crates/agent/tests/planned_shutdown.rs
@@ -112,12 +112,7 @@
         resting.push(agent.client().await);
     }
     agent.term().await;
-    soon("the end of accepting", async {
-        while agent.logged("no longer accepting connections") == 0 {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
+    agent.until_logged("no longer accepting connections").await;
     // Past the checks that end the wait for requests, and within the two seconds of the last write.
     tokio::time::sleep(Duration::from_millis(300)).await;
     for client in &mut resting {
--- a/crates/agent/tests/shutdown.rs
+++ b/crates/agent/tests/shutdown.rs
@@ -224,23 +224,13 @@
     agent.ready().await;
     agent.term().await;
     // Events are logged at this level from the moment in which the agent acts on the signal; that it was sent is not enough.
-    soon("the begin of the shutdown", async {
-        while agent.logged("graceful shutdown: started") == 0 {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
+    agent.until_logged("graceful shutdown: started").await;
     let mut client = agent.client().await;
     client.send(&request("POST", "/pay", "400m", "b")).await;
     let id = backend.next().await.header("x-request-id").expect("an id").to_owned();
     assert_eq!(client.answer().await.status(), 504);
     assert!(agent.end().await.success());
-    soon("the log", async {
-        while agent.logged("graceful shutdown: all requests answered") == 0 {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    })
-    .await;
+    agent.until_logged("graceful shutdown: all requests answered").await;
     let log = agent.log.lock().expect("no reader failed").clone();
     for event in ["request received", "attempt sent", "response decided"] {
         let found = log.iter().filter(|line| line.contains(event) && line.contains(&id)).count();
--- a/crates/agent/tests/telemetry.rs
+++ b/crates/agent/tests/telemetry.rs
@@ -339,12 +339,7 @@
     assert_all_served(&records);
     agent.term().await;
     assert!(agent.end().await.success());
-    soon("the log's end", async {
-        while agent.logged("remote write: samples dropped at shutdown") == 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
+    agent.until_logged("remote write: samples dropped at shutdown").await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -29,6 +29,9 @@
            "rules": {"askWithinMs": 10000, "stopSendingWithinMs": 2000}, "periodMs": 1})
 }
 
+/// The interval at which a text is looked for in the log.
+const LOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The real program.
 pub struct Agent {
     /// Where it listens.
@@ -164,6 +167,16 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner).iter().filter(|l| l.contains(text)).count()
     }
 
+    /// Waits until it has logged this text.
+    pub async fn until_logged(&self, text: &str) {
+        soon(text, async {
+            while self.logged(text) == 0 {
+                tokio::time::sleep(LOG_POLL_INTERVAL).await;
+            }
+        })
+        .await;
+    }
+
     /// Asks its second address, the port of which the configuration leaves to the kernel.
     pub async fn call(&self, line: &str) -> String {
         let mut stream = TcpStream::connect(self.console()).await.expect("the second address");
