Soak: long responses are built once, and the oracle's bounds stand once

- The scripts of long responses were built anew for each request that asks for one; they are a static table now, in the same order, so the draws stay.
- The bounds on them repeated those of the oracle (0.5 s, 0.15 and 0.05 s) and use those.
- 429 and 503 were told from other errors in two places.
- telemetry: the request of a test by request_as; the counting of a finished request is named for what it does.

The tests of the soak, of telemetry and of its package pass.

--- a/crates/agent/src/telemetry.rs
+++ b/crates/agent/src/telemetry.rs
@@ -241,7 +241,7 @@
         let now = Instant::now();
         let elapsed = Micros(now.saturating_duration_since(self.received_at).as_micros() as u64);
         if self.has_response_begun.get() {
-            self.instance.begun_response_finished(self.class, outcome, elapsed);
+            self.instance.count_finished_request(self.class, outcome, elapsed);
         } else {
             self.instance.request_finished(self.clock.at(now), self.request.0, self.class, outcome, elapsed);
         }
--- a/crates/telemetry/src/instance.rs
+++ b/crates/telemetry/src/instance.rs
@@ -365,7 +365,7 @@
 
     /// A request has finished: the last byte of its response was sent, or its client disconnected.
     pub fn request_finished(&self, now: Time, id: u64, class: usize, outcome: FinalOutcome, elapsed: Micros) {
-        self.begun_response_finished(class, outcome, elapsed);
+        self.count_finished_request(class, outcome, elapsed);
         let mut observer = self.observer.borrow_mut();
         if outcome == FinalOutcome::ClientLeft {
             observer.client_left(id);
@@ -374,8 +374,8 @@
         }
     }
 
-    /// A request has finished whose response had begun, so that the rules on its beginning have been observed.
-    pub fn begun_response_finished(&self, class: usize, outcome: FinalOutcome, elapsed: Micros) {
+    /// Counts a finished request. This is all for one whose response had begun, which the observer has seen by then.
+    pub fn count_finished_request(&self, class: usize, outcome: FinalOutcome, elapsed: Micros) {
         let series = &self.classes[class];
         series.in_flight.dec();
         series.outcomes[outcome as usize].inc();
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -1,8 +1,9 @@
 //! The clients of a soak: those that keep a connection, write slowly, rest before they ask, leave, have little time, ask for a long
 //! response, or send what begins no request behind a request.
 
+use super::oracle::{MAX_STALL, SLACK};
 use super::records::{Behavior, SoakFate, SoakRecord};
-use super::responses::{delayed_response, read_long_response, soak_responses, SoakResponse};
+use super::responses::{delayed_response, read_long_response, SoakResponse, LONG_RESPONSES};
 use super::slot::{Gate, Slot};
 use super::SoakPlan;
 use crate::http::read_message;
@@ -36,8 +37,6 @@
 const MAX_PAUSE_BEHIND: Duration = Duration::from_millis(20);
 /// Bytes that begin no request.
 const NO_REQUESTS: [&[u8]; 4] = [b"\0\0\0\0", b"5\r\nhello\r\n0\r\n\r\n", b"{\"a\": 1}", b"\x16\x03\x01\x02"];
-/// A process may be held up for so long, and sockets add to it.
-pub(super) const PROCESS_STALL: Duration = Duration::from_millis(200);
 
 /// All clients of a soak.
 pub struct Clients {
@@ -103,7 +102,7 @@
     wait: Duration,
     bytes: Vec<u8>,
     /// The long response that it asks for.
-    response: Option<SoakResponse>,
+    response: Option<&'static SoakResponse>,
 }
 
 impl Client {
@@ -185,10 +184,9 @@
     }
 
     /// A long response, and the parameter that asks for it.
-    fn long_response(&mut self) -> (Option<SoakResponse>, String) {
-        let mut responses = soak_responses();
-        let number = self.random.usize(..responses.len());
-        (Some(responses.swap_remove(number)), script_parameter(number))
+    fn long_response(&mut self) -> (Option<&'static SoakResponse>, String) {
+        let number = self.random.usize(..LONG_RESPONSES.len());
+        (LONG_RESPONSES.get(number), script_parameter(number))
     }
 
     /// A request in an unsound form of the table.
@@ -251,7 +249,7 @@
         let request = self.outgoing(behavior);
         let client = stream.local_addr().ok();
         let written = self.write(&mut stream, &request, behavior).await;
-        let (bytes, response) = (request.bytes.clone(), request.response.clone());
+        let (bytes, response) = (request.bytes.clone(), request.response);
         let mut record = self.record(request, behavior, began, client);
         if !written {
             // It was never complete.
@@ -283,7 +281,7 @@
             }
             Behavior::BytesBehind => self.write_behind(&mut record, stream, reused).await,
             _ => match response {
-                Some(response) => read_long_response(&mut record, &mut stream, &response).await,
+                Some(response) => read_long_response(&mut record, &mut stream, response).await,
                 None => self.read(&mut record, stream, reused).await,
             },
         }
@@ -373,7 +371,7 @@
         let _ = stream.write_all(bytes).await;
         self.read(record, stream, reused).await;
         self.kept = None;
-        let judged_by = record.unsound_since.unwrap_or(record.sent) + PROCESS_STALL;
+        let judged_by = record.unsound_since.unwrap_or(record.sent) + MAX_STALL + SLACK;
         record.fate = match (record.status, record.fate) {
             (200, _) if record.ended > judged_by => SoakFate::UnsoundServed,
             (200, _) => SoakFate::Served,
@@ -401,8 +399,7 @@
                 }
                 match answer.status() {
                     200 if answer.body == record.id.as_bytes() => SoakFate::Served,
-                    429 | 503 => SoakFate::Refused,
-                    _ => SoakFate::Failed,
+                    status => SoakFate::of_error(status),
                 }
             }
         };
--- a/crates/testbed/src/soak/cluster.rs
+++ b/crates/testbed/src/soak/cluster.rs
@@ -22,7 +22,7 @@
 
 /// A server with the soak's responses.
 fn server_plan(seed: u64) -> Plan {
-    Plan { seed, scripts: server_scripts().into(), ..Plan::default() }
+    Plan { seed, scripts: server_scripts().collect(), ..Plan::default() }
 }
 
 /// The processes of a soak and what surrounds them.
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -65,6 +65,14 @@
 }
 
 impl SoakFate {
+    /// That of a request whose answer has this status, which is not 200.
+    pub fn of_error(status: u16) -> Self {
+        match status {
+            429 | 503 => SoakFate::Refused,
+            _ => SoakFate::Failed,
+        }
+    }
+
     /// Its name in the report.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/testbed/src/soak/responses.rs
+++ b/crates/testbed/src/soak/responses.rs
@@ -1,8 +1,10 @@
 //! The long responses of a soak: sound ones, which go on past the deadline of their request, and such that never end.
 
-use super::clients::{ANSWER_SLACK, PROCESS_STALL};
+use super::clients::ANSWER_SLACK;
+use super::oracle::{LATE, MAX_STALL, SLACK};
 use super::records::{SoakFate, SoakRecord};
 use crate::paced_server::{pattern, read_whole, Framing, ResponseError, ResponseScript};
+use std::sync::LazyLock;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
@@ -24,11 +26,6 @@
 /// The time after which a long response without a byte has ended.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// A response that never ends is waited for this long past the time by which it has to be ended.
-const ENDLESS_SLACK: Duration = Duration::from_secs(2);
-/// A response that is cut off after its deadline ends this long after it.
-const OVERDUE_LIMIT: Duration = Duration::from_millis(500);
-
 /// How a response has to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseEnd {
@@ -36,8 +33,8 @@
     Whole,
     /// It is cut off soon after the deadline of its request.
     AfterDeadline,
-    /// It is cut off soon after so much time from the deadline of its request.
-    AfterSilence(Duration),
+    /// It is cut off soon after its server has been silent for [`MAX_SILENCE`], past the deadline of its request.
+    AfterSilence,
 }
 
 /// A response of a soak's servers.
@@ -55,20 +52,21 @@
 const DELAYED_LENGTH: usize = 4;
 
 /// What the servers of a soak write: the long responses by their number, and the delayed response behind them.
-pub fn server_scripts() -> Vec<ResponseScript> {
-    let mut scripts: Vec<_> = soak_responses().into_iter().map(|response| response.script).collect();
+pub fn server_scripts() -> impl Iterator<Item = ResponseScript> {
     let delayed = ResponseScript::paced(Framing::Length, DELAYED_LENGTH, DELAYED_LENGTH, Duration::ZERO);
-    scripts.push(ResponseScript { begins_after: RESPONSE_DELAY, ..delayed });
-    scripts
+    let delayed = ResponseScript { begins_after: RESPONSE_DELAY, ..delayed };
+    LONG_RESPONSES.iter().map(|response| response.script.clone()).chain([delayed])
 }
 
 /// The number of the delayed response.
 pub fn delayed_response() -> usize {
-    soak_responses().len()
+    LONG_RESPONSES.len()
 }
 
 /// The long responses by the number that a request asks for.
-pub fn soak_responses() -> Vec<SoakResponse> {
+pub static LONG_RESPONSES: LazyLock<Vec<SoakResponse>> = LazyLock::new(long_responses);
+
+fn long_responses() -> Vec<SoakResponse> {
     let paced = |framing, length, (piece, pause)| ResponseScript::paced(framing, length, piece, pause);
     let stopping = |framing, part| {
         ResponseScript::paced(framing, UNREACHED_LENGTH, part, Duration::ZERO).stopped_after(1)
@@ -80,8 +78,8 @@
         {
             responses.push(SoakResponse { script, end: ResponseEnd::Whole });
         }
-        let end = ResponseEnd::AfterSilence(MAX_SILENCE);
-        responses.push(SoakResponse { script: stopping(framing, LONG_PART), end });
+        let script = stopping(framing, LONG_PART);
+        responses.push(SoakResponse { script, end: ResponseEnd::AfterSilence });
         // With a declared length these are known to be long.
         if framing != Framing::Length {
             for script in [stopping(framing, SHORT_PART), paced(framing, UNREACHED_LENGTH, TRICKLE)] {
@@ -96,27 +94,23 @@
 pub async fn read_long_response(record: &mut SoakRecord, stream: &mut TcpStream, response: &SoakResponse) {
     let deadline = record.sent + record.wait;
     let last_piece_at = deadline + response.script.last_piece_at();
-    let (end, patience) = match response.end {
-        ResponseEnd::Whole => (last_piece_at, ANSWER_SLACK),
-        ResponseEnd::AfterDeadline => (deadline + OVERDUE_LIMIT, ENDLESS_SLACK),
-        ResponseEnd::AfterSilence(silence) => (last_piece_at + silence + OVERDUE_LIMIT, ENDLESS_SLACK),
+    let end = match response.end {
+        ResponseEnd::Whole => last_piece_at,
+        ResponseEnd::AfterDeadline => deadline + LATE,
+        ResponseEnd::AfterSilence => last_piece_at + MAX_SILENCE + LATE,
     };
-    let read = timeout_at(end + patience, read_whole(stream)).await;
+    let read = timeout_at(end + ANSWER_SLACK, read_whole(stream)).await;
     record.ended = Instant::now();
     record.fate = match read {
         Ok(Ok(body)) if body == pattern(response.script.length) => SoakFate::Served,
         Ok(Err(ResponseError::Status(status))) => {
             record.status = status;
-            if matches!(status, 429 | 503) {
-                SoakFate::Refused
-            } else {
-                SoakFate::Failed
-            }
+            SoakFate::of_error(status)
         }
         Ok(Err(ResponseError::EndsInHead)) => SoakFate::Lost,
         Err(_) if response.end == ResponseEnd::Whole => SoakFate::Unanswered,
         Ok(_) if response.end == ResponseEnd::Whole => SoakFate::CutOff,
-        Ok(_) if record.ended <= end + PROCESS_STALL => SoakFate::EndlessEnded,
+        Ok(_) if record.ended <= end + MAX_STALL + SLACK => SoakFate::EndlessEnded,
         _ => SoakFate::EndlessTooLong,
     };
 }
