--- a/crates/testbed/src/backend.rs
+++ b/crates/testbed/src/backend.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, Notify};
+use tokio::time::sleep;
 
 /// What a scripted backend does with a request.
 pub enum Reply {
@@ -97,6 +99,20 @@
         (Self::start(move |_| Reply::When(gate.clone(), ok(body))).await, word)
     }
 
+    /// Starts one that answers each request after this time.
+    pub async fn answering_after(time: Duration) -> Self {
+        let script = move |_: &Message| {
+            let word = Arc::new(Notify::new());
+            let answers = word.clone();
+            tokio::spawn(async move {
+                sleep(time).await;
+                answers.notify_one();
+            });
+            Reply::When(word, ok("x"))
+        };
+        Self::start(script).await
+    }
+
     /// The next request.
     pub async fn next(&mut self) -> Message {
         soon("a request at the backend", self.seen.recv()).await.expect("a request")
--- a/crates/testbed/src/request_forms/table.rs
+++ b/crates/testbed/src/request_forms/table.rs
@@ -19,6 +19,17 @@
     pub bytes: Vec<u8>,
 }
 
+impl Form {
+    /// The form of a client that waits for 20 s, unless the form is about the time-out.
+    pub fn patient(mut self) -> Self {
+        const TIMEOUT: &[u8] = b"X-Timeout: 1500m";
+        if let Some(at) = self.bytes.windows(TIMEOUT.len()).position(|window| window == TIMEOUT) {
+            self.bytes.splice(at..at + TIMEOUT.len(), b"X-Timeout: 20000m".iter().copied()).for_each(drop);
+        }
+        self
+    }
+}
+
 /// The sound request that the rows change.
 #[derive(Debug, Clone, Copy)]
 pub struct Template<'a> {
