Requests behind an open one are judged by the whole definition of a sound request

Cause: what stands behind an open request was judged by the grammar of a request line alone (may_begin_request). Its head, fields, class, tenant, id and body were looked at only once the request before it had its response, which a server that hangs never gives.

Change: FollowingRequests judges what has come behind an open request, in the three places where its first line was judged, by the checks that handle a request (CheckHead, one definition), head by head, with bodies, chunks, trailers, and ids that are new on the connection. Each byte is judged once. Incomplete is no verdict. The open request gets 400, no attempt begins any more, and the log line has position=Following. The table in sound_request says which reading is taken: a client that has one request at a time never gets there.

endings.rs: its floods behind a waiting request were copies under one id, which are not sound by the protocol (an id is new with every request); they are as long and have ids of their own now, its assertions are unchanged.

--- a/crates/agent-core/src/chunks.rs
+++ b/crates/agent-core/src/chunks.rs
@@ -85,14 +85,36 @@
         self.0 == State::Complete
     }
 
+    /// Whether the last chunk has been read, so that only the trailer section is left.
+    pub fn is_in_trailers(&self) -> bool {
+        matches!(self.0, State::Trailer(..) | State::TrailerEnd(_) | State::LastLineEnd | State::Complete)
+    }
+
     /// Scans the next bytes; returns how many of them belong to the body.
     ///
     /// # Errors
     ///
     /// Returns [`InvalidChunkedBody`] if the bytes are not a valid chunked body.
     pub fn advance(&mut self, bytes: &[u8]) -> Result<usize, InvalidChunkedBody> {
+        self.advance_until(bytes, Self::is_complete)
+    }
+
+    /// Scans the next bytes up to the trailer section; returns how many of them belong to the chunks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`InvalidChunkedBody`] if the bytes are not valid chunks.
+    pub fn advance_to_trailers(&mut self, bytes: &[u8]) -> Result<usize, InvalidChunkedBody> {
+        self.advance_until(bytes, Self::is_in_trailers)
+    }
+
+    fn advance_until(
+        &mut self,
+        bytes: &[u8],
+        is_end: impl Fn(&Self) -> bool,
+    ) -> Result<usize, InvalidChunkedBody> {
         let mut at = 0;
-        while at < bytes.len() && !self.is_complete() {
+        while at < bytes.len() && !is_end(self) {
             if let State::Data(remaining) = self.0 {
                 let scanned = remaining.min((bytes.len() - at) as u64);
                 at += scanned as usize;
--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -3,7 +3,7 @@
 use super::eviction::LATE_RESPONSE_ALLOWANCE;
 use crate::accept_delay::AcceptDelay;
 use crate::client_presence::ClientPresence;
-use crate::sound_request::UnsoundRequest;
+use crate::sound_request::UnsoundFinding;
 use crate::telemetry::PendingTimer;
 use bellcroft_agent_core::body_limits::ProgressTimeout;
 use bellcroft_agent_core::guard::ConnectionState;
@@ -22,8 +22,8 @@
 /// Why a request is rejected by what was received of it, before it is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestRejection {
-    /// It is not sound.
-    Unsound(UnsoundRequest),
+    /// It is not sound, or what stands behind it is not.
+    Unsound(UnsoundFinding),
     /// There is no memory for its head.
     OutOfMemory,
 }
@@ -233,7 +233,7 @@
     }
 
     /// Why the current request is not sound; none if nothing is known against it.
-    pub fn unsound(&self) -> Option<UnsoundRequest> {
+    pub fn unsound(&self) -> Option<UnsoundFinding> {
         match self.rejection.get() {
             Some(RequestRejection::Unsound(unsound)) => Some(unsound),
             Some(RequestRejection::OutOfMemory) | None => None,
@@ -241,7 +241,7 @@
     }
 
     /// Waits until the current request turns out not to be sound.
-    pub async fn found_unsound(&self) -> UnsoundRequest {
+    pub async fn found_unsound(&self) -> UnsoundFinding {
         loop {
             if let Some(unsound) = self.unsound() {
                 return unsound;
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -4,11 +4,11 @@
 use super::request::ReadError;
 use super::response::{plain_response, response_for, unsound_response};
 use super::response_body::{ClientResponseBody, ResponseCompletion};
-use super::{Server, LAST_RESPONSE_SHARE};
+use super::{Server, LAST_RESPONSE_SHARE, READINESS_PATH};
 use crate::daemon::status::RequestOutcome;
 use crate::driver::{Driver, FinalResponse, IncomingRequest, SubmittedRequest};
 use crate::request_log::ResponseReason;
-use crate::sound_request::{request_id, UnsoundRequest};
+use crate::sound_request::{request_id, UnsoundFinding};
 use crate::streaming_body::{StreamingBody, UploadEnd};
 use bellcroft_balancer::RequestId;
 use hyper::body::Incoming;
@@ -68,7 +68,7 @@
                 return Err(self.refuse_unsound(request_id(request.headers()), unsound));
             }
         }
-        if request.uri().path() == "/ready" {
+        if request.uri().path() == READINESS_PATH {
             return Ok(if self.is_ready() {
                 plain_response(StatusCode::OK, "ready")
             } else {
@@ -131,7 +131,7 @@
     fn refuse_unsound(
         &self,
         request_id: Option<&str>,
-        unsound: UnsoundRequest,
+        unsound: UnsoundFinding,
     ) -> Response<ClientResponseBody> {
         self.on_unsound(request_id, unsound);
         unsound_response(unsound)
--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -10,10 +10,11 @@
 
 use super::arrival::ArrivalTimes;
 use super::connection::{ClientConnection, RequestRejection};
+use super::following::{CheckHead, FollowingRequests};
 use super::head::{parse_framing, HeadFraming};
 use super::receive_buffer::ReceiveBuffer;
 use crate::memory::Memory;
-use crate::sound_request::{may_begin_request, UnsoundRequest};
+use crate::sound_request::{UnsoundFinding, UnsoundRequest};
 use bellcroft_agent_core::body_limits::{ProgressTimeout, MAX_BODY_BYTES};
 use bellcroft_agent_core::chunks::{ChunkedBodyScanner, InvalidChunkedBody};
 use bellcroft_agent_core::guard::ConnectionState;
@@ -61,6 +62,8 @@
     readable: usize,
     /// The length of `buffered` when an incomplete head was parsed; it is not parsed again before more bytes have been read.
     parsed_len: usize,
+    /// What stands behind the current request.
+    following: FollowingRequests,
     /// Whether the end of the stream has been read.
     eof: bool,
     /// The number of bytes after `buffered` that were discarded. Once it is not 0, the stream ends for hyper after
@@ -76,8 +79,13 @@
 }
 
 impl RequestFraming {
-    /// Wraps a connection.
-    pub fn new(stream: Rc<Stream<TcpStream>>, client: Rc<ClientConnection>, memory: &Memory) -> Self {
+    /// Wraps a connection; `checks` judge the requests behind an open one.
+    pub fn new(
+        stream: Rc<Stream<TcpStream>>,
+        client: Rc<ClientConnection>,
+        checks: Rc<dyn CheckHead>,
+        memory: &Memory,
+    ) -> Self {
         RequestFraming {
             io: stream,
             client,
@@ -87,6 +95,7 @@
             unread_since: None,
             readable: 0,
             parsed_len: 0,
+            following: FollowingRequests::new(checks),
             eof: false,
             discarded: 0,
             passed: 0,
@@ -95,15 +104,23 @@
         }
     }
 
-    /// Rejects the complete request if bytes behind it, which came later, begin no request, and its response has not begun.
+    /// Rejects the complete request if bytes behind it, which came later, are not sound, and its response has not begun.
     fn check_following(&mut self) {
         let is_open = matches!(self.stage, Stage::Complete) && !self.client.has_response();
-        if is_open && !may_begin_request(&self.buffered) {
+        if !is_open {
+            return;
+        }
+        if let Err(rule) = self.judge_following(0) {
             self.stage = Stage::Closed;
-            self.client.reject_request(RequestRejection::Unsound(UnsoundRequest::FollowingBytes));
+            self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
         }
     }
 
+    /// Judges the buffered bytes behind the current request, which ends after so many of them.
+    fn judge_following(&mut self, request_end: usize) -> Result<(), UnsoundRequest> {
+        self.following.judge(self.passed + request_end as u64, &self.buffered[request_end..])
+    }
+
     /// Handles the last byte of the current request, which is the last one that hyper may read.
     fn complete_request(&mut self) {
         self.stage = Stage::Complete;
@@ -121,7 +138,11 @@
             return false;
         }
         self.parsed_len = self.buffered.len();
-        match parse_framing(&self.buffered) {
+        let framing = parse_framing(&self.buffered);
+        if let HeadFraming::Sized(head, _) | HeadFraming::Chunked(head) = framing {
+            self.following.on_request(self.passed, &self.buffered[..head]);
+        }
+        match framing {
             HeadFraming::Partial if self.buffered.len() < MAX_HEAD_BYTES => return false,
             // hyper responds to an invalid or too long head itself, and closes the connection.
             HeadFraming::Partial | HeadFraming::Unreadable => {
@@ -149,29 +170,30 @@
     /// Handles a head that is the whole request.
     fn complete_head_without_body(&mut self, cx: &mut Context<'_>, head: usize) {
         self.read_following(cx, head);
-        if may_begin_request(&self.buffered[head..]) {
-            self.readable = head;
-            self.complete_request();
-        } else {
-            self.reject_unsound(head, UnsoundRequest::FollowingBytes);
+        match self.judge_following(head) {
+            Ok(()) => {
+                self.readable = head;
+                self.complete_request();
+            }
+            Err(rule) => self.reject_unsound(head, UnsoundFinding::following(rule)),
         }
     }
 
-    fn reject_unsound(&mut self, head: usize, unsound: UnsoundRequest) {
-        self.reject_request(head, RequestRejection::Unsound(unsound));
+    fn reject_unsound(&mut self, head: usize, unsound: impl Into<UnsoundFinding>) {
+        self.reject_request(head, RequestRejection::Unsound(unsound.into()));
     }
 
-    /// Handles a body that ends with the readable bytes. If the bytes behind it begin no request, hyper does not get its end, so that
+    /// Handles a body that ends with the readable bytes. If the bytes behind it are not sound, hyper does not get its end, so that
     /// no server gets the request whole.
     fn complete_body(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         self.read_following(cx, self.readable);
-        if may_begin_request(&self.buffered[self.readable..]) {
+        let Err(rule) = self.judge_following(self.readable) else {
             self.complete_request();
             return Ok(());
-        }
+        };
         self.stage = Stage::Closed;
         self.readable = 0;
-        self.client.reject_request(RequestRejection::Unsound(UnsoundRequest::FollowingBytes));
+        self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
         Err(io::ErrorKind::InvalidData.into())
     }
 
--- a/crates/agent/src/downstream/head.rs
+++ b/crates/agent/src/downstream/head.rs
@@ -1,6 +1,10 @@
 //! Determines the length of a request from its head, before hyper parses it: hyper removes headers that make it ambiguous.
 
 use crate::sound_request::is_target;
+use bellcroft_agent_core::request_claims::RequestIdHash;
+use bellcroft_platform_settings::fnv1a;
+use hyper::http::request::Parts;
+use hyper::{Request, Version};
 
 /// The maximum number of header lines, the same as hyper's.
 const MAX_HEADER_LINES: usize = 100;
@@ -48,6 +52,38 @@
     }
 }
 
+/// The lines of a complete head that has the grammar of one; none if hyper refuses it.
+pub(super) fn parse_lines(head: &[u8]) -> Option<Parts> {
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
+    let mut parsed = httparse::Request::new(&mut lines);
+    parsed.parse(head).ok()?;
+    let version = if parsed.version? == 1 { Version::HTTP_11 } else { Version::HTTP_10 };
+    let mut request = Request::builder().method(parsed.method?).uri(parsed.path?).version(version);
+    for line in parsed.headers.iter() {
+        request = request.header(line.name, line.value);
+    }
+    Some(request.body(()).ok()?.into_parts().0)
+}
+
+/// The names of a complete trailer section, which ends with an empty line; none if it is malformed.
+pub(super) fn parse_trailer_names(section: &[u8]) -> Option<Vec<&str>> {
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
+    match httparse::parse_headers(section, &mut lines).ok()? {
+        httparse::Status::Complete((_, trailers)) => Some(trailers.iter().map(|line| line.name).collect()),
+        httparse::Status::Partial => None,
+    }
+}
+
+/// The id in a complete head; none if it has none.
+pub(super) fn id_in_head(head: &[u8]) -> Option<RequestIdHash> {
+    const NAME: &[u8] = b"x-request-id:";
+    let line = head.split(|byte| *byte == b'\n').find(|line| {
+        line.split_at_checked(NAME.len()).is_some_and(|(name, _)| name.eq_ignore_ascii_case(NAME))
+    })?;
+    let id = std::str::from_utf8(line[NAME.len()..].trim_ascii()).ok()?;
+    Some(RequestIdHash(fnv1a(id)))
+}
+
 /// Whether a line ends without a CR. The parser accepts that, as a recipient may (RFC 9112, section 2.2), but recipients differ
 /// in it.
 fn has_bare_line_feed(head: &[u8]) -> bool {
--- a/crates/agent/src/downstream/mod.rs
+++ b/crates/agent/src/downstream/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod eviction;
 mod exchange;
+mod following;
 mod framing;
 mod head;
 mod receive_buffer;
@@ -43,6 +44,8 @@
 /// An unused connection without a byte for this long is not expected to send a request: clients send one right after they
 /// connect.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(300);
+/// The path of the readiness check, which the agent answers itself.
+const READINESS_PATH: &str = "/ready";
 /// The size of a read of discarded bytes.
 const DISCARD_CHUNK_BYTES: usize = 4 << 10;
 /// The response to a request whose head is incomplete when the process ends or its connection is evicted. No byte of it has
@@ -139,7 +142,7 @@
     fn on_closed(&self, client: &ClientConnection, reason: CloseReason) {
         let (state, _) = client.state();
         if client.has_unreadable_head() {
-            self.on_unsound(None, UnsoundRequest::Head);
+            self.on_unsound(None, UnsoundRequest::Head.into());
         }
         let log = &self.driver.request_log;
         log.on_connection_closed(client.number(), client.peer(), state, reason);
@@ -239,7 +242,8 @@
         let service = service_fn(move |request| server.clone().respond(request, service_client.clone()));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
-        let framing_io = RequestFraming::new(stream.clone(), client.clone(), &self.driver.memory);
+        let framing_io =
+            RequestFraming::new(stream.clone(), client.clone(), self.clone(), &self.driver.memory);
         let mut connection = pin!(builder.serve_connection(framing_io, service));
         let mut disconnected = pin!(client_disconnected(&stream, &client));
         let mut incomplete_refused = pin!(self.until_incomplete_refused());
--- a/crates/agent/src/downstream/request.rs
+++ b/crates/agent/src/downstream/request.rs
@@ -1,12 +1,13 @@
 //! Reads and checks a client's request.
 
 use super::connection::{ClientConnection, RequestRejection};
-use super::Server;
+use super::following::CheckHead;
+use super::{Server, READINESS_PATH};
 use crate::driver::{class_signature, IncomingRequest, RequestBody, MAX_UPLOAD_TIME};
 use crate::memory::HeldBytes;
 use crate::sound_request::{
     affinity_key, check_head, class_name, has_idempotency_key, has_sound_trailers, header_text, request_id,
-    PlatformFields, UnsoundRequest,
+    PlatformFields, UnsoundFinding, UnsoundRequest,
 };
 use crate::streaming_body::{BrokenUpload, ReceivedBody, StreamingBody};
 use crate::upstream::forwarded_headers;
@@ -41,14 +42,20 @@
 /// Why a request is not forwarded.
 pub(super) enum ReadError {
     /// It is not sound.
-    Unsound(UnsoundRequest),
+    Unsound(UnsoundFinding),
     /// There is no memory for its body.
     OutOfMemory,
 }
 
+impl From<UnsoundFinding> for ReadError {
+    fn from(unsound: UnsoundFinding) -> Self {
+        ReadError::Unsound(unsound)
+    }
+}
+
 impl From<UnsoundRequest> for ReadError {
     fn from(unsound: UnsoundRequest) -> Self {
-        ReadError::Unsound(unsound)
+        ReadError::Unsound(unsound.into())
     }
 }
 
@@ -67,6 +74,15 @@
     route: Option<Arc<Route>>,
 }
 
+impl CheckHead for Server {
+    fn check_head(&self, head: &Parts, has_body: bool) -> Result<(), UnsoundRequest> {
+        if head.uri.path() == READINESS_PATH {
+            return Ok(());
+        }
+        self.check_fields(head, has_body).map(drop)
+    }
+}
+
 impl Server {
     /// Reads and checks a request, with its complete body or the beginning of a streaming one.
     pub(super) async fn read_request(
@@ -76,10 +92,9 @@
     ) -> Result<IncomingRequest, ReadError> {
         let (head, body) = request.into_parts();
         let has_body = body.size_hint().exact() != Some(0);
-        let head =
-            check_head(&head, has_body).and_then(|()| self.parse_head(&head)).inspect_err(|unsound| {
-                self.on_unsound(request_id(&head.headers), *unsound);
-            })?;
+        let head = self.parse_head(&head, has_body).inspect_err(|unsound| {
+            self.on_unsound(request_id(&head.headers), (*unsound).into());
+        })?;
         let body = self.read_body_start(body, client).await.inspect_err(|error| {
             if let ReadError::Unsound(unsound) = error {
                 self.on_unsound(Some(&head.request_id), *unsound);
@@ -115,19 +130,28 @@
         })
     }
 
-    /// Checks what depends on the class of a request, and parses its platform fields.
-    fn parse_head(&self, head: &Parts) -> Result<RequestHead, UnsoundRequest> {
-        let path = head.uri.path();
-        let class_name = class_name(path);
+    /// Checks a head. `has_body` states whether it declares a body that is not empty.
+    fn check_fields<'a>(
+        &self,
+        head: &'a Parts,
+        has_body: bool,
+    ) -> Result<(ClassHandle, PlatformFields<'a>), UnsoundRequest> {
+        check_head(head, has_body)?;
+        let class_name = class_name(head.uri.path());
         let class = self.class_of(head, class_name)?;
         if header_text(&head.headers, "x-priority-class") != Some(class_name) {
             return Err(UnsoundRequest::PriorityClass);
         }
-        let fields = PlatformFields::parse(&head.headers, &self.driver.names().tenants)?;
+        Ok((class, PlatformFields::parse(&head.headers, &self.driver.names().tenants)?))
+    }
+
+    /// Checks a head, and parses what is needed of it.
+    fn parse_head(&self, head: &Parts, has_body: bool) -> Result<RequestHead, UnsoundRequest> {
+        let (class, fields) = self.check_fields(head, has_body)?;
         Ok(RequestHead {
             target: detached_target(&head.uri).ok_or(UnsoundRequest::Target)?,
             headers: forwarded_headers(&head.headers),
-            route: self.driver.route(class.id(), fields.tenant, path),
+            route: self.driver.route(class.id(), fields.tenant, head.uri.path()),
             class,
             tenant: fields.tenant,
             timeout: fields.timeout,
@@ -157,7 +181,7 @@
     }
 
     /// Counts and logs a request that is not sound; its id is given if it has a sound one.
-    pub(super) fn on_unsound(&self, request_id: Option<&str>, unsound: UnsoundRequest) {
+    pub(super) fn on_unsound(&self, request_id: Option<&str>, unsound: UnsoundFinding) {
         self.count_bad_request();
         self.driver.request_log.on_unsound_request(request_id, unsound);
     }
@@ -227,10 +251,10 @@
 }
 
 /// What is wrong with a request whose body has broken off.
-fn incomplete_body(client: &ClientConnection) -> UnsoundRequest {
+fn incomplete_body(client: &ClientConnection) -> UnsoundFinding {
     match client.rejection() {
         Some(RequestRejection::Unsound(unsound)) => unsound,
-        Some(RequestRejection::OutOfMemory) | None => UnsoundRequest::IncompleteBody,
+        Some(RequestRejection::OutOfMemory) | None => UnsoundRequest::IncompleteBody.into(),
     }
 }
 
--- a/crates/agent/src/downstream/response.rs
+++ b/crates/agent/src/downstream/response.rs
@@ -2,7 +2,7 @@
 
 use super::response_body::ClientResponseBody;
 use crate::driver::FinalResponse;
-use crate::sound_request::UnsoundRequest;
+use crate::sound_request::{RequestPosition, UnsoundFinding, UnsoundRequest};
 use crate::upstream::ResponseBody;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
@@ -32,9 +32,10 @@
 }
 
 /// The response to a request that is not sound.
-pub(super) fn unsound_response(unsound: UnsoundRequest) -> Response<ClientResponseBody> {
-    let mut response = plain_response(unsound.status(), &unsound.to_string());
-    if let UnsoundRequest::Method(allowed) = unsound {
+pub(super) fn unsound_response(finding: UnsoundFinding) -> Response<ClientResponseBody> {
+    let mut response = plain_response(finding.status(), &finding.to_string());
+    let UnsoundFinding { rule, position } = finding;
+    if let (UnsoundRequest::Method(allowed), RequestPosition::Own) = (rule, position) {
         response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
     }
     response
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -5,7 +5,7 @@
 //! is logged as a warning, unless it was denied because of the shutdown.
 
 use crate::accept_delay::AcceptDelay;
-use crate::sound_request::UnsoundRequest;
+use crate::sound_request::{UnsoundFinding, UnsoundRequest};
 use crate::upstream::RelayError;
 use bellcroft_agent_core::guard::{ConnectionState, LateResponse, SendDenied, Violation};
 use bellcroft_balancer::{ClassId, Outcome, ServerId};
@@ -168,13 +168,14 @@
 
     /// Logs that a request was not sound; `id` is given if it has a sound one. `total` in the line counts those with the same reason
     /// since the process started, also those between two lines.
-    pub fn on_unsound_request(&self, id: Option<&str>, reason: UnsoundRequest) {
+    pub fn on_unsound_request(&self, id: Option<&str>, finding: UnsoundFinding) {
+        let UnsoundFinding { rule: reason, position } = finding;
         let mut counts = self.unsound_requests.borrow_mut();
         let (total, is_due) = counts.entry(reason).or_default().record();
         if is_due {
-            info!(target: "bellcroft::requests", id, ?reason, rule = %reason, total, "unsound request");
+            info!(target: "bellcroft::requests", id, ?reason, ?position, rule = %reason, total, "unsound request");
         } else {
-            event!(self, id, ?reason, total, "unsound request");
+            event!(self, id, ?reason, ?position, total, "unsound request");
         }
     }
 
--- a/crates/agent/src/sound_request/mod.rs
+++ b/crates/agent/src/sound_request/mod.rs
@@ -10,6 +10,17 @@
 //! that has one; the platform's fields once, each in its form ([`platform_fields`]); one length or one coding (`crate::downstream::head`); no
 //! bytes behind it that cannot begin the next request ([`following_bytes`]). Other fields are allowed where RFC 9110 lets a recipient
 //! ignore them.
+//!
+//! What stands behind a request that has no response yet is judged by the same definition, as far as it has come:
+//!
+//! | behind an open request | the open request |
+//! | --- | --- |
+//! | nothing, or the beginning of a request that may become sound | waits for its response |
+//! | sound requests, each with an id of its own | the same; they are served in order |
+//! | a request that is certainly not sound, wherever among them it stands | gets an error, and no attempt begins any more |
+//! | a request under the id of one before it that has no response yet | the same: an id is new with every request |
+//!
+//! A client that has one request at a time on a connection, as the platform's protocol says, has no request in the last two rows.
 
 mod following_bytes;
 mod platform_fields;
@@ -65,6 +76,9 @@
     /// The bytes that came with it cannot begin the next request.
     #[error("the bytes behind the request begin no request (RFC 9112, section 6.3)")]
     FollowingBytes,
+    /// A request that came before it over the same connection has the same id, and no response yet.
+    #[error("X-Request-ID must be new with every request")]
+    RepeatedId,
     /// Its target has another scheme than http, user information, or no path.
     #[error(
         "the target must be a path, or a URI of scheme http without user information (RFC 9112, section 3.2)"
@@ -145,6 +159,54 @@
     Attributes,
 }
 
+/// Where it shows that a request is not sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestPosition {
+    /// In the request itself.
+    Own,
+    /// In what came behind it before it had its response.
+    Following,
+}
+
+/// Why a request gets an error without being handled any further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnsoundFinding {
+    /// The rule that is violated.
+    pub rule: UnsoundRequest,
+    /// Where it is violated.
+    pub position: RequestPosition,
+}
+
+impl UnsoundFinding {
+    /// A rule that is violated behind an open request.
+    pub(crate) fn following(rule: UnsoundRequest) -> Self {
+        UnsoundFinding { rule, position: RequestPosition::Following }
+    }
+
+    /// The status of the response.
+    pub(crate) fn status(self) -> StatusCode {
+        match self.position {
+            RequestPosition::Own => self.rule.status(),
+            RequestPosition::Following => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl From<UnsoundRequest> for UnsoundFinding {
+    fn from(rule: UnsoundRequest) -> Self {
+        UnsoundFinding { rule, position: RequestPosition::Own }
+    }
+}
+
+impl std::fmt::Display for UnsoundFinding {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.position {
+            RequestPosition::Own => self.rule.fmt(formatter),
+            RequestPosition::Following => write!(formatter, "behind the request: {}", self.rule),
+        }
+    }
+}
+
 impl UnsoundRequest {
     /// The status of the response.
     pub(crate) fn status(self) -> StatusCode {
@@ -186,8 +248,13 @@
 
 /// Whether a frame of a body has no trailer by which recipients frame, route or handle a request.
 pub(crate) fn has_sound_trailers(frame: &Frame<Bytes>) -> bool {
+    frame.trailers_ref().is_none_or(|trailers| trailers.keys().all(|name| is_trailer(name.as_str())))
+}
+
+/// Whether a field may come in a trailer section.
+pub(crate) fn is_trailer(name: &str) -> bool {
     let mut header_fields = SINGLE_FIELDS.iter().chain(&END_TO_END_FIELDS).chain(&HEADER_SECTION_FIELDS);
-    frame.trailers_ref().is_none_or(|trailers| !header_fields.any(|name| trailers.contains_key(*name)))
+    !header_fields.any(|field| name.eq_ignore_ascii_case(field))
 }
 
 /// Whether a request has an idempotency key.
--- a/crates/agent/tests/endings.rs
+++ b/crates/agent/tests/endings.rs
@@ -57,9 +57,11 @@
             let head = request("POST", path, "20000m", "");
             head.replace("Content-Length: 0", &format!("Content-Length: {length}")) + &"b".repeat(sent)
         };
-        let next = request("POST", "/save/left", "20000m", &"n".repeat(60_000));
-        let behind = |bytes: usize| whole() + &next.chars().cycle().take(bytes).collect::<String>();
-        let floods = [0, 1, next.len(), (16 << 10) - 1, 16 << 10, (16 << 10) + 1, 64 << 10, 1 << 20];
+        let next = || request("POST", "/save/left", "20000m", &"n".repeat(60_000));
+        // An id is new with every request, also behind an open one.
+        let flood: String = std::iter::repeat_with(next).take(18).collect();
+        let behind = |bytes: usize| whole() + &flood[..bytes];
+        let floods = [0, 1, next().len(), (16 << 10) - 1, 16 << 10, (16 << 10) + 1, 64 << 10, 1 << 20];
         let mut texts: Vec<String> = floods.map(behind).to_vec();
         texts.extend(
             [(900_000, 800_000), (900_000, 899_999), (100_000, 100_000)]
--- a/crates/testbed/src/request_forms/table.rs
+++ b/crates/testbed/src/request_forms/table.rs
@@ -21,6 +21,7 @@
 
 impl Form {
     /// The form of a client that waits for 20 s, unless the form is about the time-out.
+    #[must_use]
     pub fn patient(mut self) -> Self {
         const TIMEOUT: &[u8] = b"X-Timeout: 1500m";
         if let Some(at) = self.bytes.windows(TIMEOUT.len()).position(|window| window == TIMEOUT) {
