The log tells what stood behind the request of a client that leaves

Change: client disconnected has the time that the client waited, and the number of bytes behind its request; with such bytes it is logged at info once a second, with their count.

--- a/crates/agent/src/downstream/connection.rs
+++ b/crates/agent/src/downstream/connection.rs
@@ -40,6 +40,8 @@
     rejection: Cell<Option<RequestRejection>>,
     /// Notified when `rejection` is set.
     rejected: Notify,
+    /// The number of bytes that have come behind the current request.
+    following_bytes: Cell<u64>,
     /// Whether the response to the current request is there, written or not.
     has_response: Cell<bool>,
     /// Whether a response has been written since the framing last checked.
@@ -94,6 +96,7 @@
             state: Cell::new((ConnectionState::Unused, now)),
             rejection: Cell::new(None),
             rejected: Notify::new(),
+            following_bytes: Cell::new(0),
             has_response: Cell::new(false),
             response_written: Cell::new(false),
             response_body_finished: Cell::new(false),
@@ -250,6 +253,15 @@
         }
     }
 
+    /// The number of bytes that have come behind the current request, while it has no response.
+    pub fn following_bytes(&self) -> u64 {
+        self.following_bytes.get()
+    }
+
+    pub(super) fn set_following_bytes(&self, bytes: u64) {
+        self.following_bytes.set(bytes);
+    }
+
     /// Has the bytes read that have arrived behind the current request.
     pub async fn read_arrived(&self) {
         if let Some(presence) = self.presence() {
--- a/crates/agent/src/downstream/exchange.rs
+++ b/crates/agent/src/downstream/exchange.rs
@@ -106,7 +106,7 @@
             self.driver.submit(incoming)
         };
         // hyper drops this future when the client disconnects; the guard then notifies the driver.
-        let _guard = DisconnectGuard(&self.driver, id);
+        let _guard = DisconnectGuard { driver: &self.driver, request: id, client };
         let (outcome, mut response) = tokio::select! {
             biased;
             unsound = client.found_unsound() => {
@@ -272,10 +272,14 @@
 }
 
 /// Notifies the driver, when dropped, that the client of a request has disconnected; after a response this has no effect.
-struct DisconnectGuard<'a>(&'a Rc<Driver>, RequestId);
+struct DisconnectGuard<'a> {
+    driver: &'a Rc<Driver>,
+    request: RequestId,
+    client: &'a ClientConnection,
+}
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        self.0.on_client_disconnected(self.1);
+        self.driver.on_client_disconnected(self.request, self.client.following_bytes());
     }
 }
--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -110,6 +110,7 @@
         if !is_open {
             return;
         }
+        self.client.set_following_bytes(self.buffered.len() as u64 + self.discarded);
         if let Err(rule) = self.judge_following(0) {
             self.stage = Stage::Closed;
             self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
@@ -125,6 +126,7 @@
     fn complete_request(&mut self) {
         self.stage = Stage::Complete;
         let end = self.passed + self.readable as u64;
+        self.client.set_following_bytes((self.buffered.len() - self.readable) as u64);
         self.client.on_last_byte(self.arrivals.arrived_at(end).unwrap_or_else(Instant::now));
     }
 
--- a/crates/agent/src/driver/requests.rs
+++ b/crates/agent/src/driver/requests.rs
@@ -290,13 +290,14 @@
         self.pump();
     }
 
-    /// Handles a client that has disconnected or whose deadline has passed. Completely written attempts continue and
-    /// their outcomes still count; the others are cancelled. Does nothing after the final response.
-    pub fn on_client_disconnected(self: &Rc<Self>, id: RequestId) {
+    /// Handles a client that has disconnected or whose deadline has passed, with so many bytes behind its request. Completely written
+    /// attempts continue and their outcomes still count; the others are cancelled. Does nothing after the final response.
+    pub fn on_client_disconnected(self: &Rc<Self>, id: RequestId, following_bytes: u64) {
         {
             let mut state = self.state.borrow_mut();
             let Some(pending) = state.requests.pending.remove(&id) else { return };
-            self.request_log.on_client_disconnected(&pending.request.request_id);
+            let IncomingRequest { request_id, received_at, .. } = &*pending.request;
+            self.request_log.on_client_disconnected(request_id, received_at.elapsed(), following_bytes);
             self.on_ended(&state, id, &pending);
             state.attempts.cancel_unwritten(id, pending.attempts);
             state.events.push_back(Event::ClientDisconnected { request: id });
--- a/crates/agent/src/request_log.rs
+++ b/crates/agent/src/request_log.rs
@@ -113,6 +113,8 @@
     unsound_requests: RefCell<HashMap<UnsoundRequest, LimitedCount>>,
     /// The responses that were cut off after they had begun.
     cut_off_responses: RefCell<LimitedCount>,
+    /// The clients that disconnected with bytes behind their request.
+    disconnects_with_following_bytes: RefCell<LimitedCount>,
 }
 
 /// A count of events, of which not every one is logged at level `info`.
@@ -200,9 +202,19 @@
         event!(self, id, ?reason, "response decided");
     }
 
-    /// Logs that the client of a request disconnected, or stopped waiting, before the final response.
-    pub fn on_client_disconnected(&self, id: &str) {
-        event!(self, id, "client disconnected");
+    /// Logs that the client of a request disconnected, or stopped waiting, before the final response: after `waited`, and with so many
+    /// bytes behind the request. `total` counts the clients with any since the process started, also those between two lines.
+    pub fn on_client_disconnected(&self, id: &str, waited: Duration, following_bytes: u64) {
+        if following_bytes == 0 {
+            event!(self, id, ?waited, "client disconnected");
+            return;
+        }
+        let (total, is_due) = self.disconnects_with_following_bytes.borrow_mut().record();
+        if is_due {
+            info!(target: "bellcroft::requests", id, ?waited, following_bytes, total, "client disconnected");
+        } else {
+            event!(self, id, ?waited, following_bytes, total, "client disconnected");
+        }
     }
 
     /// Logs that a response was decided after the client's deadline.
--- a/crates/agent/tests/hung_servers.rs
+++ b/crates/agent/tests/hung_servers.rs
@@ -95,11 +95,20 @@
 }
 
 impl HungServers {
-    /// Starts them; the servers answer after this time.
+    /// Starts them; the servers answer with 200 after this time.
     async fn start(hang: Duration, config_for: impl Fn(SocketAddr, &[Value]) -> Value) -> Self {
+        Self::answering(hang, &ok("x"), config_for).await
+    }
+
+    /// The same with another answer.
+    async fn answering(
+        hang: Duration,
+        answer: &[u8],
+        config_for: impl Fn(SocketAddr, &[Value]) -> Value,
+    ) -> Self {
         let mut servers = Vec::new();
         for _ in 0..SERVERS {
-            servers.push(Backend::answering_after(hang).await);
+            servers.push(Backend::answering_after(hang, answer.to_vec()).await);
         }
         let hosts: Vec<_> = servers
             .iter()
@@ -323,6 +332,63 @@
     assert_eq!(server.record().1, Vec::<String>::new());
 }
 
+/// What a client left behind an open request is in the log: no other record tells whether its request may have been unsound.
+#[tokio::test]
+async fn client_that_leaves_with_bytes_behind_its_request_is_logged() {
+    let hung = HungServers::start(HANG, patient_config).await;
+    let open = request_as("left-open", "GET", "/read/open", "20000m", "");
+    let mut client = hung.agent.client().await;
+    client.send(&(open + "GET /read")).await;
+    sleep(PAUSE).await;
+    drop(client);
+    hung.agent.until_logged("following_bytes=9").await;
+    assert_eq!(hung.agent.logged("client disconnected id=\"left-open\""), 1);
+}
+
+/// Guards against attempts for clients whose close lies behind requests that are judged, when their servers end a hang by turning them
+/// away. A client that stays has such attempts.
+#[tokio::test]
+async fn client_that_closed_behind_following_requests_gets_no_further_attempt() {
+    const TURNED_AWAY: &[u8] =
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    let mut hung = HungServers::answering(HANG / 3, TURNED_AWAY, patient_config).await;
+    let text = |id: &str, behind: usize| {
+        let next = || request("GET", "/read/behind", "20000m", "");
+        let flood: String = std::iter::repeat_with(next).take(behind / next().len() + 1).collect();
+        request_as(id, "GET", "/read/left", "20000m", "") + &flood[..behind]
+    };
+    let mut staying = hung.agent.client().await;
+    staying.send(&text("stays", 100)).await;
+    sleep(HANG).await;
+    assert!(hung.begun().len() > 1, "a client that stays has one attempt alone");
+    drop(staying);
+    for leaving in Leaving::ALL {
+        let mut sending = JoinSet::new();
+        for behind in [0, 1, 100, 4 << 10, 16 << 10, 80 << 10, 200 << 10, 2 << 20] {
+            for number in 0..3 {
+                let mut client = hung.agent.client().await;
+                let text = text(&format!("{leaving:?}-{behind}-{number}"), behind);
+                sending.spawn(async move {
+                    // Bytes that the kernels do not take are not sent; the client leaves nevertheless.
+                    let _ = timeout(3 * PAUSE, client.stream.write_all(text.as_bytes())).await;
+                    client.leave(leaving).await
+                });
+            }
+        }
+        let mut half = Vec::new();
+        while let Some(sent) = sending.join_next().await {
+            half.extend(sent.expect("it does not fail"));
+        }
+        sleep(HANG).await;
+        let mut begun = hung.begun();
+        let attempts = begun.len();
+        begun.sort();
+        begun.dedup();
+        assert_eq!(begun.len(), attempts, "{leaving:?}: a further attempt among {begun:?}");
+        assert!(begun.iter().all(|request| request.contains("/read/left")), "{leaving:?}: {begun:?}");
+    }
+}
+
 /// The number of requests that are drawn.
 const GENERATED_REQUESTS: usize = 1_000;
 
--- a/crates/agent/tests/late_bytes.rs
+++ b/crates/agent/tests/late_bytes.rs
@@ -27,7 +27,7 @@
 
 /// An agent and a server that answers after this time.
 async fn agent_with_server(time: Duration) -> (Agent, Backend, Directory) {
-    let backend = Backend::answering_after(time).await;
+    let backend = Backend::answering_after(time, ok("x")).await;
     let directory = Directory::start(Mood::Mute).await;
     let mut config = patient_config(directory.address, &[host("s", backend.address, "up")]);
     config["settings"]["parties"][0]["allowancePerS"] = 100_000.0.into();
--- a/crates/testbed/src/backend.rs
+++ b/crates/testbed/src/backend.rs
@@ -99,8 +99,8 @@
         (Self::start(move |_| Reply::When(gate.clone(), ok(body))).await, word)
     }
 
-    /// Starts one that answers each request after this time.
-    pub async fn answering_after(time: Duration) -> Self {
+    /// Starts one that gives each request this answer after this time.
+    pub async fn answering_after(time: Duration, answer: Vec<u8>) -> Self {
         let script = move |_: &Message| {
             let word = Arc::new(Notify::new());
             let answers = word.clone();
@@ -108,7 +108,7 @@
                 sleep(time).await;
                 answers.notify_one();
             });
-            Reply::When(word, ok("x"))
+            Reply::When(word, answer.clone())
         };
         Self::start(script).await
     }
