Soak: unsound requests behind sound ones, in one write and in two

Change: half of the unsound requests stand in one write behind a sound one (not where reads are cut short), and half of the late bytes are an unsound request under an id of its own; any of these at a server is a violation.

--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -2,7 +2,7 @@
 //! response, or send what begins no request behind a request.
 
 use super::oracle::{MAX_STALL, SLACK};
-use super::records::{Behavior, SoakFate, SoakRecord};
+use super::records::{Behavior, SoakFate, SoakRecord, UNSOUND_BEHIND};
 use super::responses::{delayed_response, read_long_response, SoakResponse, LONG_RESPONSES};
 use super::slot::{Gate, Slot};
 use super::SoakPlan;
@@ -177,6 +177,11 @@
             wait.as_millis()
         );
         let bytes = match behavior {
+            // A read that the kernel cuts short does not show what is behind the request.
+            Behavior::Unsound if !self.plan.failing_calls && self.random.bool() => {
+                let behind = self.unsound_bytes(class, &unsound_id_behind(&id));
+                [text.into_bytes(), behind].concat()
+            }
             Behavior::Unsound => self.unsound_bytes(class, &id),
             _ => text.into_bytes(),
         };
@@ -362,13 +367,16 @@
         }
     }
 
-    /// Writes bytes behind a request that begin no request, and reads what becomes of it.
+    /// Writes behind a request what is not sound there, and reads what becomes of it.
     async fn write_behind(&mut self, record: &mut SoakRecord, mut stream: TcpStream, reused: bool) {
         sleep(MAX_PAUSE_BEHIND.mul_f64(self.random.f64())).await;
-        let bytes = NO_REQUESTS[self.random.usize(..NO_REQUESTS.len())];
+        let bytes = match self.random.bool() {
+            true => NO_REQUESTS[self.random.usize(..NO_REQUESTS.len())].to_vec(),
+            false => self.unsound_bytes(record.class, &unsound_id_behind(&record.id)),
+        };
         record.unsound_since = Some(Instant::now());
         // A connection that has ended meanwhile may still have an answer.
-        let _ = stream.write_all(bytes).await;
+        let _ = stream.write_all(&bytes).await;
         self.read(record, stream, reused).await;
         self.kept = None;
         let judged_by = record.unsound_since.unwrap_or(record.sent) + MAX_STALL + SLACK;
@@ -406,6 +414,11 @@
     }
 }
 
+/// The id of a request that is not sound and stands behind another one.
+fn unsound_id_behind(id: &str) -> String {
+    format!("{id}{UNSOUND_BEHIND}")
+}
+
 /// The last parameter of a request's target, which tells the server what to write.
 fn script_parameter(number: usize) -> String {
     format!("&script={number}")
--- a/crates/testbed/src/soak/oracle.rs
+++ b/crates/testbed/src/soak/oracle.rs
@@ -1,7 +1,7 @@
 //! Sets the clients' records against the servers': knows the rules and nothing of the program.
 
 use super::cluster::SoakCluster;
-use super::records::{Behavior, SoakFate, SoakRecord};
+use super::records::{Behavior, SoakFate, SoakRecord, UNSOUND_BEHIND};
 use crate::process::log_field;
 use crate::server::Seen;
 use crate::traffic::{Fate, Record};
@@ -65,6 +65,9 @@
         }
     }
     for (server, seen) in &seen {
+        if seen.id.ends_with(UNSOUND_BEHIND) {
+            violations.push(format!("{} was not sound and went to s{server}", seen.id));
+        }
         if let Some(record) = by_id.get(seen.id.as_str()) {
             violations.extend(sent(record, *server, seen, lag).filter(|_| !crashed(record)));
         }
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -19,16 +19,19 @@
     Stalled,
     /// Has next to no time for it.
     ShortDeadline,
-    /// Sends one that is not sound.
+    /// Sends one that is not sound, alone or in one write behind a sound one.
     Unsound,
     /// Sends it, closes before there is an answer, and sends it again under its id.
     Returning,
-    /// Sends it, and bytes that begin no request in a write of their own.
+    /// Sends it, and in a write of its own what is not sound behind it: bytes that begin no request, or an unsound one.
     BytesBehind,
     /// Asks for a response that goes on past its deadline, or never ends.
     LongResponse,
 }
 
+/// The end of the id of a request that is not sound and stands behind another one.
+pub const UNSOUND_BEHIND: &str = "-behind";
+
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakFate {
@@ -114,7 +117,7 @@
     pub sent: Instant,
     /// When its last byte was written once more under the same id, if the record is that of the first time.
     pub sent_again: Option<Instant>,
-    /// When bytes were written behind it that begin no request.
+    /// When bytes were written behind it that are not sound there.
     pub unsound_since: Option<Instant>,
     /// How long its client waits.
     pub wait: Duration,
