--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -213,6 +213,7 @@
             Stage::Body(_) | Stage::Chunked(_) | Stage::Closed => Stage::Closed,
         };
         self.parsed_len = 0;
+        self.client.set_following_bytes(0);
         self.buffered.release_head();
     }
 }
