A head over 16 KiB behind an open request makes it unsound

What callers would see: beside a server that hangs, a request with a head of over 16 KiB behind it was forwarded and its client heard nothing. Cause: the limit of a head stood where a request is handled, and not in parse_framing, so FollowingRequests took a longer head, complete or not, for one that may become sound. Evidence: the test failed on (complete, 16,384 bytes: silence). Change: parse_framing has the limit for both. Result: the test passes, with the library's tests, clients.rs, endings.rs, hung_servers.rs, late_bytes.rs and malformed_requests.rs.

--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -28,8 +28,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// The maximum length of a request's head, in bytes.
-pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The maximum number of discarded bytes on a connection; the connection is no longer read after that.
 const MAX_DISCARDED_BYTES: u64 = MAX_BODY_BYTES;
 
@@ -145,9 +143,9 @@
             self.following.on_request(self.passed, &self.buffered[..head]);
         }
         match framing {
-            HeadFraming::Partial if self.buffered.len() < MAX_HEAD_BYTES => return false,
+            HeadFraming::Partial => return false,
             // hyper responds to an invalid or too long head itself, and closes the connection.
-            HeadFraming::Partial | HeadFraming::Unreadable => {
+            HeadFraming::Unreadable => {
                 self.client.on_unreadable_head();
                 (self.readable, self.stage) = (self.buffered.len(), Stage::Closed);
             }
--- a/crates/agent/src/downstream/framing/reading.rs
+++ b/crates/agent/src/downstream/framing/reading.rs
@@ -1,6 +1,7 @@
 //! Reads the bytes of a client's connection, as far as there is memory for them.
 
-use super::{RequestFraming, Stage, MAX_HEAD_BYTES};
+use super::{RequestFraming, Stage};
+use crate::downstream::head::MAX_HEAD_BYTES;
 use bellcroft_agent_core::body_limits::MAX_BUFFERED_BODY_BYTES;
 use bellcroft_agent_core::memory_budget::MemoryUse;
 use std::future::Future;
--- a/crates/agent/src/downstream/head.rs
+++ b/crates/agent/src/downstream/head.rs
@@ -6,6 +6,8 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Version};
 
+/// The maximum length of a request's head, in bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The maximum number of header lines, the same as hyper's.
 const MAX_HEADER_LINES: usize = 100;
 
@@ -14,7 +16,7 @@
 pub(super) enum HeadFraming {
     /// The head is incomplete.
     Partial,
-    /// The bytes are not a valid head.
+    /// The bytes are not a valid head, or a longer one than [`MAX_HEAD_BYTES`].
     Unreadable,
     /// The head can be read, but does not follow the grammar. The field is the length of the head.
     Malformed(usize),
@@ -31,9 +33,9 @@
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
     let mut request = httparse::Request::new(&mut lines);
     let head = match request.parse(bytes) {
-        Ok(httparse::Status::Complete(head)) => head,
-        Ok(httparse::Status::Partial) => return HeadFraming::Partial,
-        Err(_) => return HeadFraming::Unreadable,
+        Ok(httparse::Status::Complete(head)) if head <= MAX_HEAD_BYTES => head,
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => return HeadFraming::Partial,
+        Ok(_) | Err(_) => return HeadFraming::Unreadable,
     };
     if has_bare_line_feed(&bytes[..head]) || !request.path.is_some_and(|target| is_target(target.as_bytes()))
     {
--- a/crates/agent/tests/hung_servers.rs
+++ b/crates/agent/tests/hung_servers.rs
@@ -314,6 +314,24 @@
     assert_eq!(quick.record().1, wanted);
 }
 
+/// Guards against heads that are too long and pass for the beginning of a request that may become sound.
+#[tokio::test]
+async fn head_that_is_too_long_behind_an_open_request_gets_an_error() {
+    let mut hung = HungServers::start(HANG, patient_config).await;
+    for length in [16 << 10, 20_000, 60_000] {
+        let padding = format!("HTTP/1.1\r\nX-Padding: {}\r\n", "p".repeat(length));
+        let complete = request("GET", "/read/long", "20000m", "").replacen("HTTP/1.1\r\n", &padding, 1);
+        let incomplete = &complete[..length + 100];
+        for (name, text) in [("complete", complete.as_str()), ("incomplete", incomplete)] {
+            let open = request("GET", "/read/sound", "20000m", "");
+            let answer = send(hung.agent.client().await, vec![(open + text).into_bytes()]).await;
+            assert!(is_refused(answer), "{name} {length}: {answer:?}");
+        }
+    }
+    // The open request may have gone out before more than one read of the head behind it.
+    assert!(hung.begun().iter().all(|request| request.contains("/read/sound")));
+}
+
 /// A request whose server hangs and then breaks its connection has no further attempt once what stands behind it is not sound.
 #[tokio::test]
 async fn no_attempt_follows_an_unsound_request_behind_an_open_one() {
