Tests: one reader of final answers; one refusal of what stands behind a request

Reply::After takes the place of a notification and a task. RequestFraming rejects a request for what stands behind it in one place. No verdict, bound or assertion differs.

--- a/crates/agent/src/downstream/framing.rs
+++ b/crates/agent/src/downstream/framing.rs
@@ -110,11 +110,16 @@
         }
         self.client.set_following_bytes(self.buffered.len() as u64 + self.discarded);
         if let Err(rule) = self.judge_following(0) {
-            self.stage = Stage::Closed;
-            self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
+            self.reject_following(rule);
         }
     }
 
+    /// Rejects the current request for what stands behind it; the bytes that follow are ignored.
+    fn reject_following(&mut self, rule: UnsoundRequest) {
+        self.stage = Stage::Closed;
+        self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
+    }
+
     /// Judges the buffered bytes behind the current request, which ends after so many of them.
     fn judge_following(&mut self, request_end: usize) -> Result<(), UnsoundRequest> {
         self.following.judge(self.passed + request_end as u64, &self.buffered[request_end..])
@@ -191,9 +196,8 @@
             self.complete_request();
             return Ok(());
         };
-        self.stage = Stage::Closed;
         self.readable = 0;
-        self.client.reject_request(RequestRejection::Unsound(UnsoundFinding::following(rule)));
+        self.reject_following(rule);
         Err(io::ErrorKind::InvalidData.into())
     }
 
--- a/crates/agent/tests/hung_servers.rs
+++ b/crates/agent/tests/hung_servers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use testbed::request_forms::{forms, generate, judge, Effect, Form, Verdict};
 use testbed::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -140,30 +140,12 @@
         // The agent may have refused it already.
         let _ = client.stream.write_all(write).await;
     }
-    timeout(REFUSAL_TIME, final_status(&mut client)).await.map_err(|_| "silence")
+    timeout(REFUSAL_TIME, client.nth_final_status(1)).await.map_err(|_| "silence")
 }
 
-/// The status of the first answer that is not an interim one; none if the connection ends before it.
-async fn final_status(client: &mut Client) -> Option<u16> {
-    let mut bytes = Vec::new();
-    loop {
-        while let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head: Vec<u8> = bytes.drain(..end + 4).collect();
-            let status = String::from_utf8_lossy(&head).split(' ').nth(1)?.parse().ok()?;
-            if status != 100 {
-                return Some(status);
-            }
-        }
-        if client.stream.read_buf(&mut bytes).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
-/// Whether this is an error or a close: 429 and 503 say that trying again is worth while.
+/// Whether a request is refused in time, with an error or a close.
 fn is_refused(answer: Result<Option<u16>, &'static str>) -> bool {
-    let is_error = |status| (400..600).contains(&status) && ![429, 503].contains(&status);
-    answer.is_ok_and(|status| status.is_none_or(is_error))
+    answer.is_ok_and(is_error)
 }
 
 /// A client of the agent; one that rests has had an answer, which the agent gives itself.
@@ -237,10 +219,8 @@
                         client.stream.write_all(&write).await.expect("the agent reads");
                         sleep(PAUSE).await;
                     }
-                    for which in ["first", "second"] {
-                        let status = timeout(LONG, final_answer(&mut client)).await.expect("an answer");
-                        assert_eq!(status, 200, "{which} of {effect:?} {place:?} {}", form.rule);
-                    }
+                    let second = timeout(LONG, client.nth_final_status(2)).await.expect("both answers");
+                    assert_eq!(second, Some(200), "{effect:?} {place:?} {}", form.rule);
                 });
                 if sending.len() == SERVERS {
                     sending.join_next().await.expect("one").expect("both are served");
@@ -253,16 +233,6 @@
     }
 }
 
-/// The status of the next answer behind interim ones.
-async fn final_answer(client: &mut Client) -> u16 {
-    loop {
-        match client.answer().await.status() {
-            100 => {}
-            status => return status,
-        }
-    }
-}
-
 /// Guards against copies of a request that wait behind it: an id is new with every request.
 #[tokio::test]
 async fn copy_of_an_open_request_behind_it_gets_an_error() {
--- a/crates/agent/tests/malformed_requests.rs
+++ b/crates/agent/tests/malformed_requests.rs
@@ -73,48 +73,10 @@
         let _ = client.stream.write_all(piece).await;
     }
     let statuses = if arrival == Arrival::TogetherBehind { 2 } else { 1 };
-    let status = timeout(ERROR_TIME, nth_final_status(&mut client, statuses)).await;
+    let status = timeout(ERROR_TIME, client.nth_final_status(statuses)).await;
     status.unwrap_or_else(|_| panic!("{} {arrival:?}: neither an answer nor a close", form.rule))
 }
 
-/// Reads so many final answers behind any interim ones, and returns the status of the last one; none if the connection ends before
-/// that. A first answer other than 200 is the last one: it says that the end of the first request is in doubt.
-async fn nth_final_status(client: &mut Client, count: usize) -> Option<u16> {
-    let mut bytes = Vec::new();
-    let mut answers = 0;
-    loop {
-        while let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head: Vec<u8> = bytes.drain(..end + 4).collect();
-            let head = String::from_utf8_lossy(&head).into_owned();
-            let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
-            if status == Some(100) {
-                continue;
-            }
-            answers += 1;
-            if answers == count || status != Some(200) {
-                return status;
-            }
-            let length = head
-                .to_lowercase()
-                .lines()
-                .find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
-            while bytes.len() < length.unwrap_or(0) {
-                if client.stream.read_buf(&mut bytes).await.ok()? == 0 {
-                    return None;
-                }
-            }
-            bytes.drain(..length.unwrap_or(0));
-        }
-        if client.stream.read_buf(&mut bytes).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
-async fn final_status(client: &mut Client) -> Option<u16> {
-    nth_final_status(client, 1).await
-}
-
 async fn echo_agent() -> (Agent, Backend, Directory) {
     let backend = Backend::start(|m| Reply::Bytes(ok(&String::from_utf8_lossy(&m.body)))).await;
     let directory = Directory::start(Mood::Mute).await;
@@ -126,12 +88,6 @@
     (agent, backend, directory)
 }
 
-/// Whether a status says that a request is not sound: an error, or a close with no answer. 429 and 503 say that trying again is worth
-/// while.
-fn is_error(status: Option<u16>) -> bool {
-    status.is_none_or(|status| (400..600).contains(&status) && ![429, 503].contains(&status))
-}
-
 /// Sends a form, and says what is wrong with what the agent made of it.
 async fn try_form(agent: &Agent, backend: &mut Backend, form: &Form, arrival: Arrival) -> Option<String> {
     let status = send(agent, form, arrival).await;
@@ -212,7 +168,7 @@
     let mut client = agent.client().await;
     // The agent may have refused it already.
     let _ = client.stream.write_all(&bytes).await;
-    let status = timeout(ERROR_TIME, final_status(&mut client)).await.unwrap_or(Some(0));
+    let status = timeout(ERROR_TIME, client.nth_final_status(1)).await.unwrap_or(Some(0));
     let (_, begun) = backend.record();
     let is_right = match verdict {
         Verdict::Sound { timeout_seconds } if timeout_seconds > SERVED_TIMEOUT_SECONDS => status == Some(200),
@@ -316,7 +272,7 @@
             sleep(Duration::from_millis(50)).await;
             client.stream.shutdown().await.expect("it is open");
         }
-        let status = timeout(ERROR_TIME, final_status(&mut client)).await.expect("an answer or a close");
+        let status = timeout(ERROR_TIME, client.nth_final_status(1)).await.expect("an answer or a close");
         // A client that has closed its side has gone away, by the platform's protocol.
         if !(status == Some(400) || closes && status.is_none()) {
             wrong.push(format!("{name}: {status:?}"));
--- a/crates/testbed/src/backend.rs
+++ b/crates/testbed/src/backend.rs
@@ -18,6 +18,8 @@
     Last(Vec<u8>),
     /// These bytes once the test gives the word; the connection stays.
     When(Arc<Notify>, Vec<u8>),
+    /// These bytes after this time, and the connection stays.
+    After(Duration, Vec<u8>),
     /// Silence on an open connection.
     Mute,
 }
@@ -76,6 +78,10 @@
                                 word.notified().await;
                                 stream.write_all(&bytes).await.unwrap_or(());
                             }
+                            Reply::After(time, bytes) => {
+                                sleep(time).await;
+                                stream.write_all(&bytes).await.unwrap_or(());
+                            }
                             Reply::Mute => {}
                         }
                     }
@@ -101,16 +107,7 @@
 
     /// Starts one that gives each request this answer after this time.
     pub async fn answering_after(time: Duration, answer: Vec<u8>) -> Self {
-        let script = move |_: &Message| {
-            let word = Arc::new(Notify::new());
-            let answers = word.clone();
-            tokio::spawn(async move {
-                sleep(time).await;
-                answers.notify_one();
-            });
-            Reply::When(word, answer.clone())
-        };
-        Self::start(script).await
+        Self::start(move |_| Reply::After(time, answer.clone())).await
     }
 
     /// The next request.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -35,8 +35,8 @@
 pub use metrics::*;
 pub use page::write_into;
 pub use process::{
-    command, config, is_running, kill, log_field, on_own_runtime, patient_config, program, settings,
-    write_config, Agent, Client, Leaving,
+    command, config, is_error, is_running, kill, log_field, on_own_runtime, patient_config, program,
+    settings, write_config, Agent, Client, Leaving,
 };
 pub use scripted_discovery::{DiscoveryCall, ScriptedDiscovery};
 pub use server::{Plan, Seen, Server, Work};
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -334,6 +334,12 @@
     pub const ALL: [Leaving; 3] = [Leaving::Fin, Leaving::Reset, Leaving::Half];
 }
 
+/// Whether a status says that a request is not sound: an error, or a close with no answer. 429 and 503 say that trying again is worth
+/// while.
+pub fn is_error(status: Option<u16>) -> bool {
+    status.is_none_or(|status| (400..600).contains(&status) && ![429, 503].contains(&status))
+}
+
 /// The application's side of a connection.
 pub struct Client {
     /// The connection.
@@ -354,6 +360,40 @@
         })
     }
 
+    /// Reads so many final answers behind any interim ones, and returns the status of the last one; none if the connection ends before
+    /// that. A first answer other than 200 is the last one: it says that the end of the first request is in doubt.
+    pub async fn nth_final_status(&mut self, count: usize) -> Option<u16> {
+        let mut bytes = Vec::new();
+        let mut answers = 0;
+        loop {
+            while let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+                let head: Vec<u8> = bytes.drain(..end + 4).collect();
+                let head = String::from_utf8_lossy(&head).into_owned();
+                let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+                if status == Some(100) {
+                    continue;
+                }
+                answers += 1;
+                if answers == count || status != Some(200) {
+                    return status;
+                }
+                let length = head
+                    .to_lowercase()
+                    .lines()
+                    .find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+                while bytes.len() < length.unwrap_or(0) {
+                    if self.stream.read_buf(&mut bytes).await.ok()? == 0 {
+                        return None;
+                    }
+                }
+                bytes.drain(..length.unwrap_or(0));
+            }
+            if self.stream.read_buf(&mut bytes).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
     /// Writes a request and reads its answer.
     pub async fn ask(&mut self, request: &str) -> Message {
         self.send(request).await;
