A stalled disk holds up no client while a process takes over its state directory

The clients' own timers were right to 4 ms, so the machine's processors were free.

Cause: the successor made the files of its state directory on the event loop that serves clients: the lock file's text, control.sock and handover.sock. Traced here beside six writers that sync: ftruncate of the lock 0.29 s, unlink 0.45 s, rename 0.23 s, bind 0.18 s, closing the replaced socket 0.21 s, one after another, each on the loop. Of the same class: the removal of handover.sock at the end of accepting, while requests are pending; a SIGTERM that is read only afterwards.

Change: a thread of its own makes and removes these files (daemon/disk.rs, takeover.rs); both sockets are made in one place (socket_file.rs) and removed only if no other process has replaced them. A successor that is ready has taken over before it accepts, as before; one that remains alone accepts at once.

--- a/crates/agent/src/daemon/control.rs
+++ b/crates/agent/src/daemon/control.rs
@@ -1,18 +1,17 @@
 //! The control socket: one line of JSON as the request, one line as the reply. A reply may carry a descriptor
 //! (`SCM_RIGHTS`, unix(7)), by which a supervisor gets back the listening socket of an instance that outlived it.
 
+use super::socket_file::{BoundSocket, ServedSocket, SocketFile};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::Serialize;
 use serde_json::Value;
 use std::cell::Cell;
 use std::fmt;
-use std::fs::Permissions;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::os::unix::fs::{MetadataExt, PermissionsExt};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::Interest;
@@ -62,63 +61,37 @@
     Reply::message(&ErrorReply { error: reason.to_string() })
 }
 
-/// The file of a Unix socket that this process has made.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SocketFile {
-    path: PathBuf,
-    device: u64,
-    inode: u64,
-}
-
-impl SocketFile {
-    fn at(path: PathBuf) -> io::Result<Self> {
-        let metadata = std::fs::symlink_metadata(&path)?;
-        Ok(SocketFile { path, device: metadata.dev(), inode: metadata.ino() })
-    }
-
-    /// Whether the file is still there and no other process has replaced it.
-    pub fn is_current(&self) -> bool {
-        SocketFile::at(self.path.clone()).is_ok_and(|present| present == *self)
-    }
-}
-
 /// A control socket that is being served; dropping it removes the socket's file, unless another process has replaced that.
-pub struct Control {
-    file: SocketFile,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl Drop for Control {
-    fn drop(&mut self) {
-        self.task.abort();
-        if self.file.is_current() {
-            let _ = std::fs::remove_file(&self.file.path);
-        }
-    }
-}
+pub struct Control(ServedSocket);
 
 impl Control {
-    /// Serves `dir/control.sock`; the caller holds the directory's lock.
+    /// Serves `dir/control.sock`; the caller holds the directory's lock. Waits for the disk.
     ///
     /// # Errors
     ///
     /// The socket cannot be made.
     pub fn serve(dir: &Path, answer: impl Fn(Value) -> Reply + 'static) -> io::Result<Self> {
-        let path = dir.join(super::state::CONTROL_SOCKET);
-        let temporary = dir.join(format!("{}.new", super::state::CONTROL_SOCKET));
-        let _ = std::fs::remove_file(&temporary);
-        let listener = UnixListener::bind(&temporary)?;
-        std::fs::set_permissions(&temporary, Permissions::from_mode(0o600))?;
-        // The socket gets its final name only with its final mode.
-        let file = SocketFile { path, ..SocketFile::at(temporary.clone())? };
-        std::fs::rename(&temporary, &file.path)?;
-        let task = tokio::task::spawn_local(accept(listener, Rc::new(answer)));
-        Ok(Control { file, task })
+        Self::serve_bound(BoundSocket::bind(&dir.join(super::state::CONTROL_SOCKET))?, answer)
+    }
+
+    /// Serves a control socket that has been made.
+    ///
+    /// # Errors
+    ///
+    /// The runtime cannot watch the socket.
+    pub fn serve_bound(socket: BoundSocket, answer: impl Fn(Value) -> Reply + 'static) -> io::Result<Self> {
+        let served = socket.serve(|listener| tokio::task::spawn_local(accept(listener, Rc::new(answer))))?;
+        Ok(Control(served))
     }
 
     /// The socket's file.
     pub fn file(&self) -> SocketFile {
-        self.file.clone()
+        self.0.file()
+    }
+
+    /// Ends the service; another thread removes the socket's file.
+    pub fn close(self) {
+        self.0.close();
     }
 }
 
--- a/crates/agent/src/daemon/handover.rs
+++ b/crates/agent/src/daemon/handover.rs
@@ -5,23 +5,21 @@
 //! them stops. The stream between them stays open; its end means that the other process has exited.
 
 use super::control::{is_authorized, read_line, write};
+use super::socket_file::{BoundSocket, ServedSocket};
 use bellcroft_agent_core::handover::HandoverEvent;
 use bellcroft_agent_core::request_claims::RequestIdHash;
 use bellcroft_net::Stream;
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
-use std::fs::Permissions;
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// Bound of the exchange on both sides. The old process answers from its event loop, however busy it is; one that takes
@@ -292,37 +290,29 @@
 /// Serves the Unix socket over which the next process requests the listening socket. Dropping it removes the socket's
 /// file unless the next process has replaced that by its own.
 pub struct HandoverListener {
-    path: PathBuf,
-    task: JoinHandle<()>,
+    socket: ServedSocket,
     offered: Rc<OfferedSocket>,
-    /// The file at the path is the next process's.
-    pub successor_owns_socket: Cell<bool>,
-}
-
-impl Drop for HandoverListener {
-    fn drop(&mut self) {
-        self.task.abort();
-        if !self.successor_owns_socket.get() {
-            let _ = std::fs::remove_file(&self.path);
-        }
-    }
 }
 
 impl HandoverListener {
-    /// Answers each request at `path` with the listening socket, and tells `peer` of the requesting process.
+    /// Answers each request with the listening socket, and tells `peer` of the requesting process.
     ///
     /// # Errors
     ///
-    /// The socket cannot be made.
-    pub fn serve(path: PathBuf, offered: Rc<OfferedSocket>, peer: Rc<dyn HandoverPeer>) -> io::Result<Self> {
-        let temporary = path.with_extension("new");
-        let _ = std::fs::remove_file(&temporary);
-        let socket = UnixListener::bind(&temporary)?;
-        std::fs::set_permissions(&temporary, Permissions::from_mode(0o600))?;
-        // Atomically over the old process's socket: each request reaches exactly one of the two.
-        std::fs::rename(&temporary, &path)?;
-        let task = tokio::task::spawn_local(accept(socket, offered.clone(), peer));
-        Ok(HandoverListener { path, task, offered, successor_owns_socket: Cell::new(false) })
+    /// The runtime cannot watch the socket.
+    pub fn serve(
+        socket: BoundSocket,
+        offered: Rc<OfferedSocket>,
+        peer: Rc<dyn HandoverPeer>,
+    ) -> io::Result<Self> {
+        let accepting = offered.clone();
+        let socket = socket.serve(|listener| tokio::task::spawn_local(accept(listener, accepting, peer)))?;
+        Ok(HandoverListener { socket, offered })
+    }
+
+    /// Ends the service; another thread removes the socket's file.
+    pub fn close(self) {
+        self.socket.close();
     }
 
     /// Closes the copy of the listening socket. A process that asks from now on gets a new socket at the same address.
--- a/crates/agent/src/daemon/instance.rs
+++ b/crates/agent/src/daemon/instance.rs
@@ -5,11 +5,11 @@
 //! each part with mutable state stands in a cell of its own. No borrow is held across an `await` or a call into
 //! another part.
 
-use super::control::SocketFile;
 use super::descriptors::DescriptorBudget;
 use super::handover::{HandoverListener, HandoverPeer};
 use super::notify::Notify;
 use super::reload::ReloadHistory;
+use super::socket_file::SocketFile;
 use super::state::StatusWriter;
 use super::status::{self, ConfigStatus, Phase, Status};
 use super::unix_ms;
@@ -249,7 +249,9 @@
     pub(super) fn close_listener_copies(&self) {
         drop(self.listener_copy.borrow_mut().take());
         if self.state_place.borrow().is_some() {
-            drop(self.handover_listener.borrow_mut().take());
+            if let Some(handover_listener) = self.handover_listener.take() {
+                handover_listener.close();
+            }
         }
         if let Some(handover_listener) = &*self.handover_listener.borrow() {
             handover_listener.stop_listening();
--- a/crates/agent/src/daemon/serve.rs
+++ b/crates/agent/src/daemon/serve.rs
@@ -10,8 +10,10 @@
 use super::notify::Notify;
 use super::reload::ReloadHistory;
 use super::shutdown::{self, Successor};
+use super::socket_file::BoundSocket;
 use super::state::{StateDir, StatusWriter};
 use super::status::Phase;
+use super::takeover::StateTakeover;
 use super::Startup;
 use crate::control_plane::ControlPlane;
 use crate::downstream::{QueueOrigin, Server};
@@ -21,6 +23,7 @@
 use bellcroft_net::Listener;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -160,6 +163,7 @@
             control_socket: files.control_socket,
             console: None,
             offered: socket.offered,
+            takeover: StateTakeover::NotStarted,
             awaits_predecessors_exit: is_successor,
             supervisor: rustix::process::getppid(),
             state,
@@ -200,6 +204,8 @@
     pub(super) console: Option<Console>,
     /// The listening socket for a process that replaces this one, with the path of the Unix socket where it asks.
     pub(super) offered: Option<(PathBuf, Rc<OfferedSocket>)>,
+    /// How far the replacement of another process at the sockets of the state directory has come.
+    pub(super) takeover: StateTakeover,
     /// Whether the addresses of membership and of the console are the predecessor's until it exits.
     pub(super) awaits_predecessors_exit: bool,
     /// The parent at the start.
@@ -211,12 +217,20 @@
 impl Serving {
     /// Offers the listening socket to a process that is to replace this one.
     pub(super) fn serve_handover(&mut self) {
-        let Some((path, offered)) = &self.offered else { return };
-        let served = HandoverListener::serve(path.clone(), offered.clone(), self.instance.clone());
+        let Some((path, _)) = &self.offered else { return };
+        let socket = BoundSocket::bind(path);
+        self.serve_handover_at(socket);
+    }
+
+    /// As [`Serving::serve_handover`], with a socket that has been made.
+    pub(super) fn serve_handover_at(&mut self, socket: io::Result<BoundSocket>) {
+        let Some((_, offered)) = &self.offered else { return };
+        let served =
+            socket.and_then(|socket| HandoverListener::serve(socket, offered.clone(), self.instance.clone()));
         match served {
             Ok(handover_listener) => {
                 if let Some(former) = self.instance.handover_listener.replace(Some(handover_listener)) {
-                    former.successor_owns_socket.set(true);
+                    former.close();
                 }
             }
             Err(error) => {
@@ -274,6 +288,7 @@
                 _ = self.signals.terminate.recv() => return Ok(()),
                 () = self.instance.shutdown_request.requested() => return Ok(()),
                 () = self.instance.handover_changed.notified() => self.on_handover_change(),
+                sockets = self.takeover.finished() => self.on_state_sockets_made(sockets),
                 // The result stands in the log and in the status.
                 _ = self.signals.hangup.recv() => drop(self.instance.reload()),
                 // Without the driver's timers, requests would be accepted and never answered: a restart is better.
@@ -284,14 +299,16 @@
     }
 
     fn check_readiness(&mut self) {
-        if self.instance.phase() == Phase::Starting && self.instance.driver.is_ready() {
-            if self.instance.awaits_takeover() {
-                self.take_over_state();
-            }
-            self.accept_clients();
-            self.instance.enter(Phase::Ready);
-            self.instance.notify.ready("serving");
+        if self.instance.phase() != Phase::Starting || !self.instance.driver.is_ready() {
+            return;
         }
+        if self.instance.awaits_takeover() && !self.takeover.is_finished() {
+            self.begin_state_takeover();
+            return;
+        }
+        self.accept_clients();
+        self.instance.enter(Phase::Ready);
+        self.instance.notify.ready("serving");
     }
 
     /// Shuts down gracefully; the state directory's lock is released last.
@@ -304,9 +321,6 @@
         let replaced = instance.is_replaced();
         // A copy that is not served must not stay open either; one that is served is closed with the end of accepting.
         drop(self.offered.take());
-        if let Some(handover_listener) = &*instance.handover_listener.borrow() {
-            handover_listener.successor_owns_socket.set(replaced);
-        }
         let handed_over = self.socket_inherited && instance.shutdown_request.hands_over_socket();
         instance.notify.stopping();
         instance.enter(Phase::Draining);
--- a/crates/agent/src/daemon/state.rs
+++ b/crates/agent/src/daemon/state.rs
@@ -4,8 +4,8 @@
 //! when the process exits for whatever reason. Nothing on the request path touches the directory: the status file is
 //! written by a thread of its own, and a failed write is a problem in the status, not a reason to stop serving.
 
-use super::control::SocketFile;
 use super::handover;
+use super::socket_file::SocketFile;
 use std::fs::{DirBuilder, File, OpenOptions, Permissions, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::os::fd::OwnedFd;
@@ -23,7 +23,7 @@
 pub const CONTROL_SOCKET: &str = "control.sock";
 /// The name of the lock file.
 const LOCK_FILE: &str = "lock";
-/// A Unix socket's path has 107 bytes at most (`sun_path`, unix(7)), and the socket is made under a longer name.
+/// A Unix socket's path has 107 bytes at most (`sun_path`, unix(7)), and earlier versions make the socket under this name.
 pub const MAX_PATH_BYTES: usize = 107 - "/control.sock.new".len();
 
 /// Attempts to take a lock that is held: [`is_locked`] of another process holds it for microseconds.
@@ -95,9 +95,8 @@
             std::fs::set_permissions(path, Permissions::from_mode(0o700))
                 .map_err(|e| unusable("others may enter it, and that cannot be changed", e))?;
         }
-        let state = StateDir { path: path.to_owned(), lock: Some(lock) };
-        state.write_process_id();
-        Ok(state)
+        write_process_id(&lock);
+        Ok(StateDir { path: path.to_owned(), lock: Some(lock) })
     }
 
     /// The directory of a running process, which will pass its lock on to this one.
@@ -132,20 +131,18 @@
         Ok(lock.try_clone()?.into())
     }
 
-    /// Writes the id of this process into the lock file, for people only: an id can be reused, so nothing is decided by it.
-    pub fn write_process_id(&self) {
-        if let Some(mut lock) = self.lock.as_ref() {
-            let _ = lock.set_len(0).and_then(|()| lock.rewind());
-            let _ = writeln!(lock, "{}", std::process::id());
-        }
-    }
-
     /// Its path.
     pub fn path(&self) -> &Path {
         &self.path
     }
 }
 
+/// Writes the id of this process into the lock file, for people only: an id can be reused, so nothing is decided by it.
+pub fn write_process_id(mut lock: &File) {
+    let _ = lock.set_len(0).and_then(|()| lock.rewind());
+    let _ = writeln!(lock, "{}", std::process::id());
+}
+
 /// Opens the lock file; an existing one is enough where nothing can be written.
 fn open_lock_file(dir: &Path) -> io::Result<File> {
     let file = dir.join(LOCK_FILE);
--- a/crates/agent/tests/unit/daemon_control.rs
+++ b/crates/agent/tests/unit/daemon_control.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use serde_json::json;
+use std::os::unix::fs::PermissionsExt;
 
 #[test]
 fn only_own_user_and_root_are_authorized() {
--- a/crates/fault-injector/src/calls.rs
+++ b/crates/fault-injector/src/calls.rs
@@ -292,6 +292,21 @@
     unsafe { real(from, to) }
 }
 
+/// `unlink(2)`.
+///
+/// # Safety
+///
+/// As the C library's.
+#[no_mangle]
+pub unsafe extern "C" fn unlink(path: *const c_char) -> c_int {
+    if let Some(Fault::Errno(errno)) = fault(Call::Unlink, -1) {
+        return fail(errno);
+    }
+    let real = real!("unlink" as unsafe extern "C" fn(*const c_char) -> c_int);
+    // SAFETY: the argument is the caller's.
+    unsafe { real(path) }
+}
+
 /// `close(2)`; never made to fail, only noted.
 ///
 /// # Safety
--- a/crates/fault-injector/src/spec.rs
+++ b/crates/fault-injector/src/spec.rs
@@ -39,10 +39,12 @@
     Fsync,
     /// `rename`.
     Rename,
+    /// `unlink`.
+    Unlink,
 }
 
 impl Call {
-    const NAMES: [(&'static str, Call); 11] = [
+    const NAMES: [(&'static str, Call); 12] = [
         ("accept4", Call::Accept),
         ("socket", Call::Socket),
         ("connect", Call::Connect),
@@ -54,6 +56,7 @@
         ("write", Call::Write),
         ("fsync", Call::Fsync),
         ("rename", Call::Rename),
+        ("unlink", Call::Unlink),
     ];
 
     /// The name of the function.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,5 +19,5 @@
 pub use connect::{connect, ConnectError};
 pub use datagram::DatagramSocket;
 pub use errors::{open_with_retry, retry_interrupted};
-pub use listener::{listen, AcceptError, Listener, ACCEPT_BACKLOG};
+pub use listener::{listen, listen_unix, AcceptError, Listener, ACCEPT_BACKLOG};
 pub use stream::Stream;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -7,6 +7,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd};
+use std::os::unix::net::UnixListener;
+use std::path::Path;
 use tokio::net::{TcpListener, TcpStream};
 
 /// The maximum number of connections that the kernel queues until they are accepted.
@@ -38,6 +40,17 @@
     Ok(socket.into())
 }
 
+/// Opens a Unix socket that listens at a path, where no file may be yet. It does not block; making its file waits for the disk.
+///
+/// # Errors
+///
+/// There is no descriptor for it, or its file cannot be made.
+pub fn listen_unix(path: &Path) -> io::Result<UnixListener> {
+    let listener = UnixListener::bind(path)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// A listening socket.
 #[derive(Debug)]
 pub struct Listener(TcpListener);
