Tests: one end of a takeover from a stalled disk

Two tests of stalled_disk.rs ended alike: the predecessor is killed, each request has its answer, the successor serves the control socket and ends. One function does it; the assertions are the same, and that a call has stalled is checked in both.

--- a/crates/agent/tests/stalled_disk.rs
+++ b/crates/agent/tests/stalled_disk.rs
@@ -115,22 +115,28 @@
     }
 }
 
+/// Ends the predecessor of a successor whose calls stall, and checks that each request gets this status meanwhile, and that the
+/// successor then serves the control socket.
+async fn assert_answered_after_death(site: &Site, mut old: Agent, mut new: Agent, shim: &Shim, status: u16) {
+    old.child.kill().await.expect("it is ours");
+    let statuses = ask_for(old.address, "/read", Duration::from_secs(4)).await;
+    assert!(statuses.iter().all(|given| *given == Some(status)), "{statuses:?}");
+    assert!(shim.faults() > 0, "no call has stalled: the test shows nothing");
+    site.until_controlled_by(&new).await;
+    new.term().await;
+    assert!(new.end().await.success());
+}
+
 /// Guards against a successor that reads no request while it makes the sockets of its state directory, after its predecessor has died.
 #[tokio::test]
 async fn starting_successor_answers_while_the_disk_stalls() {
     let server = Backend::start(hanging).await;
     let site = Site::new(&server).await;
-    let mut old = site.start(site.config.clone(), &[]).await;
+    let old = site.start(site.config.clone(), &[]).await;
     old.ready().await;
     let shim = Shim::new(&format!("rename {STALL}"));
-    let mut new = site.start_successor(site.without_servers(), &shim).await;
-    old.child.kill().await.expect("it is ours");
-    let statuses = ask_for(old.address, "/read", Duration::from_secs(4)).await;
-    assert!(statuses.iter().all(|status| *status == Some(429)), "{statuses:?}");
-    assert!(shim.faults() > 0, "no call has stalled: the test shows nothing");
-    site.until_controlled_by(&new).await;
-    new.term().await;
-    assert!(new.end().await.success());
+    let new = site.start_successor(site.without_servers(), &shim).await;
+    assert_answered_after_death(&site, old, new, &shim, 429).await;
 }
 
 /// Guards against a successor that reads no request because its predecessor dies just as it makes the sockets of its state directory.
@@ -138,17 +144,12 @@
 async fn ready_successor_serves_while_the_disk_stalls() {
     let server = Backend::start(hanging).await;
     let site = Site::new(&server).await;
-    let mut old = site.start(site.config.clone(), &[]).await;
+    let old = site.start(site.config.clone(), &[]).await;
     old.ready().await;
     let shim = Shim::new(&format!("rename {STALL}"));
-    let mut new = site.start_successor(site.config.clone(), &shim).await;
+    let new = site.start_successor(site.config.clone(), &shim).await;
     until_stalled(&shim).await;
-    old.child.kill().await.expect("it is ours");
-    let statuses = ask_for(old.address, "/read", Duration::from_secs(4)).await;
-    assert!(statuses.iter().all(|status| *status == Some(200)), "{statuses:?}");
-    site.until_controlled_by(&new).await;
-    new.term().await;
-    assert!(new.end().await.success());
+    assert_answered_after_death(&site, old, new, &shim, 200).await;
 }
 
 /// Guards against a shutdown that waits for the disk: a successor that is told to stop while it takes over ends in time, and the
